--- /dev/null
+++ b/src/main/java/beaconturn/decision/Flight.java
@@ -0,0 +1,14 @@
+package beaconturn.decision;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One fetch of a key from the origin, and the requests that wait for it. */
+final class Flight {
+    final Request leader;
+    final List<Request> waiting = new ArrayList<>();
+
+    Flight(Request leader) {
+        this.leader = leader;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/decision/Request.java
@@ -0,0 +1,64 @@
+package beaconturn.decision;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A request that the router has accepted, until its last attempt has closed. */
+final class Request {
+    final long id;
+    final long key;
+    final long hash;
+    final int classIndex;
+    final Routing.RequestClass type;
+    final boolean write;
+    final boolean overQuota;
+    final long deadline;
+    final List<Attempt> attempts = new ArrayList<>(2);
+    Server missedAt;
+    Flight flight;
+    boolean queued;
+    boolean streaming;
+    boolean done;
+
+    Request(Routing.Arrival e, Routing.RequestClass type, long now, boolean overQuota) {
+        this.id = e.request();
+        this.key = e.key();
+        this.hash = Hash.mix(e.key() != 0 ? e.key() : e.request());
+        this.classIndex = e.requestClass();
+        this.type = type;
+        this.write = e.write();
+        this.overQuota = overQuota;
+        this.deadline = now + e.left();
+    }
+
+    int openCount() {
+        int count = 0;
+        for (Attempt a : attempts) {
+            count += a.open ? 1 : 0;
+        }
+        return count;
+    }
+
+    boolean anyOpen() {
+        return openCount() > 0;
+    }
+
+    boolean tried(Server s) {
+        for (Attempt a : attempts) {
+            if (a.server == s) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** The first attempt that is out or may have had its effect; null if there is none. */
+    Attempt firstMaybeRun() {
+        for (Attempt a : attempts) {
+            if (!a.neverRan) {
+                return a;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -0,0 +1,695 @@
+package beaconturn.decision;
+
+// The interface this module implements - settings, events, actions - is Routing.java beside this file.
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * Every decision of one router: consistent hashing with bounded loads, and what it takes to stay sound when
+ * caches, the origin or the list fail. Single-threaded; knows only its settings and its own events. Order:
+ * events, ordinary path, health, cold starts, attempts and hedges, origin, admission, discovery.
+ */
+public final class RingRouter implements Routing.Router {
+    /** Bounded loads: a cache may hold this much more than the mean. The source gives 0.15 to 0.25. */
+    private static final double EPSILON = 0.2;
+    /** The cap never falls below this, so that few requests in flight do not scatter the keys. */
+    private static final int LEAST_CAP = 2;
+    /** Virtual points of a cache of mean rating. The source advises 100 to 200. */
+    private static final int POINTS = 150;
+    /** Weight of the newest sample: about ten samples make an average. */
+    private static final double NEWEST = 0.1;
+    /** An answer is late past the mean plus this many mean deviations: 1 in 60 on an exponential tail. */
+    private static final double LATE_DEVIATIONS = 4;
+    /** Sick: this share of bad samples above the fleet's own; three in a row reach it. */
+    private static final double SICK = 0.25;
+    /** Share of the ring that may be passed over as sick; beyond it the fleet is at fault, not caches. */
+    private static final double MOST_EJECTED = 1.0 / 3;
+    /** A sick cache gets a first trial after this many mean answer times, then twice as long each time. */
+    private static final double TRIAL_AFTER = 8;
+    private static final double LONGEST_TRIAL = 64;
+    /** Further attempts earned by each arrival; keeps retries and hedges a small part of the load. */
+    private static final double RETRY_RATIO = 0.2;
+    /** Part of the fall multiple that is spent on a cold cache; the rest is for chance and heavy requests. */
+    private static final double COLD_SAFETY = 0.4;
+    /** Crowded: answers take this part of their aim on average. */
+    private static final double CROWDED = 0.4;
+    /** A crowded gate shrinks to this part of what is in flight, at most once an answer time. */
+    private static final double SHRINK = 0.85;
+    /** Occupancy of the gate up to which worthless requests pass; full worth passes up to 1. */
+    private static final double OPEN_TO_ALL = 0.6;
+
+    private static final int LATE = 0;
+    private static final int PATIENCE = 1;
+    private static final int WATCH = 2;
+
+    private final Routing.Settings settings;
+    private final Routing.Rules rules;
+    private final Routing.Permissions may;
+    private final Routing.Actions out;
+    private final SplittableRandom random;
+    private final double highestWorth;
+    private final Map<Long, Server> servers = new HashMap<>();
+    private final Map<Long, Request> requests = new HashMap<>();
+    private final Map<Long, Flight> flights = new HashMap<>();
+    private final List<Server> ring = new ArrayList<>();
+    private final List<Server> origins = new ArrayList<>();
+    private final List<Request> originQueue = new ArrayList<>();
+    private final Average[] answerTimes;
+    private final Average originTime = new Average(NEWEST);
+    private final Gate caches = new Gate();
+    private final Gate origin = new Gate();
+    private final Bucket[] quotas;
+    private final Rate ringSends;
+    private long[] points = new long[0];
+    private boolean listChanged;
+    private long now;
+    private long walk;
+    private double retryBudget;
+    private double fleetSick;
+    private long watchBackoff;
+
+    /** A router that starts empty; its first list follows. */
+    public RingRouter(Routing.Settings settings, long seed, long now, Routing.Actions out) {
+        this.settings = settings;
+        this.rules = settings.rules();
+        this.may = settings.permissions();
+        this.out = out;
+        this.now = now;
+        this.random = new SplittableRandom(seed);
+        this.ringSends = new Rate(2.0 * rules.overloadFor());
+        this.highestWorth = settings.classes().stream().mapToDouble(Routing.RequestClass::worth).max()
+            .orElse(1);
+        this.answerTimes = new Average[settings.classes().size()];
+        Arrays.setAll(answerTimes, i -> new Average(NEWEST));
+        this.quotas = new Bucket[settings.tenants().size()];
+        Arrays.setAll(quotas, i -> new Bucket());
+        this.watchBackoff = rules.askWithin() / 16;
+        if (settings.askForList()) {
+            out.watch(true);
+        }
+    }
+
+    // ---- events
+
+    @Override
+    public void handle(long clock, Routing.Event event) {
+        now = clock;
+        if (event instanceof Routing.Arrival arrival) {
+            arrived(arrival);
+        } else if (event instanceof Routing.AttemptClosed closed) {
+            attemptClosed(closed);
+        } else if (event instanceof Routing.Timer timer) {
+            timer(timer.token());
+        } else if (event instanceof Routing.Withdrawn withdrawn) {
+            Request r = requests.get(withdrawn.request());
+            if (r != null) {
+                conclude(r, false);
+            }
+        } else if (event instanceof Routing.FirstByte first) {
+            firstByte(first);
+        } else if (event instanceof Routing.ServerList list) {
+            serverList(list);
+        }
+    }
+
+    private void arrived(Routing.Arrival e) {
+        Request r = new Request(e, settings.classes().get(e.requestClass()), now, overQuota(e.tenant()));
+        requests.put(r.id, r);
+        retryBudget = Math.min(Math.max(1, ring.size()), retryBudget + RETRY_RATIO);
+        boolean toOrigin = settings.origin().aside() && r.write;
+        if (!admitted(r, toOrigin ? origin : caches)) {
+            giveUp(r);
+        } else if (toOrigin) {
+            askOrigin(r);
+        } else if (settings.origin().aside() && r.key != 0 && flights.containsKey(r.key)) {
+            await(r, flights.get(r.key));
+        } else {
+            askCache(r);
+        }
+    }
+
+    private void attemptClosed(Routing.AttemptClosed e) {
+        Request r = requests.get(e.request());
+        if (r == null || e.attempt() >= r.attempts.size() || !r.attempts.get(e.attempt()).open) {
+            return;
+        }
+        Attempt a = r.attempts.get(e.attempt());
+        a.open = false;
+        a.neverRan = e.ending().neverRan();
+        a.server.inFlight--;
+        forgetIfGone(a.server);
+        if (a.toOrigin) {
+            originClosed(r, e);
+        } else {
+            cacheClosed(r, a, e);
+        }
+        if (e.closed() && !r.done) {
+            conclude(r, e.ending() == Routing.Ending.OK);
+        } else if (!r.done) {
+            proceed(r, a, e.ending());
+        } else if (!r.anyOpen()) {
+            requests.remove(r.id);
+        }
+    }
+
+    /** Decides what follows an attempt that did not end its request. */
+    private void proceed(Request r, Attempt a, Routing.Ending ending) {
+        if (ending == Routing.Ending.MISS && !a.toOrigin) {
+            r.missedAt = r.missedAt == null ? a.server : r.missedAt;
+            if (!r.anyOpen()) {
+                fetch(r);
+            }
+        } else if (!r.anyOpen() && !r.queued) {
+            retry(r, a);
+        }
+    }
+
+    private void timer(long token) {
+        int kind = (int) (token & 3);
+        Request r = requests.get(token >>> 8);
+        if (kind == WATCH) {
+            out.watch(true);
+        } else if (r != null && !r.done && kind == LATE) {
+            late(r, r.attempts.get((int) (token >>> 2 & 63)));
+        } else if (r != null && !r.done && kind == PATIENCE && r.queued && !r.anyOpen()) {
+            giveUp(r);
+        }
+    }
+
+    private void firstByte(Routing.FirstByte e) {
+        Request r = requests.get(e.request());
+        if (r != null) {
+            r.streaming = true;
+            cancelOpen(r, e.attempt());
+        }
+    }
+
+    // ---- ordinary path: ring, bounded loads, clockwise walk
+
+    /** The home cache of the key, or the next one clockwise that is under its cap; all full: least loaded. */
+    private Server pick(Request r) {
+        if (listChanged) {
+            buildRing();
+        }
+        int cap = cap();
+        int found = Arrays.binarySearch(points, r.hash & -0x10000L);
+        int start = found >= 0 ? found : -found - 1;
+        Server leastLoaded = null;
+        Server lastResort = null;
+        walk++;
+        for (int i = 0, seen = 0; seen < ring.size(); i++) {
+            Server s = ring.get((int) points[(start + i) % points.length] & 0xffff);
+            if (s.walk == walk) {
+                continue;
+            }
+            s.walk = walk;
+            seen++;
+            if (!legal(r, s) || r.tried(s) || !coldBudgetLeft(s)) {
+                continue;
+            }
+            if (passedOver(s, r)) {
+                lastResort = lessLoaded(lastResort, s);
+            } else if (s.inFlight < cap) {
+                return s;
+            } else {
+                leastLoaded = lessLoaded(leastLoaded, s);
+            }
+        }
+        return leastLoaded != null ? leastLoaded : lastResort;
+    }
+
+    private static Server lessLoaded(Server a, Server b) {
+        return a == null || b.inFlight < a.inFlight ? b : a;
+    }
+
+    private int cap() {
+        int total = 0;
+        for (Server s : ring) {
+            total += s.inFlight;
+        }
+        return cap(total, ring.size());
+    }
+
+    /** The most a cache may hold when one more request joins {@code total} in flight on {@code n} caches. */
+    static int cap(int total, int n) {
+        return Math.max(LEAST_CAP, (int) Math.ceil((1 + EPSILON) * (total + 1) / Math.max(1, n)));
+    }
+
+    /** Points come from the server's id alone, so that all routers agree and a change moves few keys. */
+    private void buildRing() {
+        listChanged = false;
+        double unit = ratingUnit();
+        int[] counts = new int[ring.size()];
+        int total = 0;
+        for (int i = 0; i < counts.length; i++) {
+            counts[i] = (int) Math.round(POINTS * Math.max(0.25, Math.min(4, ring.get(i).rating / unit)));
+            total += counts[i];
+        }
+        points = new long[total];
+        int at = 0;
+        for (int i = 0; i < counts.length; i++) {
+            for (int k = 0; k < counts[i]; k++) {
+                points[at++] = Hash.mix(ring.get(i).id * 4099 + k) & -0x10000L | i;
+            }
+        }
+        Arrays.sort(points);
+    }
+
+    /** Ratings count against the power of two nearest their mean: a change of members seldom moves it. */
+    private double ratingUnit() {
+        double sum = 0;
+        for (Server s : ring) {
+            sum += s.rating;
+        }
+        return sum <= 0 ? 1 : Math.pow(2, Math.rint(Math.log(sum / ring.size()) / Math.log(2)));
+    }
+
+    // ---- health: a sick cache is passed over but for a trickle
+
+    private boolean passedOver(Server s, Request r) {
+        if (!s.ejected) {
+            return false;
+        }
+        boolean trial = now >= s.trialAt && s.inFlight == 0 && r.type.effect() == Routing.Effect.SAFE;
+        return !trial;
+    }
+
+    /** One sample of a cache's health; quick errors must not attract keys by keeping counts low. */
+    private void judge(Server s, boolean bad) {
+        s.sick += NEWEST * ((bad ? 1 : 0) - s.sick);
+        fleetSick += NEWEST / Math.max(1, ring.size()) * ((bad ? 1 : 0) - fleetSick);
+        if (s.ejected && bad) {
+            s.trialGap = Math.min(2 * s.trialGap, LONGEST_TRIAL);
+        } else if (s.ejected) {
+            s.sick /= 2;
+            s.trialGap = TRIAL_AFTER;
+        }
+        boolean sick = s.sick > (s.ejected ? SICK / 2 : SICK + fleetSick);
+        if (sick && !s.ejected && ejectedCount() + 1 > Math.max(1, ring.size() * MOST_EJECTED)) {
+            return;
+        }
+        if (sick != s.ejected) {
+            s.ejected = sick;
+            s.trialGap = TRIAL_AFTER;
+        }
+        s.trialAt = now + (long) (s.trialGap * meanAnswerTime());
+    }
+
+    private int ejectedCount() {
+        int count = 0;
+        for (Server s : ring) {
+            count += s.ejected ? 1 : 0;
+        }
+        return count;
+    }
+
+    private double meanAnswerTime() {
+        double sum = 0;
+        for (Average a : answerTimes) {
+            sum += a.mean;
+        }
+        return sum / answerTimes.length;
+    }
+
+    // ---- cold starts: a freshly started cache gets no more than its guaranteed share
+
+    /** Part of its capacity that a cache has for certain: an even rise from the cold share. */
+    private double warmth(Server s) {
+        if (s.bootTime == 0 || now - s.bootTime >= rules.cold()) {
+            return 1;
+        }
+        double age = Math.max(0, now - s.bootTime) / (double) rules.cold();
+        return rules.coldShare() + (1 - rules.coldShare()) * age;
+    }
+
+    /**
+     * What the warm caches are sent is what they can carry; every router holds a cold one to its own mean,
+     * times warmth, times a part of the fall multiple, so that all routers together stay under the rule.
+     */
+    private boolean coldBudgetLeft(Server s) {
+        double warmth = warmth(s);
+        if (warmth >= 1) {
+            return true;
+        }
+        double perNano = COLD_SAFETY * rules.fallMultiple() * warmth * ringSends.perNano(now) / ring.size();
+        s.cold.fill(now, perNano, Math.max(1, perNano * rules.overloadFor() / 4));
+        return s.cold.tokens >= 1;
+    }
+
+    // ---- attempts, retries and hedges
+
+    /** The one guard before every send: the request is alive, the server takes work, a repeat is allowed. */
+    private boolean legal(Request r, Server s) {
+        return !r.done && !r.streaming && s.health == Routing.Health.READY && now < r.deadline
+            && r.attempts.size() < may.maxTries() && (may.secondCopies() || !r.anyOpen())
+            && repeatAllowed(r, s);
+    }
+
+    private boolean repeatAllowed(Request r, Server s) {
+        Attempt first = r.firstMaybeRun();
+        if (first == null || r.type.effect() == Routing.Effect.SAFE) {
+            return true;
+        }
+        if (r.type.effect() == Routing.Effect.UNSAFE || now - first.sentAt >= r.type.window()) {
+            return false;
+        }
+        for (Attempt a : r.attempts) {
+            if (!a.neverRan && !sameGroup(r.type.scope(), a.server, s)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean sameGroup(Routing.Scope scope, Server a, Server b) {
+        return switch (scope) {
+            case ALL -> true;
+            case ZONE -> a.zone == b.zone;
+            case CELL -> a.cell == b.cell;
+        };
+    }
+
+    private void send(Request r, Server s, boolean toOrigin) {
+        if (!legal(r, s)) {
+            giveUp(r);
+            return;
+        }
+        Attempt a = new Attempt(s, now, toOrigin);
+        r.attempts.add(a);
+        r.queued = false;
+        s.inFlight++;
+        out.send(r.id, s.id, r.deadline - now);
+        if (toOrigin) {
+            origin.inFlight++;
+            return;
+        }
+        caches.inFlight++;
+        ringSends.count(now);
+        s.cold.tokens -= 1;
+        long lateAfter = lateAfter(r);
+        if (now + lateAfter < r.deadline) {
+            out.timer(lateAfter, r.id << 8 | (r.attempts.size() - 1) << 2 | LATE);
+        }
+    }
+
+    private void askCache(Request r) {
+        Server s = ring.isEmpty() ? null : pick(r);
+        if (s == null) {
+            giveUp(r);
+        } else {
+            send(r, s, false);
+        }
+    }
+
+    private void cacheClosed(Request r, Attempt a, Routing.AttemptClosed e) {
+        caches.inFlight--;
+        Routing.Ending ending = e.ending();
+        boolean answered = ending == Routing.Ending.OK || ending == Routing.Ending.MISS;
+        if (ending == Routing.Ending.CANCELLED || ending == Routing.Ending.MOOT) {
+            return;
+        }
+        boolean late = e.elapsed() > lateAfter(r);
+        if (ending == Routing.Ending.OK) {
+            answerTimes[r.classIndex].add(e.elapsed());
+        }
+        if (!a.judged) {
+            judge(a.server, !answered || late);
+        }
+        caches.observe(now, ending == Routing.Ending.FULL ? 1 : e.elapsed() / (double) r.type.aim(),
+            meanAnswerTime(), ring.size());
+    }
+
+    /** How long an answer of the request's class takes at the most, as a rule; its aim until one is known. */
+    private long lateAfter(Request r) {
+        Average times = answerTimes[r.classIndex];
+        return times.any ? (long) (times.mean + LATE_DEVIATIONS * times.deviation) : r.type.aim();
+    }
+
+    /** An attempt is out longer than answers take: it counts against the cache, and may be hedged. */
+    private void late(Request r, Attempt a) {
+        if (!a.open) {
+            return;
+        }
+        a.judged = true;
+        judge(a.server, true);
+        if (retryBudget >= 1 && may.secondCopies() && !r.streaming && r.openCount() == 1
+                && r.type.effect() != Routing.Effect.UNSAFE) {
+            Server s = pick(r);
+            if (s != null && s.health == Routing.Health.READY) {
+                retryBudget--;
+                send(r, s, false);
+            }
+        }
+    }
+
+    private void retry(Request r, Attempt a) {
+        double needed = a.toOrigin ? originTime.mean : answerTimes[r.classIndex].mean;
+        if (a.toOrigin || retryBudget < 1 || r.deadline - now <= needed) {
+            giveUp(r);
+            return;
+        }
+        retryBudget--;
+        askCache(r);
+    }
+
+    /** The one place where a request is given up: refused where a repeat is harmless, else failed. */
+    private void giveUp(Request r) {
+        if (r.done) {
+            return;
+        }
+        boolean harmless = r.type.effect() == Routing.Effect.SAFE || r.firstMaybeRun() == null
+            || r.type.effect() == Routing.Effect.KEYED && r.type.scope() == Routing.Scope.ALL;
+        if (harmless) {
+            out.refuse(r.id, may.retryAfter() ? retryAfter(r) : 0);
+        } else {
+            out.fail(r.id);
+        }
+        conclude(r, false);
+    }
+
+    /** The request is over; what it still has out is called off and those waiting for its key go on. */
+    private void conclude(Request r, boolean answered) {
+        if (r.done) {
+            return;
+        }
+        r.done = true;
+        cancelOpen(r, -1);
+        originQueue.remove(r);
+        Flight flight = r.flight;
+        if (flight != null) {
+            r.flight = null;
+            flight.waiting.remove(r);
+            if (flight.leader == r) {
+                land(r, flight, answered);
+            }
+        }
+        if (!r.anyOpen()) {
+            requests.remove(r.id);
+        }
+    }
+
+    private void cancelOpen(Request r, int except) {
+        for (int i = 0; may.cancel() && i < r.attempts.size(); i++) {
+            if (r.attempts.get(i).open && i != except) {
+                out.cancel(r.id, i);
+            }
+        }
+    }
+
+    // ---- origin: one fetch a key, a limit in flight, the worthiest first
+
+    /** A miss: the first request for a key asks the origin, later ones wait for the cache to be filled. */
+    private void fetch(Request r) {
+        if (r.key == 0) {
+            askOrigin(r);
+            return;
+        }
+        Flight flight = flights.get(r.key);
+        if (flight != null && flight.leader != r) {
+            await(r, flight);
+            return;
+        }
+        r.flight = new Flight(r);
+        flights.put(r.key, r.flight);
+        askOrigin(r);
+    }
+
+    private void await(Request r, Flight flight) {
+        r.flight = flight;
+        flight.waiting.add(r);
+        hold(r);
+    }
+
+    /** Holds a request for at most half the time it has left, so that a refusal is still of use. */
+    private void hold(Request r) {
+        r.queued = true;
+        out.timer((r.deadline - now) / 2, r.id << 8 | PATIENCE);
+    }
+
+    /** A fetch is over: its cache now has the object, or else the next in line fetches. */
+    private void land(Request leader, Flight flight, boolean answered) {
+        flights.remove(leader.key);
+        List<Request> waiting = List.copyOf(flight.waiting);
+        flight.waiting.clear();
+        for (Request w : waiting) {
+            w.flight = null;
+        }
+        for (Request w : waiting) {
+            if (w.done) {
+                continue;
+            }
+            Server s = leader.missedAt;
+            if (!answered) {
+                fetch(w);
+            } else if (s != null && legal(w, s) && s.inFlight < cap() && coldBudgetLeft(s)) {
+                send(w, s, false);
+            } else {
+                askCache(w);
+            }
+        }
+    }
+
+    private void askOrigin(Request r) {
+        Server s = null;
+        for (Server o : origins) {
+            s = lessLoaded(s, o);
+        }
+        if (s == null) {
+            giveUp(r);
+        } else if (origin.inFlight < origin.limit) {
+            send(r, s, true);
+        } else if (originTime.mean * (originQueue.size() + 1) / origin.limit < (r.deadline - now) / 2) {
+            originQueue.add(r);
+            hold(r);
+        } else {
+            giveUp(r);
+        }
+    }
+
+    private void originClosed(Request r, Routing.AttemptClosed e) {
+        origin.inFlight--;
+        Routing.Ending ending = e.ending();
+        if (ending == Routing.Ending.OK) {
+            originTime.add(e.elapsed());
+        }
+        if (ending != Routing.Ending.CANCELLED && ending != Routing.Ending.MOOT) {
+            boolean slow = ending == Routing.Ending.FULL || ending == Routing.Ending.CONNECT_FAILED;
+            origin.observe(now, slow ? 1 : e.elapsed() / (double) r.type.aim(), originTime.mean, 1);
+        }
+        while (!originQueue.isEmpty() && origin.inFlight < origin.limit) {
+            Request next = worthiest();
+            originQueue.remove(next);
+            askOrigin(next);
+        }
+    }
+
+    private Request worthiest() {
+        Request best = originQueue.get(0);
+        for (Request r : originQueue) {
+            best = value(r) > value(best) ? r : best;
+        }
+        return best;
+    }
+
+    // ---- admission: what is worth least goes first, and only when it is crowded
+
+    /** Part of the highest worth that the request stands for; 1 for the best, little beyond a quota. */
+    private double value(Request r) {
+        return r.type.worth() * (r.overQuota ? settings.overShareWorth() : 1) / highestWorth;
+    }
+
+    private boolean admitted(Request r, Gate gate) {
+        return gate.inFlight < gate.limit * (OPEN_TO_ALL + (1 - OPEN_TO_ALL) * value(r));
+    }
+
+    private boolean overQuota(int tenant) {
+        if (tenant >= quotas.length || settings.tenants().get(tenant).quotaPerSecond() <= 0) {
+            return false;
+        }
+        double perSecond = settings.tenants().get(tenant).quotaPerSecond() / settings.routers();
+        quotas[tenant].fill(now, perSecond / 1e9, Math.max(1, perSecond));
+        if (quotas[tenant].tokens < 1) {
+            return true;
+        }
+        quotas[tenant].tokens--;
+        return false;
+    }
+
+    /** Beyond a quota: as long as clients listen; else soon enough for the aim, spread by chance. */
+    private long retryAfter(Request r) {
+        long longest = may.maxRetryAfter();
+        long soon = (long) (r.type.aim() * (0.2 + 0.2 * random.nextDouble()));
+        return r.overQuota ? longest : Math.min(longest, soon);
+    }
+
+    // ---- discovery: the list decides who is on the ring
+
+    private void serverList(Routing.ServerList list) {
+        if (list.kind() == Routing.ListKind.FAILED) {
+            long delay = (long) (watchBackoff * (0.5 + random.nextDouble() / 2));
+            watchBackoff = Math.min(2 * watchBackoff, rules.askWithin() / 2);
+            out.timer(delay, WATCH);
+            return;
+        }
+        if (list.kind() != Routing.ListKind.DELTA) {
+            for (Server s : ring) {
+                s.health = Routing.Health.GONE;
+            }
+            for (Server s : origins) {
+                s.health = Routing.Health.GONE;
+            }
+        }
+        if (list.kind() != Routing.ListKind.CACHED) {
+            watchBackoff = rules.askWithin() / 16;
+        }
+        for (Routing.ServerEntry e : list.entries()) {
+            servers.computeIfAbsent(e.server(), Server::new).update(e, settings.ratingStable());
+            Server s = servers.get(e.server());
+            boolean isOrigin = settings.origin().aside() && e.kind() == settings.origin().kind();
+            List<Server> home = isOrigin ? origins : ring;
+            if (!home.contains(s)) {
+                home.add(s);
+            }
+        }
+        listChanged = true;
+        dropUnready(ring);
+        dropUnready(origins);
+    }
+
+    private void dropUnready(List<Server> from) {
+        for (int i = from.size() - 1; i >= 0; i--) {
+            if (from.get(i).health != Routing.Health.READY) {
+                forgetIfGone(from.remove(i));
+            }
+        }
+    }
+
+    private void forgetIfGone(Server s) {
+        if (s.health == Routing.Health.GONE && s.inFlight == 0) {
+            servers.remove(s.id);
+        }
+    }
+
+    /** A limit in flight, learned from how long answers take against their aim. */
+    private static final class Gate {
+        private double limit = 1e9;
+        private int inFlight;
+        private double slowness;
+        private long shrunkAt;
+
+        void observe(long now, double partOfAim, double answerTime, int least) {
+            slowness += NEWEST * (Math.min(2, partOfAim) - slowness);
+            if (slowness > CROWDED && now - shrunkAt > answerTime) {
+                limit = Math.max(least, Math.min(limit, inFlight + 1) * SHRINK);
+                shrunkAt = now;
+            } else if (slowness <= CROWDED) {
+                limit += 1 / limit;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/decision/Routing.java
@@ -0,0 +1,138 @@
+package beaconturn.decision;
+
+import java.util.List;
+
+/**
+ * The whole interface of the decision module: what it is told at start, what happens to it, and what it
+ * may do. Nothing here belongs to one wire; a second protocol would use the same types. All times are
+ * nanoseconds, all clock times come from the host, and a server is an opaque number.
+ */
+public final class Routing {
+    private Routing() {
+    }
+
+    /** Whether a request may run more than once. */
+    public enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** Which servers discard repeats of a keyed request. */
+    public enum Scope { ALL, ZONE, CELL }
+
+    /** How an attempt ended. */
+    public enum Ending {
+        OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT, MISS;
+
+        /** True where the ending proves that the attempt had no effect. */
+        public boolean neverRan() {
+            return this == FULL || this == CONNECT_FAILED || this == MOOT || this == MISS;
+        }
+    }
+
+    /** What a server said about the key it answered for. */
+    public enum Note { NONE, HIT, MISS, MISS_FETCHING }
+
+    /** State of a server as the list tells it. */
+    public enum Health { GONE, READY, DRAINING }
+
+    /** How much of the server list an update holds. */
+    public enum ListKind { DELTA, FULL, CACHED, FAILED }
+
+    /** One class of request; {@code window} is how long repeats of a keyed request are discarded. */
+    public record RequestClass(Effect effect, Scope scope, long window, long aim, long deadline,
+            double worth, double lateWorth, boolean stream) { }
+
+    /** One customer: its quota over all routers, in requests a second; 0 means none is set. */
+    public record Tenant(double quotaPerSecond, double share) { }
+
+    /** The figures behind the four rules. */
+    public record Rules(long answerSlack, long askWithin, double coldShare, long cold, long drainGrace,
+            double fallMultiple, long overloadFor) { }
+
+    /** What the site allows a router to do. */
+    public record Permissions(boolean cancel, boolean peers, boolean probes, boolean retryAfter,
+            boolean secondCopies, int maxTries, long maxRetryAfter, int multiplex, long connectTimeout) { }
+
+    /** Where the origin stands: {@code aside} misses go to servers of {@code kind}; else caches fetch. */
+    public record Origin(boolean aside, int kind, boolean ordered, long fallTime, double fallMultiple) { }
+
+    /** All settings; {@code ratingStable} says that ratings compare sizes and do not follow load. */
+    public record Settings(int index, int routers, int zone, boolean askForList, boolean ratingStable,
+            boolean worthByWork, double overShareWorth, long tick, List<RequestClass> classes,
+            List<Tenant> tenants, Rules rules, Permissions permissions, Origin origin,
+            List<String> reportNames) { }
+
+    /** One line of the server list; {@code bootTime} 0 means that it started long ago. */
+    public record ServerEntry(long server, int zone, int kind, int cell, Health health, double rating,
+            long bootTime) { }
+
+    /** Everything that can happen to a router. */
+    public sealed interface Event permits ServerList, Arrival, FirstByte, AttemptClosed, Withdrawn, Timer,
+            Probed, PeerMessage { }
+
+    /** News of the server list. */
+    public record ServerList(long version, ListKind kind, List<ServerEntry> entries) implements Event { }
+
+    /** A request; {@code hint} is its expected work or 0, {@code key} 0 means none. */
+    public record Arrival(long request, int tenant, long hint, long key, int requestClass, long left,
+            boolean clientRetry, boolean write, double size) implements Event { }
+
+    /** The answer of a streamed request has begun. */
+    public record FirstByte(long request, long elapsed, long server, int attempt) implements Event { }
+
+    /** An attempt has ended; {@code closed} says that its request needs no further answer. */
+    public record AttemptClosed(long request, long elapsed, boolean closed, long server, Ending ending,
+            Note note, int attempt, float[] report) implements Event { }
+
+    /** The client has left; no answer is owed. */
+    public record Withdrawn(long request) implements Event { }
+
+    /** A timer set earlier is due. */
+    public record Timer(long token) implements Event { }
+
+    /** What a probe found. */
+    public record Probed(long server, Ending ending, long elapsed, float[] report) implements Event { }
+
+    /** A message from another router. */
+    public record PeerMessage(int from, byte[] body) implements Event { }
+
+    /** What a router may do; every call takes effect at the time of the event being handled. */
+    public interface Actions {
+        /** Starts the request's next attempt; it is timed out after {@code allowFor}. */
+        void send(long request, long server, long allowFor);
+
+        /** Stops waiting for one attempt. */
+        void cancel(long request, int attempt);
+
+        /** Final answer: declined, and safe to try again after {@code retryAfter} (0: no advice). */
+        void refuse(long request, long retryAfter);
+
+        /** Final answer: failed, with nothing promised. */
+        void fail(long request);
+
+        /** Asks for a timer event. */
+        void timer(long delay, long token);
+
+        /** Subscribes to changes of the server list, or stops. */
+        void watch(boolean on);
+
+        /** Asks once for the whole server list. */
+        void fetchList();
+
+        /** Probes a server. */
+        void probe(long server);
+
+        /** Sends bytes to one peer, or to all with -1. */
+        void tell(int peer, byte[] body);
+
+        /** Closes idle connections to a server. */
+        void closeIdle(long server);
+
+        /** Adds a line to the operator's log. */
+        void log(String text);
+    }
+
+    /** A decision module: one per router, driven by one thread, sharing nothing. */
+    public interface Router {
+        /** Handles one event at the given clock time. */
+        void handle(long now, Event event);
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -0,0 +1,35 @@
+package beaconturn.decision;
+
+/** What a router knows of one cache or origin. */
+final class Server {
+    final long id;
+    final Bucket cold = new Bucket();
+    int zone;
+    int cell;
+    Routing.Health health = Routing.Health.GONE;
+    double rating;
+    long bootTime;
+    int inFlight;
+    double sick;
+    boolean ejected;
+    double trialGap;
+    long trialAt;
+    long walk;
+
+    Server(long id) {
+        this.id = id;
+    }
+
+    void update(Routing.ServerEntry e, boolean useRating) {
+        if (e.bootTime() != bootTime) {
+            sick = 0;
+            ejected = false;
+            cold.tokens = 0;
+        }
+        zone = e.zone();
+        cell = e.cell();
+        health = e.health();
+        rating = useRating && e.rating() > 0 ? e.rating() : 1;
+        bootTime = e.bootTime();
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/package-info.java
@@ -0,0 +1,2 @@
+/** The command line of beaconturn. */
+package beaconturn;
--- /dev/null
+++ b/src/test/java/beaconturn/decision/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the decision package. */
+package beaconturn.decision;
--- /dev/null
+++ b/src/test/java/beaconturn/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the command line. */
+package beaconturn;
--- /dev/null
+++ b/src/test/java/beaconturn/sim/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the sim package. */
+package beaconturn.sim;
