--- a/src/main/java/beaconturn/decision/Rate.java
+++ b/src/main/java/beaconturn/decision/Rate.java
@@ -1,21 +1,33 @@
 package beaconturn.decision;
 
-/** Events a nanosecond, over about the given time. */
+/** Events a nanosecond over about the given time, and the highest such rate of late. */
 final class Rate {
-    final double memory;
-    double count;
-    long at;
+    private static final double PEAK_MEMORY = 4;
+    private final double memory;
+    private double count;
+    private double peak;
+    private long at;
 
     Rate(double memory) {
-        this.memory = memory;
+        this.memory = Math.max(1, memory);
     }
 
     void count(long now) {
-        count = count * Math.exp((at - now) / memory) + 1;
-        at = now;
+        age(now);
+        count++;
+        peak = Math.max(peak, count);
+    }
+
+    /** The highest rate of late; it fades over some times the memory. */
+    double peakPerNano(long now) {
+        age(now);
+        return peak / memory;
     }
 
-    double perNano(long now) {
-        return count * Math.exp((at - now) / memory) / memory;
+    private void age(long now) {
+        double passed = (now - at) / memory;
+        count *= Math.exp(-passed);
+        peak = Math.max(count, peak * Math.exp(-passed / PEAK_MEMORY));
+        at = now;
     }
 }
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -35,9 +35,9 @@
     /** Further attempts earned by each arrival; keeps retries and hedges a small part of the load. */
     private static final double RETRY_RATIO = 0.2;
     /** Part of the fall multiple that is spent on a cold cache; the rest is for chance and heavy requests. */
-    private static final double COLD_SAFETY = 0.4;
+    private static final double COLD_SAFETY = 0.8;
     /** Crowded: answers take this part of their aim on average. */
-    private static final double CROWDED = 0.4;
+    private static final double CROWDED = 0.8;
     /** A crowded gate shrinks to this part of what is in flight, at most once an answer time. */
     private static final double SHRINK = 0.85;
     /** Occupancy of the gate up to which worthless requests pass; full worth passes up to 1. */
@@ -81,7 +81,7 @@
         this.out = out;
         this.now = now;
         this.random = new SplittableRandom(seed);
-        this.ringSends = new Rate(2.0 * rules.overloadFor());
+        this.ringSends = new Rate(rules.cold() / 4.0);
         this.highestWorth = settings.classes().stream().mapToDouble(Routing.RequestClass::worth).max()
             .orElse(1);
         this.answerTimes = new Average[settings.classes().size()];
@@ -159,7 +159,10 @@
 
     /** Decides what follows an attempt that did not end its request. */
     private void proceed(Request r, Attempt a, Routing.Ending ending) {
-        if (ending == Routing.Ending.MISS && !a.toOrigin) {
+        if (now >= r.deadline) {
+            // An ending handled a tick late may come when no time is left: holding it would lose the request.
+            giveUp(r);
+        } else if (ending == Routing.Ending.MISS && !a.toOrigin) {
             r.missedAt = r.missedAt == null ? a.server : r.missedAt;
             if (!r.anyOpen()) {
                 fetch(r);
@@ -328,15 +331,17 @@
     }
 
     /**
-     * What the warm caches are sent is what they can carry; every router holds a cold one to its own mean,
-     * times warmth, times a part of the fall multiple, so that all routers together stay under the rule.
+     * What caches were sent at the recent peak is what they can carry; every router holds a cold one to its
+     * own mean of that, times warmth, times a part of the fall multiple. So all routers together stay under
+     * the rule, whatever part of the traffic each has. Held lower, a cold cache that warms by its work stays
+     * cold and its neighbours are crowded.
      */
     private boolean coldBudgetLeft(Server s) {
         double warmth = warmth(s);
         if (warmth >= 1) {
             return true;
         }
-        double perNano = COLD_SAFETY * rules.fallMultiple() * warmth * ringSends.perNano(now) / ring.size();
+        double perNano = COLD_SAFETY * rules.fallMultiple() * warmth * ringSends.peakPerNano(now) / ring.size();
         s.cold.fill(now, perNano, Math.max(1, perNano * rules.overloadFor() / 4));
         return s.cold.tokens >= 1;
     }
