--- a/src/main/java/beaconturn/decision/Attempt.java
+++ b/src/main/java/beaconturn/decision/Attempt.java
@@ -4,14 +4,16 @@
 final class Attempt {
     final Server server;
     final long sentAt;
-    final boolean toOrigin;
+    final boolean onRing;
+    final boolean fetches;
     boolean open = true;
     boolean neverRan;
     boolean judged;
 
-    Attempt(Server server, long sentAt, boolean toOrigin) {
+    Attempt(Server server, long sentAt, boolean onRing, boolean fetches) {
         this.server = server;
         this.sentAt = sentAt;
-        this.toOrigin = toOrigin;
+        this.onRing = onRing;
+        this.fetches = fetches;
     }
 }
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -37,12 +38,15 @@
     /** Part of the fall multiple that is spent on a cold cache; the rest is for chance and heavy requests. */
     private static final double COLD_SAFETY = 0.8;
     /** Crowded: answers take this part of their aim on average. */
-    private static final double CROWDED = 0.8;
+    private static final double CROWDED = 0.4;
     /** A crowded gate shrinks to this part of what is in flight, at most once an answer time. */
     private static final double SHRINK = 0.85;
     /** Occupancy of the gate up to which worthless requests pass; full worth passes up to 1. */
     private static final double OPEN_TO_ALL = 0.6;
 
+    /** Keys whose cache is remembered; the bound on memory, some hundred bytes a key. */
+    private static final int KEYS_REMEMBERED = 1 << 13;
+
     private static final int LATE = 0;
     private static final int PATIENCE = 1;
     private static final int WATCH = 2;
@@ -58,9 +62,17 @@
     private final Map<Long, Flight> flights = new HashMap<>();
     private final List<Server> ring = new ArrayList<>();
     private final List<Server> origins = new ArrayList<>();
-    private final List<Request> originQueue = new ArrayList<>();
+    private final List<Request> fetchQueue = new ArrayList<>();
     private final Average[] answerTimes;
-    private final Average originTime = new Average(NEWEST);
+    private final Average fetchTime = new Average(NEWEST);
+    private final Map<Long, Held> heldKeys = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Long, Held> eldest) {
+            return size() > KEYS_REMEMBERED;
+        }
+    };
     private final Gate caches = new Gate();
     private final Gate origin = new Gate();
     private final Bucket[] quotas;
@@ -72,6 +84,7 @@
     private double retryBudget;
     private double fleetSick;
     private long watchBackoff;
+    private double heldFor;
 
     /** A router that starts empty; its first list follows. */
     public RingRouter(Routing.Settings settings, long seed, long now, Routing.Actions out) {
@@ -89,6 +102,7 @@
         this.quotas = new Bucket[settings.tenants().size()];
         Arrays.setAll(quotas, i -> new Bucket());
         this.watchBackoff = rules.askWithin() / 16;
+        this.heldFor = settings.classes().stream().mapToLong(Routing.RequestClass::deadline).max().orElse(0);
         if (settings.askForList()) {
             out.watch(true);
         }
@@ -125,7 +139,7 @@
         if (!admitted(r, toOrigin ? origin : caches)) {
             giveUp(r);
         } else if (toOrigin) {
-            askOrigin(r);
+            askOrigin(r, null);
         } else if (settings.origin().aside() && r.key != 0 && flights.containsKey(r.key)) {
             await(r, flights.get(r.key));
         } else {
@@ -143,18 +157,24 @@
         a.neverRan = e.ending().neverRan();
         a.server.inFlight--;
         forgetIfGone(a.server);
-        if (a.toOrigin) {
-            originClosed(r, e);
-        } else {
+        if (a.onRing) {
             cacheClosed(r, a, e);
         }
+        if (a.fetches) {
+            fetchClosed(r, a, e);
+        }
+        remember(r, a, e);
         if (e.closed() && !r.done) {
+            r.missedAt = a.onRing && !settings.origin().aside() ? a.server : r.missedAt;
             conclude(r, e.ending() == Routing.Ending.OK);
         } else if (!r.done) {
             proceed(r, a, e.ending());
         } else if (!r.anyOpen()) {
             requests.remove(r.id);
         }
+        if (a.fetches) {
+            releaseFetches();
+        }
     }
 
     /** Decides what follows an attempt that did not end its request. */
@@ -162,10 +182,10 @@
         if (now >= r.deadline) {
             // An ending handled a tick late may come when no time is left: holding it would lose the request.
             giveUp(r);
-        } else if (ending == Routing.Ending.MISS && !a.toOrigin) {
+        } else if (ending == Routing.Ending.MISS && a.onRing) {
             r.missedAt = r.missedAt == null ? a.server : r.missedAt;
             if (!r.anyOpen()) {
-                fetch(r);
+                fetch(r, null);
             }
         } else if (!r.anyOpen() && !r.queued) {
             retry(r, a);
@@ -379,24 +399,24 @@
         };
     }
 
-    private void send(Request r, Server s, boolean toOrigin) {
+    private void send(Request r, Server s, boolean fetches) {
         if (!legal(r, s)) {
             giveUp(r);
             return;
         }
-        Attempt a = new Attempt(s, now, toOrigin);
+        Attempt a = new Attempt(s, now, !isOrigin(s), fetches);
         r.attempts.add(a);
         r.queued = false;
         s.inFlight++;
+        origin.inFlight += fetches ? 1 : 0;
         out.send(r.id, s.id, r.deadline - now);
-        if (toOrigin) {
-            origin.inFlight++;
+        if (!a.onRing) {
             return;
         }
         caches.inFlight++;
         ringSends.count(now);
         s.cold.tokens -= 1;
-        long lateAfter = lateAfter(r);
+        long lateAfter = lateAfter(r, fetches);
         if (now + lateAfter < r.deadline) {
             out.timer(lateAfter, r.id << 8 | (r.attempts.size() - 1) << 2 | LATE);
         }
@@ -406,6 +426,8 @@
         Server s = ring.isEmpty() ? null : pick(r);
         if (s == null) {
             giveUp(r);
+        } else if (willFetch(r, s)) {
+            fetch(r, s);
         } else {
             send(r, s, false);
         }
@@ -418,20 +440,23 @@
         if (ending == Routing.Ending.CANCELLED || ending == Routing.Ending.MOOT) {
             return;
         }
-        boolean late = e.elapsed() > lateAfter(r);
-        if (ending == Routing.Ending.OK) {
+        boolean fetched = a.fetches || e.note() == Routing.Note.MISS && !settings.origin().aside();
+        boolean late = e.elapsed() > lateAfter(r, fetched);
+        if (ending == Routing.Ending.OK && !fetched) {
             answerTimes[r.classIndex].add(e.elapsed());
         }
-        if (!a.judged) {
+        if (!a.judged || answered && fetched && !late) {
             judge(a.server, !answered || late);
         }
-        caches.observe(now, ending == Routing.Ending.FULL ? 1 : e.elapsed() / (double) r.type.aim(),
-            meanAnswerTime(), ring.size());
+        if (!fetched && !a.server.ejected) {
+            caches.observe(now, ending == Routing.Ending.FULL ? 1 : e.elapsed() / (double) r.type.aim(),
+                meanAnswerTime(), ring.size());
+        }
     }
 
     /** How long an answer of the request's class takes at the most, as a rule; its aim until one is known. */
-    private long lateAfter(Request r) {
-        Average times = answerTimes[r.classIndex];
+    private long lateAfter(Request r, boolean fetches) {
+        Average times = fetches ? fetchTime : answerTimes[r.classIndex];
         return times.any ? (long) (times.mean + LATE_DEVIATIONS * times.deviation) : r.type.aim();
     }
 
@@ -442,19 +467,23 @@
         }
         a.judged = true;
         judge(a.server, true);
-        if (retryBudget >= 1 && may.secondCopies() && !r.streaming && r.openCount() == 1
+        if (furtherAttemptEarned() && may.secondCopies() && !r.streaming && r.openCount() == 1
                 && r.type.effect() != Routing.Effect.UNSAFE) {
             Server s = pick(r);
-            if (s != null && s.health == Routing.Health.READY) {
+            if (s != null) {
                 retryBudget--;
-                send(r, s, false);
+                send(r, s, willFetch(r, s));
             }
         }
     }
 
+    /** When the whole fleet does badly another cache is no better, and more attempts only add to it. */
+    private boolean furtherAttemptEarned() {
+        return retryBudget >= 1 && fleetSick < SICK;
+    }
+
     private void retry(Request r, Attempt a) {
-        double needed = a.toOrigin ? originTime.mean : answerTimes[r.classIndex].mean;
-        if (a.toOrigin || retryBudget < 1 || r.deadline - now <= needed) {
+        if (!a.onRing || !furtherAttemptEarned() || r.deadline - now <= answerTimes[r.classIndex].mean) {
             giveUp(r);
             return;
         }
@@ -484,7 +513,7 @@
         }
         r.done = true;
         cancelOpen(r, -1);
-        originQueue.remove(r);
+        fetchQueue.remove(r);
         Flight flight = r.flight;
         if (flight != null) {
             r.flight = null;
@@ -508,20 +537,44 @@
 
     // ---- origin: one fetch a key, a limit in flight, the worthiest first
 
-    /** A miss: the first request for a key asks the origin, later ones wait for the cache to be filled. */
-    private void fetch(Request r) {
-        if (r.key == 0) {
-            askOrigin(r);
-            return;
+    /** Whether a cache that fetches for itself will ask the origin: it is not known to hold the key. */
+    private boolean willFetch(Request r, Server s) {
+        if (settings.origin().aside()) {
+            return false;
         }
-        Flight flight = flights.get(r.key);
-        if (flight != null && flight.leader != r) {
-            await(r, flight);
+        Held held = r.write ? null : heldKeys.get(r.key);
+        return held == null || held.server != s || now - held.usedAt > heldFor;
+    }
+
+    /** Learns which cache holds a key, and how long keys are held before they are dropped unused. */
+    private void remember(Request r, Attempt a, Routing.AttemptClosed e) {
+        if (settings.origin().aside() || r.write || e.ending() != Routing.Ending.OK) {
             return;
         }
-        r.flight = new Flight(r);
-        flights.put(r.key, r.flight);
-        askOrigin(r);
+        Held held = heldKeys.get(r.key);
+        if (held != null && held.server == a.server) {
+            boolean miss = e.note() == Routing.Note.MISS;
+            if (miss && now - held.usedAt < heldFor) {
+                heldFor *= 1 - NEWEST;
+            } else if (!miss && now - held.usedAt > heldFor / 2) {
+                heldFor *= 1 + NEWEST;
+            }
+        }
+        heldKeys.put(r.key, new Held(a.server, now));
+    }
+
+    /** The first request for a key that is not held asks the origin, later ones wait until it is. */
+    private void fetch(Request r, Server cache) {
+        if (r.key != 0 && !r.write && r.flight == null) {
+            Flight flight = flights.get(r.key);
+            if (flight != null) {
+                await(r, flight);
+                return;
+            }
+            r.flight = new Flight(r);
+            flights.put(r.key, r.flight);
+        }
+        askOrigin(r, cache);
     }
 
     private void await(Request r, Flight flight) {
@@ -550,7 +603,7 @@
             }
             Server s = leader.missedAt;
             if (!answered) {
-                fetch(w);
+                refetch(w);
             } else if (s != null && legal(w, s) && s.inFlight < cap() && coldBudgetLeft(s)) {
                 send(w, s, false);
             } else {
@@ -559,43 +612,69 @@
         }
     }
 
-    private void askOrigin(Request r) {
-        Server s = null;
-        for (Server o : origins) {
-            s = lessLoaded(s, o);
+    private void refetch(Request r) {
+        if (settings.origin().aside()) {
+            fetch(r, null);
+        } else {
+            askCache(r);
+        }
+    }
+
+    /** Sends through the given cache, or to the origin itself; at the origin's limit the request waits. */
+    private void askOrigin(Request r, Server cache) {
+        Server s = cache;
+        for (int i = 0; cache == null && i < origins.size(); i++) {
+            s = lessLoaded(s, origins.get(i));
         }
         if (s == null) {
             giveUp(r);
         } else if (origin.inFlight < origin.limit) {
             send(r, s, true);
-        } else if (originTime.mean * (originQueue.size() + 1) / origin.limit < (r.deadline - now) / 2) {
-            originQueue.add(r);
+        } else if (fetchTime.mean * (fetchQueue.size() + 1) / origin.limit < (r.deadline - now) / 2) {
+            fetchQueue.add(r);
             hold(r);
         } else {
             giveUp(r);
         }
     }
 
-    private void originClosed(Request r, Routing.AttemptClosed e) {
+    private void fetchClosed(Request r, Attempt a, Routing.AttemptClosed e) {
         origin.inFlight--;
         Routing.Ending ending = e.ending();
-        if (ending == Routing.Ending.OK) {
-            originTime.add(e.elapsed());
+        if (ending == Routing.Ending.CANCELLED || ending == Routing.Ending.MOOT || a.server.ejected) {
+            return;
         }
-        if (ending != Routing.Ending.CANCELLED && ending != Routing.Ending.MOOT) {
-            boolean slow = ending == Routing.Ending.FULL || ending == Routing.Ending.CONNECT_FAILED;
-            origin.observe(now, slow ? 1 : e.elapsed() / (double) r.type.aim(), originTime.mean, 1);
+        if (ending == Routing.Ending.OK && e.note() != Routing.Note.HIT) {
+            fetchTime.add(e.elapsed());
         }
-        while (!originQueue.isEmpty() && origin.inFlight < origin.limit) {
+        boolean ok = ending == Routing.Ending.OK;
+        origin.observe(now, ok ? e.elapsed() / (double) r.type.aim() : 1, fetchTime.mean, 1);
+    }
+
+    private void releaseFetches() {
+        while (!fetchQueue.isEmpty() && origin.inFlight < origin.limit) {
             Request next = worthiest();
-            originQueue.remove(next);
-            askOrigin(next);
+            fetchQueue.remove(next);
+            if (settings.origin().aside()) {
+                askOrigin(next, null);
+            } else {
+                Server s = ring.isEmpty() ? null : pick(next);
+                if (s == null) {
+                    giveUp(next);
+                } else {
+                    askOrigin(next, s);
+                }
+            }
         }
     }
 
+    private boolean isOrigin(Server s) {
+        return settings.origin().aside() && s.kind == settings.origin().kind();
+    }
+
     private Request worthiest() {
-        Request best = originQueue.get(0);
-        for (Request r : originQueue) {
+        Request best = fetchQueue.get(0);
+        for (Request r : fetchQueue) {
             best = value(r) > value(best) ? r : best;
         }
         return best;
@@ -655,8 +734,7 @@
         for (Routing.ServerEntry e : list.entries()) {
             servers.computeIfAbsent(e.server(), Server::new).update(e, settings.ratingStable());
             Server s = servers.get(e.server());
-            boolean isOrigin = settings.origin().aside() && e.kind() == settings.origin().kind();
-            List<Server> home = isOrigin ? origins : ring;
+            List<Server> home = isOrigin(s) ? origins : ring;
             if (!home.contains(s)) {
                 home.add(s);
             }
@@ -680,6 +758,9 @@
         }
     }
 
+    /** The cache that last answered for a key. */
+    private record Held(Server server, long usedAt) { }
+
     /** A limit in flight, learned from how long answers take against their aim. */
     private static final class Gate {
         private double limit = 1e9;
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -6,6 +6,7 @@
     final Bucket cold = new Bucket();
     int zone;
     int cell;
+    int kind;
     Routing.Health health = Routing.Health.GONE;
     double rating;
     long bootTime;
@@ -28,6 +29,7 @@
         }
         zone = e.zone();
         cell = e.cell();
+        kind = e.kind();
         health = e.health();
         rating = useRating && e.rating() > 0 ? e.rating() : 1;
         bootTime = e.bootTime();
