--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -39,12 +38,14 @@
     private static final double COLD_SAFETY = 0.8;
     /** Crowded: answers take this part of their aim on average. */
     private static final double CROWDED = 0.4;
+    /** The same for fetches: the origin is slow by nature and takes a good part of the aim when idle. */
+    private static final double ORIGIN_CROWDED = 0.7;
     /** A crowded gate shrinks to this part of what is in flight, at most once an answer time. */
     private static final double SHRINK = 0.85;
     /** Occupancy of the gate up to which worthless requests pass; full worth passes up to 1. */
     private static final double OPEN_TO_ALL = 0.6;
 
-    /** Keys whose cache is remembered; the bound on memory, some hundred bytes a key. */
+    /** Pairs of key and cache that are remembered: a bound on memory, some hundred bytes each. */
     private static final int KEYS_REMEMBERED = 1 << 13;
 
     private static final int LATE = 0;
@@ -65,16 +66,9 @@
     private final List<Request> fetchQueue = new ArrayList<>();
     private final Average[] answerTimes;
     private final Average fetchTime = new Average(NEWEST);
-    private final Map<Long, Held> heldKeys = new LinkedHashMap<>(16, 0.75f, true) {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<Long, Held> eldest) {
-            return size() > KEYS_REMEMBERED;
-        }
-    };
-    private final Gate caches = new Gate();
-    private final Gate origin = new Gate();
+    private final KeyMemory held;
+    private final Gate caches = new Gate(CROWDED);
+    private final Gate origin = new Gate(ORIGIN_CROWDED);
     private final Bucket[] quotas;
     private final Rate ringSends;
     private long[] points = new long[0];
@@ -84,7 +78,6 @@
     private double retryBudget;
     private double fleetSick;
     private long watchBackoff;
-    private double heldFor;
 
     /** A router that starts empty; its first list follows. */
     public RingRouter(Routing.Settings settings, long seed, long now, Routing.Actions out) {
@@ -102,7 +95,8 @@
         this.quotas = new Bucket[settings.tenants().size()];
         Arrays.setAll(quotas, i -> new Bucket());
         this.watchBackoff = rules.askWithin() / 16;
-        this.heldFor = settings.classes().stream().mapToLong(Routing.RequestClass::deadline).max().orElse(0);
+        long longest = settings.classes().stream().mapToLong(Routing.RequestClass::deadline).max().orElse(0);
+        this.held = new KeyMemory(KEYS_REMEMBERED, longest, NEWEST);
         if (settings.askForList()) {
             out.watch(true);
         }
@@ -163,7 +157,9 @@
         if (a.fetches) {
             fetchClosed(r, a, e);
         }
-        remember(r, a, e);
+        if (a.onRing && !r.write && e.ending() == Routing.Ending.OK) {
+            held.answered(r.key, a.server.id, e.note() == Routing.Note.MISS, now);
+        }
         if (e.closed() && !r.done) {
             r.missedAt = a.onRing && !settings.origin().aside() ? a.server : r.missedAt;
             conclude(r, e.ending() == Routing.Ending.OK);
@@ -539,28 +535,7 @@
 
     /** Whether a cache that fetches for itself will ask the origin: it is not known to hold the key. */
     private boolean willFetch(Request r, Server s) {
-        if (settings.origin().aside()) {
-            return false;
-        }
-        Held held = r.write ? null : heldKeys.get(r.key);
-        return held == null || held.server != s || now - held.usedAt > heldFor;
-    }
-
-    /** Learns which cache holds a key, and how long keys are held before they are dropped unused. */
-    private void remember(Request r, Attempt a, Routing.AttemptClosed e) {
-        if (settings.origin().aside() || r.write || e.ending() != Routing.Ending.OK) {
-            return;
-        }
-        Held held = heldKeys.get(r.key);
-        if (held != null && held.server == a.server) {
-            boolean miss = e.note() == Routing.Note.MISS;
-            if (miss && now - held.usedAt < heldFor) {
-                heldFor *= 1 - NEWEST;
-            } else if (!miss && now - held.usedAt > heldFor / 2) {
-                heldFor *= 1 + NEWEST;
-            }
-        }
-        heldKeys.put(r.key, new Held(a.server, now));
+        return !settings.origin().aside() && (r.write || !held.holds(r.key, s.id, now));
     }
 
     /** The first request for a key that is not held asks the origin, later ones wait until it is. */
@@ -641,7 +616,10 @@
     private void fetchClosed(Request r, Attempt a, Routing.AttemptClosed e) {
         origin.inFlight--;
         Routing.Ending ending = e.ending();
-        if (ending == Routing.Ending.CANCELLED || ending == Routing.Ending.MOOT || a.server.ejected) {
+        // What a cache did before it fetched says nothing of the origin: blaming that would lock the gate.
+        boolean cacheOnly = a.onRing && ending.neverRan() || a.onRing && ending == Routing.Ending.RESET;
+        if (ending == Routing.Ending.CANCELLED || ending == Routing.Ending.MOOT || a.server.ejected
+                || cacheOnly) {
             return;
         }
         if (ending == Routing.Ending.OK && e.note() != Routing.Note.HIT) {
@@ -758,22 +736,24 @@
         }
     }
 
-    /** The cache that last answered for a key. */
-    private record Held(Server server, long usedAt) { }
-
     /** A limit in flight, learned from how long answers take against their aim. */
     private static final class Gate {
+        private final double crowded;
         private double limit = 1e9;
         private int inFlight;
         private double slowness;
         private long shrunkAt;
 
+        Gate(double crowded) {
+            this.crowded = crowded;
+        }
+
         void observe(long now, double partOfAim, double answerTime, int least) {
             slowness += NEWEST * (Math.min(2, partOfAim) - slowness);
-            if (slowness > CROWDED && now - shrunkAt > answerTime) {
+            if (slowness > crowded && now - shrunkAt > answerTime) {
                 limit = Math.max(least, Math.min(limit, inFlight + 1) * SHRINK);
                 shrunkAt = now;
-            } else if (slowness <= CROWDED) {
+            } else if (slowness <= crowded) {
                 limit += 1 / limit;
             }
         }
