--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -36,10 +36,12 @@
     private static final double RETRY_RATIO = 0.2;
     /** Part of the fall multiple that is spent on a cold cache; the rest is for chance and heavy requests. */
     private static final double COLD_SAFETY = 0.8;
-    /** Crowded: answers take this part of their aim on average. */
-    private static final double CROWDED = 0.4;
-    /** The same for fetches: the origin is slow by nature and takes a good part of the aim when idle. */
-    private static final double ORIGIN_CROWDED = 0.7;
+    /** Crowded: answers take this many times what they took at the quietest of late ... */
+    private static final double CROWDED_IDLE = 3;
+    /** ... or this part of their aim; beyond it the rest of the way leaves no time. */
+    private static final double CROWDED_AIM = 0.7;
+    /** How fast the quietest time of late is forgotten, a sample: some hundred answers. */
+    private static final double FORGET_IDLE = 0.002;
     /** A crowded gate shrinks to this part of what is in flight, at most once an answer time. */
     private static final double SHRINK = 0.85;
     /** Occupancy of the gate up to which worthless requests pass; full worth passes up to 1. */
@@ -67,8 +69,8 @@
     private final Average[] answerTimes;
     private final Average fetchTime = new Average(NEWEST);
     private final KeyMemory held;
-    private final Gate caches = new Gate(CROWDED);
-    private final Gate origin = new Gate(ORIGIN_CROWDED);
+    private final Gate caches = new Gate();
+    private final Gate origin = new Gate();
     private final Bucket[] quotas;
     private final Rate ringSends;
     private long[] points = new long[0];
@@ -738,18 +740,20 @@
 
     /** A limit in flight, learned from how long answers take against their aim. */
     private static final class Gate {
-        private final double crowded;
         private double limit = 1e9;
         private int inFlight;
         private double slowness;
+        private double idle = CROWDED_AIM;
+        private int samples;
         private long shrunkAt;
 
-        Gate(double crowded) {
-            this.crowded = crowded;
-        }
-
         void observe(long now, double partOfAim, double answerTime, int least) {
-            slowness += NEWEST * (Math.min(2, partOfAim) - slowness);
+            samples++;
+            slowness += Math.max(NEWEST, 1.0 / samples) * (Math.min(2, partOfAim) - slowness);
+            if (samples > 1 / NEWEST) {
+                idle = Math.min(slowness, idle + FORGET_IDLE * (slowness - idle));
+            }
+            double crowded = Math.min(CROWDED_AIM, CROWDED_IDLE * idle);
             if (slowness > crowded && now - shrunkAt > answerTime) {
                 limit = Math.max(least, Math.min(limit, inFlight + 1) * SHRINK);
                 shrunkAt = now;
