--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -36,10 +36,10 @@
     private static final double RETRY_RATIO = 0.2;
     /** Part of the fall multiple that is spent on a cold cache; the rest is for chance and heavy requests. */
     private static final double COLD_SAFETY = 0.8;
-    /** Crowded: answers take this many times what they took at the quietest of late ... */
-    private static final double CROWDED_IDLE = 3;
-    /** ... or this part of their aim; beyond it the rest of the way leaves no time. */
-    private static final double CROWDED_AIM = 0.7;
+    /** Crowded: answers take this part of their aim; beyond it the rest of the way leaves no time. */
+    private static final double CROWDED = 0.7;
+    /** No room to spare for what exceeds a quota: answers take this many times their quietest of late. */
+    private static final double BUSY = 2;
     /** How fast the quietest time of late is forgotten, a sample: some hundred answers. */
     private static final double FORGET_IDLE = 0.002;
     /** A crowded gate shrinks to this part of what is in flight, at most once an answer time. */
@@ -603,7 +603,7 @@
         for (int i = 0; cache == null && i < origins.size(); i++) {
             s = lessLoaded(s, origins.get(i));
         }
-        if (s == null) {
+        if (s == null || r.overQuota && origin.inFlight >= origin.spare) {
             giveUp(r);
         } else if (origin.inFlight < origin.limit) {
             send(r, s, true);
@@ -668,7 +668,8 @@
     }
 
     private boolean admitted(Request r, Gate gate) {
-        return gate.inFlight < gate.limit * (OPEN_TO_ALL + (1 - OPEN_TO_ALL) * value(r));
+        double part = OPEN_TO_ALL + (1 - OPEN_TO_ALL) * value(r);
+        return gate.inFlight < gate.limit * part && !(r.overQuota && gate.inFlight >= gate.spare);
     }
 
     private boolean overQuota(int tenant) {
@@ -738,12 +739,13 @@
         }
     }
 
-    /** A limit in flight, learned from how long answers take against their aim. */
+    /** Limits in flight, learned from how long answers take against their aim: for all, and for the rest. */
     private static final class Gate {
         private double limit = 1e9;
+        private double spare = 1e9;
         private int inFlight;
         private double slowness;
-        private double idle = CROWDED_AIM;
+        private double idle = CROWDED;
         private int samples;
         private long shrunkAt;
 
@@ -753,13 +755,17 @@
             if (samples > 1 / NEWEST) {
                 idle = Math.min(slowness, idle + FORGET_IDLE * (slowness - idle));
             }
-            double crowded = Math.min(CROWDED_AIM, CROWDED_IDLE * idle);
-            if (slowness > crowded && now - shrunkAt > answerTime) {
-                limit = Math.max(least, Math.min(limit, inFlight + 1) * SHRINK);
-                shrunkAt = now;
-            } else if (slowness <= crowded) {
-                limit += 1 / limit;
+            boolean due = now - shrunkAt > answerTime;
+            spare = next(spare, slowness > Math.min(CROWDED, BUSY * idle), due, 1);
+            limit = next(limit, slowness > CROWDED, due, least);
+            shrunkAt = due && slowness > Math.min(CROWDED, BUSY * idle) ? now : shrunkAt;
+        }
+
+        private double next(double old, boolean crowded, boolean due, int least) {
+            if (crowded) {
+                return due ? Math.max(least, Math.min(old, inFlight + 1) * SHRINK) : old;
             }
+            return old + 1 / old;
         }
     }
 }
