--- a/src/main/java/beaconturn/decision/Rate.java
+++ b/src/main/java/beaconturn/decision/Rate.java
@@ -18,6 +18,11 @@
         peak = Math.max(peak, count);
     }
 
+    double perNano(long now) {
+        age(now);
+        return count / memory;
+    }
+
     /** The highest rate of late; it fades over some times the memory. */
     double peakPerNano(long now) {
         age(now);
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -50,6 +50,9 @@
     /** Pairs of key and cache that are remembered: a bound on memory, some hundred bytes each. */
     private static final int KEYS_REMEMBERED = 1 << 13;
 
+    /** A tenant's part of the traffic may exceed its share by this before it counts as beyond its quota. */
+    private static final double SHARE_SLACK = 1.25;
+
     private static final int LATE = 0;
     private static final int PATIENCE = 1;
     private static final int WATCH = 2;
@@ -73,6 +76,8 @@
     private final Gate origin = new Gate();
     private final Bucket[] quotas;
     private final Rate ringSends;
+    private final Rate arrivals;
+    private final Rate[] tenantArrivals;
     private long[] points = new long[0];
     private boolean listChanged;
     private long now;
@@ -90,6 +95,9 @@
         this.now = now;
         this.random = new SplittableRandom(seed);
         this.ringSends = new Rate(rules.cold() / 4.0);
+        this.arrivals = new Rate(rules.cold() / 4.0);
+        this.tenantArrivals = new Rate[settings.tenants().size()];
+        Arrays.setAll(tenantArrivals, i -> new Rate(rules.cold() / 4.0));
         this.highestWorth = settings.classes().stream().mapToDouble(Routing.RequestClass::worth).max()
             .orElse(1);
         this.answerTimes = new Average[settings.classes().size()];
@@ -672,17 +680,24 @@
         return gate.inFlight < gate.limit * part && !(r.overQuota && gate.inFlight >= gate.spare);
     }
 
-    private boolean overQuota(int tenant) {
-        if (tenant >= quotas.length || settings.tenants().get(tenant).quotaPerSecond() <= 0) {
+    /**
+     * Whether a tenant is beyond its quota, as far as one router can tell: over an even part of it, and over
+     * its share of the traffic here. A router of a busy zone sees every tenant over the even part.
+     */
+    private boolean overQuota(int index) {
+        if (index >= quotas.length || settings.tenants().get(index).quotaPerSecond() <= 0) {
             return false;
         }
-        double perSecond = settings.tenants().get(tenant).quotaPerSecond() / settings.routers();
-        quotas[tenant].fill(now, perSecond / 1e9, Math.max(1, perSecond));
-        if (quotas[tenant].tokens < 1) {
-            return true;
+        Routing.Tenant tenant = settings.tenants().get(index);
+        arrivals.count(now);
+        tenantArrivals[index].count(now);
+        double perSecond = tenant.quotaPerSecond() / settings.routers();
+        quotas[index].fill(now, perSecond / 1e9, Math.max(1, perSecond));
+        if (quotas[index].tokens >= 1) {
+            quotas[index].tokens--;
+            return false;
         }
-        quotas[tenant].tokens--;
-        return false;
+        return tenantArrivals[index].perNano(now) > SHARE_SLACK * tenant.share() * arrivals.perNano(now);
     }
 
     /** Beyond a quota: as long as clients listen; else soon enough for the aim, spread by chance. */
