--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -37,7 +37,7 @@
     /** Part of the fall multiple that is spent on a cold cache; the rest is for chance and heavy requests. */
     private static final double COLD_SAFETY = 0.8;
     /** Crowded: answers take this part of their aim; beyond it the rest of the way leaves no time. */
-    private static final double CROWDED = 0.7;
+    private static final double CROWDED = 0.5;
     /** No room to spare for what exceeds a quota: answers take this many times their quietest of late. */
     private static final double BUSY = 2;
     /** How fast the quietest time of late is forgotten, a sample: some hundred answers. */
@@ -51,7 +51,7 @@
     private static final int KEYS_REMEMBERED = 1 << 13;
 
     /** A tenant's part of the traffic may exceed its share by this before it counts as beyond its quota. */
-    private static final double SHARE_SLACK = 1.25;
+    private static final double SHARE_SLACK = 1.5;
 
     private static final int LATE = 0;
     private static final int PATIENCE = 1;
