--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -25,6 +25,8 @@
     private static final double NEWEST = 0.1;
     /** An answer is late past the mean plus this many mean deviations: 1 in 60 on an exponential tail. */
     private static final double LATE_DEVIATIONS = 4;
+    /** A cache whose answers take this many times the fleet's mean is given a smaller part of the cap. */
+    private static final double SLOW_PACE = 1.3;
     /** Sick: this share of bad samples above the fleet's own; three in a row reach it. */
     private static final double SICK = 0.25;
     /** Share of the ring that may be passed over as sick; beyond it the fleet is at fault, not caches. */
@@ -243,7 +245,7 @@
             }
             if (passedOver(s, r)) {
                 lastResort = lessLoaded(lastResort, s);
-            } else if (s.inFlight < cap) {
+            } else if (s.inFlight < (int) (cap * paceFactor(s))) {
                 return s;
             } else {
                 leastLoaded = lessLoaded(leastLoaded, s);
@@ -252,6 +254,15 @@
         return leastLoaded != null ? leastLoaded : lastResort;
     }
 
+    /**
+     * Part of the cap that a cache may use. With few requests in flight at each of many routers the cap never
+     * binds though a cache is crowded by all of them; slow answers show it, and the walk passes it for a while.
+     */
+    private double paceFactor(Server s) {
+        double forgotten = 1 + (now - s.pacedAt) / (TRIAL_AFTER * (meanAnswerTime() + 1));
+        return Math.min(1, SLOW_PACE / (1 + (s.pace - 1) / forgotten));
+    }
+
     private static Server lessLoaded(Server a, Server b) {
         return a == null || b.inFlight < a.inFlight ? b : a;
     }
@@ -441,6 +452,7 @@
 
     private void cacheClosed(Request r, Attempt a, Routing.AttemptClosed e) {
         caches.inFlight--;
+        Server s = a.server;
         Routing.Ending ending = e.ending();
         boolean answered = ending == Routing.Ending.OK || ending == Routing.Ending.MISS;
         if (ending == Routing.Ending.CANCELLED || ending == Routing.Ending.MOOT) {
@@ -448,6 +460,10 @@
         }
         boolean fetched = a.fetches || e.note() == Routing.Note.MISS && !settings.origin().aside();
         boolean late = e.elapsed() > lateAfter(r, fetched);
+        if (answered && !fetched && answerTimes[r.classIndex].any) {
+            s.pace += NEWEST * (Math.min(1 / NEWEST, e.elapsed() / answerTimes[r.classIndex].mean) - s.pace);
+            s.pacedAt = now;
+        }
         if (ending == Routing.Ending.OK && !fetched) {
             answerTimes[r.classIndex].add(e.elapsed());
         }
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -12,6 +12,8 @@
     long bootTime;
     int inFlight;
     double sick;
+    double pace = 1;
+    long pacedAt;
     boolean ejected;
     double trialGap;
     long trialAt;
@@ -24,6 +26,7 @@
     void update(Routing.ServerEntry e, boolean useRating) {
         if (e.bootTime() != bootTime) {
             sick = 0;
+            pace = 1;
             ejected = false;
             cold.tokens = 0;
         }
