--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -26,7 +26,7 @@
     /** An answer is late past the mean plus this many mean deviations: 1 in 60 on an exponential tail. */
     private static final double LATE_DEVIATIONS = 4;
     /** A cache whose answers take this many times the fleet's mean is given a smaller part of the cap. */
-    private static final double SLOW_PACE = 1.3;
+    private static final double SLOW_PACE = 2;
     /** Sick: this share of bad samples above the fleet's own; three in a row reach it. */
     private static final double SICK = 0.25;
     /** Share of the ring that may be passed over as sick; beyond it the fleet is at fault, not caches. */
@@ -461,7 +461,7 @@
         boolean fetched = a.fetches || e.note() == Routing.Note.MISS && !settings.origin().aside();
         boolean late = e.elapsed() > lateAfter(r, fetched);
         if (answered && !fetched && answerTimes[r.classIndex].any) {
-            s.pace += NEWEST * (Math.min(1 / NEWEST, e.elapsed() / answerTimes[r.classIndex].mean) - s.pace);
+            s.pace += NEWEST * (Math.min(1 / NEWEST, e.elapsed() / answerTimes[r.classIndex].median) - s.pace);
             s.pacedAt = now;
         }
         if (ending == Routing.Ending.OK && !fetched) {
