--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -25,6 +25,8 @@
     private static final double NEWEST = 0.1;
     /** An answer is late past the mean plus this many mean deviations: 1 in 60 on an exponential tail. */
     private static final double LATE_DEVIATIONS = 4;
+    /** Loads are smoothed over this many mean answer times. */
+    private static final double SMOOTHING = 8;
     /** A cache whose answers take this many times the fleet's mean is given a smaller part of the cap. */
     private static final double SLOW_PACE = 2;
     /** Sick: this share of bad samples above the fleet's own; three in a row reach it. */
@@ -161,6 +163,7 @@
         Attempt a = r.attempts.get(e.attempt());
         a.open = false;
         a.neverRan = e.ending().neverRan();
+        a.server.settle(now, smoothing());
         a.server.inFlight--;
         forgetIfGone(a.server);
         if (a.onRing) {
@@ -228,6 +231,7 @@
             buildRing();
         }
         int cap = cap();
+        double mean = smoothMean();
         int found = Arrays.binarySearch(points, r.hash & -0x10000L);
         int start = found >= 0 ? found : -found - 1;
         Server leastLoaded = null;
@@ -245,7 +249,7 @@
             }
             if (passedOver(s, r)) {
                 lastResort = lessLoaded(lastResort, s);
-            } else if (s.inFlight < (int) (cap * paceFactor(s))) {
+            } else if (s.inFlight < (int) (cap * paceFactor(s)) && !(s.inFlight > 0 && crowded(s, mean))) {
                 return s;
             } else {
                 leastLoaded = lessLoaded(leastLoaded, s);
@@ -263,6 +267,28 @@
         return Math.min(1, SLOW_PACE / (1 + (s.pace - 1) / forgotten));
     }
 
+    /**
+     * With two in flight always allowed, many routers can pile up twice their number on one popular home
+     * while each is under its cap. So the bound also holds on the smoothed load, as the source advises against
+     * herds: beyond it, and beyond an even part of the floor, a cache is given one request at a time.
+     */
+    private boolean crowded(Server s, double mean) {
+        s.settle(now, smoothing());
+        return s.smoothLoad > (1 + EPSILON) * Math.max(mean, (double) LEAST_CAP / settings.routers());
+    }
+
+    private double smoothMean() {
+        double sum = 0;
+        for (Server s : ring) {
+            sum += s.smoothLoad;
+        }
+        return sum / Math.max(1, ring.size());
+    }
+
+    private double smoothing() {
+        return SMOOTHING * (meanAnswerTime() + 1);
+    }
+
     private static Server lessLoaded(Server a, Server b) {
         return a == null || b.inFlight < a.inFlight ? b : a;
     }
@@ -424,6 +450,7 @@
         Attempt a = new Attempt(s, now, !isOrigin(s), fetches);
         r.attempts.add(a);
         r.queued = false;
+        s.settle(now, smoothing());
         s.inFlight++;
         origin.inFlight += fetches ? 1 : 0;
         out.send(r.id, s.id, r.deadline - now);
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -11,6 +11,8 @@
     double rating;
     long bootTime;
     int inFlight;
+    double smoothLoad;
+    long settledAt;
     double sick;
     double pace = 1;
     long pacedAt;
@@ -23,6 +25,13 @@
         this.id = id;
     }
 
+    /** Brings the smoothed load up to now; called before every change of the load. */
+    void settle(long now, double memory) {
+        double passed = now - settledAt;
+        smoothLoad += (inFlight - smoothLoad) * passed / (passed + memory);
+        settledAt = now;
+    }
+
     void update(Routing.ServerEntry e, boolean useRating) {
         if (e.bootTime() != bootTime) {
             sick = 0;
