--- a/src/main/java/beaconturn/decision/Average.java
+++ b/src/main/java/beaconturn/decision/Average.java
@@ -1,10 +1,9 @@
 package beaconturn.decision;
 
-/** Mean, mean deviation and median, newest samples counting most. */
+/** Mean and mean deviation, newest samples counting most. */
 final class Average {
     double mean;
     double deviation;
-    double median;
     boolean any;
     private final double newest;
 
@@ -16,7 +15,6 @@
     void add(double sample) {
         mean = any ? mean + newest * (sample - mean) : sample;
         deviation = any ? deviation + newest * (Math.abs(sample - mean) - deviation) : sample / 2;
-        median = any ? median + Math.signum(sample - median) * newest * deviation : sample;
         any = true;
     }
 }
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -27,8 +27,6 @@
     private static final double LATE_DEVIATIONS = 4;
     /** Loads are smoothed over this many mean answer times. */
     private static final double SMOOTHING = 8;
-    /** A cache whose answers take this many times the fleet's mean is given a smaller part of the cap. */
-    private static final double SLOW_PACE = 2;
     /** Sick: this share of bad samples above the fleet's own; three in a row reach it. */
     private static final double SICK = 0.25;
     /** Share of the ring that may be passed over as sick; beyond it the fleet is at fault, not caches. */
@@ -74,6 +72,7 @@
     private final List<Server> origins = new ArrayList<>();
     private final List<Request> fetchQueue = new ArrayList<>();
     private final Average[] answerTimes;
+    private final Average answerTime = new Average(NEWEST);
     private final Average fetchTime = new Average(NEWEST);
     private final KeyMemory held;
     private final Gate caches = new Gate();
@@ -208,7 +207,7 @@
         Request r = requests.get(token >>> 8);
         if (kind == WATCH) {
             out.watch(true);
-        } else if (r != null && !r.done && kind == LATE) {
+        } else if (r != null && !r.done && kind == LATE && (token >>> 2 & 63) < r.attempts.size()) {
             late(r, r.attempts.get((int) (token >>> 2 & 63)));
         } else if (r != null && !r.done && kind == PATIENCE && r.queued && !r.anyOpen()) {
             giveUp(r);
@@ -231,7 +230,6 @@
             buildRing();
         }
         int cap = cap();
-        double mean = smoothMean();
         int found = Arrays.binarySearch(points, r.hash & -0x10000L);
         int start = found >= 0 ? found : -found - 1;
         Server leastLoaded = null;
@@ -249,7 +247,7 @@
             }
             if (passedOver(s, r)) {
                 lastResort = lessLoaded(lastResort, s);
-            } else if (s.inFlight < (int) (cap * paceFactor(s)) && !(s.inFlight > 0 && crowded(s, mean))) {
+            } else if (s.inFlight < cap && !(s.inFlight > 0 && crowded(s))) {
                 return s;
             } else {
                 leastLoaded = lessLoaded(leastLoaded, s);
@@ -258,35 +256,18 @@
         return leastLoaded != null ? leastLoaded : lastResort;
     }
 
-    /**
-     * Part of the cap that a cache may use. With few requests in flight at each of many routers the cap never
-     * binds though a cache is crowded by all of them; slow answers show it, and the walk passes it for a while.
-     */
-    private double paceFactor(Server s) {
-        double forgotten = 1 + (now - s.pacedAt) / (TRIAL_AFTER * (meanAnswerTime() + 1));
-        return Math.min(1, SLOW_PACE / (1 + (s.pace - 1) / forgotten));
-    }
-
     /**
      * With two in flight always allowed, many routers can pile up twice their number on one popular home
-     * while each is under its cap. So the bound also holds on the smoothed load, as the source advises against
-     * herds: beyond it, and beyond an even part of the floor, a cache is given one request at a time.
+     * while each is under its cap. So a cache whose smoothed load (the source's advice against herds)
+     * exceeds the bound on an even part of that floor is given one request at a time.
      */
-    private boolean crowded(Server s, double mean) {
+    private boolean crowded(Server s) {
         s.settle(now, smoothing());
-        return s.smoothLoad > (1 + EPSILON) * Math.max(mean, (double) LEAST_CAP / settings.routers());
-    }
-
-    private double smoothMean() {
-        double sum = 0;
-        for (Server s : ring) {
-            sum += s.smoothLoad;
-        }
-        return sum / Math.max(1, ring.size());
+        return s.smoothLoad > (1 + EPSILON) * LEAST_CAP / settings.routers();
     }
 
     private double smoothing() {
-        return SMOOTHING * (meanAnswerTime() + 1);
+        return SMOOTHING * (answerTime.mean + 1);
     }
 
     private static Server lessLoaded(Server a, Server b) {
@@ -363,7 +344,7 @@
             s.ejected = sick;
             s.trialGap = TRIAL_AFTER;
         }
-        s.trialAt = now + (long) (s.trialGap * meanAnswerTime());
+        s.trialAt = now + (long) (s.trialGap * answerTime.mean);
     }
 
     private int ejectedCount() {
@@ -374,14 +355,6 @@
         return count;
     }
 
-    private double meanAnswerTime() {
-        double sum = 0;
-        for (Average a : answerTimes) {
-            sum += a.mean;
-        }
-        return sum / answerTimes.length;
-    }
-
     // ---- cold starts: a freshly started cache gets no more than its guaranteed share
 
     /** Part of its capacity that a cache has for certain: an even rise from the cold share. */
@@ -404,7 +377,8 @@
         if (warmth >= 1) {
             return true;
         }
-        double perNano = COLD_SAFETY * rules.fallMultiple() * warmth * ringSends.peakPerNano(now) / ring.size();
+        double peers = ringSends.peakPerNano(now) / ring.size();
+        double perNano = COLD_SAFETY * rules.fallMultiple() * warmth * peers;
         s.cold.fill(now, perNano, Math.max(1, perNano * rules.overloadFor() / 4));
         return s.cold.tokens >= 1;
     }
@@ -479,7 +453,6 @@
 
     private void cacheClosed(Request r, Attempt a, Routing.AttemptClosed e) {
         caches.inFlight--;
-        Server s = a.server;
         Routing.Ending ending = e.ending();
         boolean answered = ending == Routing.Ending.OK || ending == Routing.Ending.MISS;
         if (ending == Routing.Ending.CANCELLED || ending == Routing.Ending.MOOT) {
@@ -487,19 +460,16 @@
         }
         boolean fetched = a.fetches || e.note() == Routing.Note.MISS && !settings.origin().aside();
         boolean late = e.elapsed() > lateAfter(r, fetched);
-        if (answered && !fetched && answerTimes[r.classIndex].any) {
-            s.pace += NEWEST * (Math.min(1 / NEWEST, e.elapsed() / answerTimes[r.classIndex].median) - s.pace);
-            s.pacedAt = now;
-        }
         if (ending == Routing.Ending.OK && !fetched) {
             answerTimes[r.classIndex].add(e.elapsed());
+            answerTime.add(e.elapsed());
         }
         if (!a.judged || answered && fetched && !late) {
             judge(a.server, !answered || late);
         }
         if (!fetched && !a.server.ejected) {
             caches.observe(now, ending == Routing.Ending.FULL ? 1 : e.elapsed() / (double) r.type.aim(),
-                meanAnswerTime(), ring.size());
+                answerTime.mean, ring.size());
         }
     }
 
@@ -686,16 +656,7 @@
         while (!fetchQueue.isEmpty() && origin.inFlight < origin.limit) {
             Request next = worthiest();
             fetchQueue.remove(next);
-            if (settings.origin().aside()) {
-                askOrigin(next, null);
-            } else {
-                Server s = ring.isEmpty() ? null : pick(next);
-                if (s == null) {
-                    giveUp(next);
-                } else {
-                    askOrigin(next, s);
-                }
-            }
+            refetch(next);
         }
     }
 
@@ -760,12 +721,8 @@
             return;
         }
         if (list.kind() != Routing.ListKind.DELTA) {
-            for (Server s : ring) {
-                s.health = Routing.Health.GONE;
-            }
-            for (Server s : origins) {
-                s.health = Routing.Health.GONE;
-            }
+            ring.forEach(s -> s.health = Routing.Health.GONE);
+            origins.forEach(s -> s.health = Routing.Health.GONE);
         }
         if (list.kind() != Routing.ListKind.CACHED) {
             watchBackoff = rules.askWithin() / 16;
@@ -802,21 +759,16 @@
         private double limit = 1e9;
         private double spare = 1e9;
         private int inFlight;
-        private double slowness;
-        private double idle = CROWDED;
-        private int samples;
+        private final Slowness slowness = new Slowness(NEWEST, FORGET_IDLE);
         private long shrunkAt;
 
         void observe(long now, double partOfAim, double answerTime, int least) {
-            samples++;
-            slowness += Math.max(NEWEST, 1.0 / samples) * (Math.min(2, partOfAim) - slowness);
-            if (samples > 1 / NEWEST) {
-                idle = Math.min(slowness, idle + FORGET_IDLE * (slowness - idle));
-            }
+            slowness.add(partOfAim);
             boolean due = now - shrunkAt > answerTime;
-            spare = next(spare, slowness > Math.min(CROWDED, BUSY * idle), due, 1);
-            limit = next(limit, slowness > CROWDED, due, least);
-            shrunkAt = due && slowness > Math.min(CROWDED, BUSY * idle) ? now : shrunkAt;
+            boolean busy = slowness.now > Math.min(CROWDED, BUSY * slowness.idle);
+            spare = next(spare, busy, due, 1);
+            limit = next(limit, slowness.now > CROWDED, due, least);
+            shrunkAt = due && busy ? now : shrunkAt;
         }
 
         private double next(double old, boolean crowded, boolean due, int least) {
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -14,8 +14,6 @@
     double smoothLoad;
     long settledAt;
     double sick;
-    double pace = 1;
-    long pacedAt;
     boolean ejected;
     double trialGap;
     long trialAt;
@@ -35,7 +33,6 @@
     void update(Routing.ServerEntry e, boolean useRating) {
         if (e.bootTime() != bootTime) {
             sick = 0;
-            pace = 1;
             ejected = false;
             cold.tokens = 0;
         }
--- /dev/null
+++ b/src/test/java/beaconturn/decision/FourRulesTest.java
@@ -0,0 +1,181 @@
+package beaconturn.decision;
+
+import static beaconturn.decision.Harness.KEYED_ALL;
+import static beaconturn.decision.Harness.KEYED_ZONE;
+import static beaconturn.decision.Harness.MS;
+import static beaconturn.decision.Harness.READ;
+import static beaconturn.decision.Harness.SECOND;
+import static beaconturn.decision.Harness.UNSAFE;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.decision.Routing.Ending;
+import beaconturn.decision.Routing.Health;
+import beaconturn.decision.Routing.ListKind;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Each of the four rules, for each effect a class can have. */
+class FourRulesTest {
+    private static Harness through() {
+        Harness h = new Harness(Harness.settings(false));
+        h.caches(6);
+        // Earns some budget for further attempts.
+        for (int i = 1; i <= 30; i++) {
+            h.arrive(i, READ, i);
+            h.close(h.last(), 0, Ending.OK, true);
+        }
+        h.sends.clear();
+        return h;
+    }
+
+    @Test
+    void anUnsafeRequestIsNotSentAgainOnceItMayHaveRun() {
+        for (Ending ending : List.of(Ending.ERROR, Ending.RESET, Ending.TIMEOUT)) {
+            Harness h = through();
+            h.arrive(100, UNSAFE, 5);
+            h.close(h.last(), 0, ending, false);
+            assertEquals(1, h.sends.size());
+            assertEquals(List.of(100L), h.failed);
+        }
+    }
+
+    @Test
+    void anUnsafeRequestThatNeverRanIsSentAgain() {
+        for (Ending ending : List.of(Ending.FULL, Ending.CONNECT_FAILED)) {
+            Harness h = through();
+            h.arrive(100, UNSAFE, 5);
+            h.close(h.last(), 0, ending, false);
+            assertEquals(2, h.sends.size());
+        }
+    }
+
+    @Test
+    void anUnsafeRequestIsNeverHedged() {
+        Harness h = through();
+        h.arrive(100, UNSAFE, 5);
+        h.pass(1500 * MS);
+        assertEquals(1, h.sends.size());
+    }
+
+    @Test
+    void aKeyedRequestIsResentOnlyWithinItsGroup() {
+        Harness h = through();
+        h.arrive(100, KEYED_ZONE, 5);
+        long first = h.last().server();
+        h.close(h.last(), 0, Ending.RESET, false);
+        assertEquals(2, h.sends.size());
+        assertEquals(first % 2, h.last().server() % 2);
+    }
+
+    @Test
+    void aKeyedRequestIsNotResentPastItsWindow() {
+        Harness h = through();
+        h.arrive(100, KEYED_ALL, 5, 20 * SECOND);
+        h.now += 6 * SECOND;
+        h.close(h.last(), 0, Ending.RESET, false);
+        assertEquals(1, h.sends.size());
+    }
+
+    @Test
+    void aKeyedRequestOfANarrowGroupThatMayHaveRunIsFailedNotRefused() {
+        Harness h = new Harness(Harness.settings(false));
+        h.list(ListKind.CACHED, Harness.cache(1));
+        h.arrive(1, KEYED_ZONE, 5);
+        h.close(h.last(), 0, Ending.ERROR, false);
+        assertEquals(List.of(1L), h.failed);
+        h.arrive(2, KEYED_ALL, 5);
+        h.close(h.last(), 0, Ending.ERROR, false);
+        assertEquals(List.of(2L), h.refused);
+    }
+
+    @Test
+    void aDrainingCacheGetsNothingNew() {
+        Harness h = through();
+        h.arrive(100, READ, 5);
+        long home = h.last().server();
+        h.close(h.last(), 0, Ending.OK, true);
+        h.list(ListKind.DELTA, Harness.entry(home, Health.DRAINING, 0));
+        for (int i = 0; i < 20; i++) {
+            h.arrive(200 + i, READ, 5);
+            assertTrue(h.last().server() != home);
+        }
+    }
+
+    @Test
+    void aWaitingRequestIsNotSentWhereItsObjectIsStoredOnceThatCacheDrains() {
+        Harness h = new Harness(Harness.settings(true));
+        h.list(ListKind.CACHED, Harness.cache(1), Harness.cache(2), Harness.origin(50));
+        h.arrive(1, READ, 5);
+        long home = h.last().server();
+        h.close(h.last(), 0, Ending.MISS, false);
+        Harness.Send fetch = h.last();
+        h.arrive(2, READ, 5);
+        h.list(ListKind.DELTA, Harness.entry(home, Health.DRAINING, 0));
+        h.close(fetch, 1, Ending.OK, true);
+        assertEquals(3 - home, h.last().server());
+    }
+
+    @Test
+    void aMissThatArrivesAfterTheDeadlineIsAnsweredAtOnce() {
+        Harness h = new Harness(Harness.settings(true));
+        h.list(ListKind.CACHED, Harness.cache(1), Harness.origin(50));
+        h.arrive(9, READ, 5);
+        h.close(h.last(), 0, Ending.MISS, false);
+        h.arrive(1, READ, 6, 100 * MS);
+        Harness.Send late = h.last();
+        h.now += 104 * MS;
+        h.close(late, 0, Ending.MISS, false);
+        assertEquals(List.of(1L), h.refused);
+    }
+
+    @Test
+    void aRequestThatWaitsForAFetchIsAnsweredLongBeforeItsDeadline() {
+        Harness h = new Harness(Harness.settings(true));
+        h.list(ListKind.CACHED, Harness.cache(1), Harness.origin(50));
+        h.arrive(1, READ, 5);
+        h.close(h.last(), 0, Ending.MISS, false);
+        h.arrive(2, READ, 5, SECOND);
+        h.pass(600 * MS);
+        assertEquals(List.of(2L), h.refused);
+    }
+
+    @Test
+    void nothingFollowsTheEnd() {
+        Harness h = through();
+        h.arrive(100, READ, 5);
+        h.pass(1100 * MS);
+        assertEquals(2, h.sends.size());
+        Harness.Send first = h.sends.get(0);
+        Harness.Send second = h.sends.get(1);
+        h.close(second, 1, Ending.OK, true);
+        h.actions.clear();
+        h.close(first, 0, Ending.ERROR, true);
+        h.pass(5 * SECOND);
+        assertEquals(List.of(), h.actions);
+    }
+
+    @Test
+    void withoutACacheARequestIsRefusedAtOnce() {
+        Harness h = new Harness(Harness.settings(false));
+        h.list(ListKind.CACHED);
+        h.arrive(1, READ, 5);
+        h.arrive(2, UNSAFE, 5);
+        assertEquals(List.of(1L, 2L), h.refused);
+    }
+
+    @Test
+    void noMoreAttemptsThanAllowed() {
+        Harness h = new Harness(Harness.settings(false, 1, List.of(), 2));
+        h.caches(5);
+        for (int i = 1; i <= 50; i++) {
+            h.arrive(i, READ, i);
+            h.close(h.last(), 0, Ending.OK, true);
+        }
+        h.arrive(100, READ, 5);
+        h.close(h.last(), 0, Ending.FULL, false);
+        h.close(h.last(), 1, Ending.FULL, false);
+        assertEquals(52, h.sends.size());
+        assertEquals(List.of(100L), h.refused);
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/decision/Harness.java
@@ -0,0 +1,183 @@
+package beaconturn.decision;
+
+import beaconturn.decision.Routing.Effect;
+import beaconturn.decision.Routing.Ending;
+import beaconturn.decision.Routing.Health;
+import beaconturn.decision.Routing.ListKind;
+import beaconturn.decision.Routing.Scope;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Drives one module by its interface and keeps what it did, as text, in order. */
+final class Harness implements Routing.Actions {
+    static final long MS = 1_000_000L;
+    static final long SECOND = 1000 * MS;
+    static final int ORIGIN_KIND = 9;
+    static final int READ = 0;
+    static final int KEYED_ALL = 1;
+    static final int KEYED_ZONE = 2;
+    static final int UNSAFE = 3;
+
+    record Send(long request, long server, long allowFor) { }
+
+    final List<String> actions = new ArrayList<>();
+    final List<Send> sends = new ArrayList<>();
+    final List<Long> refused = new ArrayList<>();
+    final List<Long> failed = new ArrayList<>();
+    final List<long[]> timers = new ArrayList<>();
+    final RingRouter router;
+    long now = 100 * SECOND;
+
+    Harness(Routing.Settings settings) {
+        this(settings, 7);
+    }
+
+    Harness(Routing.Settings settings, long seed) {
+        router = new RingRouter(settings, seed, now, this);
+    }
+
+    static Routing.Settings settings(boolean aside) {
+        return settings(aside, 1, List.of());
+    }
+
+    static Routing.Settings settings(boolean aside, int routers, List<Routing.Tenant> tenants) {
+        return settings(aside, routers, tenants, 6);
+    }
+
+    static Routing.Settings settings(boolean aside, int routers, List<Routing.Tenant> tenants, int tries) {
+        List<Routing.RequestClass> classes = List.of(type(Effect.SAFE, Scope.ALL),
+            type(Effect.KEYED, Scope.ALL), type(Effect.KEYED, Scope.ZONE), type(Effect.UNSAFE, Scope.ALL));
+        Routing.Rules rules = new Routing.Rules(20 * MS, 10 * SECOND, 0.2, 20 * SECOND, 250 * MS, 3,
+            SECOND);
+        Routing.Permissions may = new Routing.Permissions(true, false, false, true, true, tries,
+            2 * SECOND, 32, 250 * MS);
+        return new Routing.Settings(0, routers, 0, true, false, false, 0.1, 5 * MS, classes, tenants, rules,
+            may, new Routing.Origin(aside, aside ? ORIGIN_KIND : -1, false, 0, 0), List.of());
+    }
+
+    private static Routing.RequestClass type(Effect effect, Scope scope) {
+        return new Routing.RequestClass(effect, scope, 5 * SECOND, SECOND, 4 * SECOND, 1, 0, false);
+    }
+
+    static Routing.ServerEntry cache(long id) {
+        return entry(id, Health.READY, 0);
+    }
+
+    static Routing.ServerEntry entry(long id, Health health, long bootTime) {
+        return new Routing.ServerEntry(id, (int) (id % 2), 0, (int) (id % 3), health, 1, bootTime);
+    }
+
+    static Routing.ServerEntry origin(long id) {
+        return new Routing.ServerEntry(id, 0, ORIGIN_KIND, 0, Health.READY, 1, 0);
+    }
+
+    void list(ListKind kind, Routing.ServerEntry... entries) {
+        router.handle(now, new Routing.ServerList(1, kind, List.of(entries)));
+    }
+
+    void caches(int count) {
+        Routing.ServerEntry[] entries = new Routing.ServerEntry[count];
+        for (int i = 0; i < count; i++) {
+            entries[i] = cache(i + 1);
+        }
+        list(ListKind.CACHED, entries);
+    }
+
+    void arrive(long request, int type, long key) {
+        arrive(request, type, key, 2 * SECOND);
+    }
+
+    void arrive(long request, int type, long key, long left) {
+        boolean write = type != READ;
+        router.handle(now, new Routing.Arrival(request, 0, 0, key, type, left, false, write, 0));
+    }
+
+    void close(Send send, int attempt, Ending ending, boolean closed) {
+        router.handle(now, new Routing.AttemptClosed(send.request(), 50 * MS, closed, send.server(), ending,
+            Routing.Note.NONE, attempt, new float[0]));
+    }
+
+    /** Delivers all timers due within the given time, in order, and moves the clock there. */
+    void pass(long time) {
+        long until = now + time;
+        while (true) {
+            long[] next = null;
+            for (long[] t : timers) {
+                next = t[0] <= until && (next == null || t[0] < next[0]) ? t : next;
+            }
+            if (next == null) {
+                now = until;
+                return;
+            }
+            timers.remove(next);
+            now = Math.max(now, next[0]);
+            router.handle(now, new Routing.Timer(next[1]));
+        }
+    }
+
+    Send last() {
+        return sends.get(sends.size() - 1);
+    }
+
+    @Override
+    public void send(long request, long server, long allowFor) {
+        sends.add(new Send(request, server, allowFor));
+        actions.add("send " + request + " " + server + " " + allowFor);
+    }
+
+    @Override
+    public void cancel(long request, int attempt) {
+        actions.add("cancel " + request + " " + attempt);
+    }
+
+    @Override
+    public void refuse(long request, long retryAfter) {
+        refused.add(request);
+        actions.add("refuse " + request + " " + retryAfter);
+    }
+
+    @Override
+    public void fail(long request) {
+        failed.add(request);
+        actions.add("fail " + request);
+    }
+
+    @Override
+    public void timer(long delay, long token) {
+        if (delay < 0) {
+            throw new IllegalArgumentException("timer in the past");
+        }
+        timers.add(new long[] {now + delay, token});
+        actions.add("timer " + delay + " " + token);
+    }
+
+    @Override
+    public void watch(boolean on) {
+        actions.add("watch " + on);
+    }
+
+    @Override
+    public void fetchList() {
+        actions.add("fetch list");
+    }
+
+    @Override
+    public void probe(long server) {
+        actions.add("probe " + server);
+    }
+
+    @Override
+    public void tell(int peer, byte[] body) {
+        actions.add("tell " + peer);
+    }
+
+    @Override
+    public void closeIdle(long server) {
+        actions.add("close " + server);
+    }
+
+    @Override
+    public void log(String text) {
+        actions.add("log " + text);
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/decision/RingRouterTest.java
@@ -0,0 +1,236 @@
+package beaconturn.decision;
+
+import static beaconturn.decision.Harness.MS;
+import static beaconturn.decision.Harness.READ;
+import static beaconturn.decision.Harness.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.decision.Routing.Ending;
+import beaconturn.decision.Routing.Health;
+import beaconturn.decision.Routing.ListKind;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** The ordinary path, health, cold starts, admission and discovery. */
+class RingRouterTest {
+    private static Map<Long, Long> homes(Harness h, int keys) {
+        Map<Long, Long> homes = new HashMap<>();
+        for (long key = 1; key <= keys; key++) {
+            h.arrive(key, READ, key * 7919);
+            homes.put(key, h.last().server());
+            h.close(h.last(), 0, Ending.OK, true);
+        }
+        return homes;
+    }
+
+    @Test
+    void capIsTheBoundOnTheMeanCountingTheNewRequestAndNeverUnderTwo() {
+        assertEquals(2, RingRouter.cap(0, 10));
+        assertEquals(2, RingRouter.cap(9, 10));
+        assertEquals(3, RingRouter.cap(19, 10));
+        assertEquals(12, RingRouter.cap(99, 10));
+    }
+
+    @Test
+    void aKeyKeepsItsHomeAndRoutersAgree() {
+        Harness a = new Harness(Harness.settings(false), 1);
+        Harness b = new Harness(Harness.settings(false), 2);
+        a.caches(8);
+        b.caches(8);
+        Map<Long, Long> first = homes(a, 200);
+        assertEquals(first, homes(b, 200));
+        assertTrue(new HashSet<>(first.values()).size() == 8, "every cache is home to some keys");
+    }
+
+    @Test
+    void aJoinAndALeaveMoveOnlyTheKeysOfThatCache() {
+        Harness h = new Harness(Harness.settings(false));
+        h.caches(8);
+        Map<Long, Long> before = homes(h, 400);
+        h.list(ListKind.DELTA, Harness.cache(9));
+        Map<Long, Long> joined = homes(h, 400);
+        int moved = 0;
+        for (long key : before.keySet()) {
+            if (!before.get(key).equals(joined.get(key))) {
+                assertEquals(9L, joined.get(key));
+                moved++;
+            }
+        }
+        assertTrue(moved > 10 && moved < 120, "moved " + moved);
+        h.list(ListKind.DELTA, Harness.entry(9, Health.GONE, 0));
+        assertEquals(before, homes(h, 400));
+    }
+
+    @Test
+    void theWalkPassesACacheAtItsCapAndNoneExceedsTheBound() {
+        Harness h = new Harness(Harness.settings(false));
+        h.caches(3);
+        // Known as held, so that no single flight holds the later ones back.
+        for (int i = 1; i <= 3; i++) {
+            h.list(ListKind.FULL, Harness.cache(i));
+            h.arrive(i, READ, 5);
+            h.close(h.last(), 0, Ending.OK, true);
+        }
+        h.list(ListKind.FULL, Harness.cache(1), Harness.cache(2), Harness.cache(3));
+        h.sends.clear();
+        for (int i = 0; i < 7; i++) {
+            h.arrive(100 + i, READ, 5);
+        }
+        Map<Long, Integer> load = new HashMap<>();
+        h.sends.forEach(s -> load.merge(s.server(), 1, Integer::sum));
+        assertEquals(7, h.sends.size());
+        assertEquals(h.sends.get(0).server(), h.sends.get(1).server());
+        assertNotEquals(h.sends.get(0).server(), h.sends.get(2).server());
+        assertTrue(load.values().stream().allMatch(n -> n <= 3), load.toString());
+    }
+
+    @Test
+    void loadFallsAtLateOutcomesToo() {
+        Harness h = new Harness(Harness.settings(false));
+        h.caches(1);
+        h.arrive(1, READ, 5);
+        Harness.Send send = h.last();
+        h.router.handle(h.now, new Routing.Withdrawn(1));
+        assertTrue(h.actions.contains("cancel 1 0"));
+        h.close(send, 0, Ending.CANCELLED, true);
+        h.arrive(2, READ, 5);
+        assertEquals(2, h.sends.size());
+    }
+
+    @Test
+    void oneFetchForAKeyTheOthersWaitAndGoWhereItIsStored() {
+        Harness h = new Harness(Harness.settings(true));
+        h.list(ListKind.CACHED, Harness.cache(1), Harness.cache(2), Harness.origin(50));
+        h.arrive(1, READ, 5);
+        long home = h.last().server();
+        h.close(h.last(), 0, Ending.MISS, false);
+        Harness.Send fetch = h.last();
+        assertEquals(50L, fetch.server());
+        h.arrive(2, READ, 5);
+        assertEquals(2, h.sends.size());
+        h.close(fetch, 1, Ending.OK, true);
+        assertEquals(new Harness.Send(2, home, 2 * SECOND), h.last());
+    }
+
+    @Test
+    void aFetchThatFailsIsHandedToTheNextInLine() {
+        Harness h = new Harness(Harness.settings(true));
+        h.list(ListKind.CACHED, Harness.cache(1), Harness.origin(50));
+        h.arrive(1, READ, 5);
+        h.close(h.last(), 0, Ending.MISS, false);
+        Harness.Send fetch = h.last();
+        h.arrive(2, READ, 5);
+        h.close(fetch, 1, Ending.ERROR, false);
+        assertEquals(List.of(1L), h.refused);
+        assertEquals(2L, h.last().request());
+        assertEquals(50L, h.last().server());
+    }
+
+    @Test
+    void quickErrorsDoNotKeepTheirKeys() {
+        Harness h = new Harness(Harness.settings(false));
+        h.caches(6);
+        h.arrive(1, READ, 5);
+        long sick = h.last().server();
+        int toSick = 0;
+        for (int i = 0; i < 40; i++) {
+            h.now += 10 * MS;
+            h.arrive(100 + i, READ, 5);
+            Harness.Send first = h.last();
+            if (first.server() == sick) {
+                toSick++;
+                h.close(first, 0, Ending.ERROR, false);
+            }
+            int attempt = h.last() == first ? 0 : 1;
+            h.close(h.last(), attempt, Ending.OK, true);
+        }
+        assertTrue(toSick >= 3 && toSick < 20, "sends to the failing cache: " + toSick);
+    }
+
+    @Test
+    void aColdCacheIsHeldToItsBudget() {
+        Harness h = new Harness(Harness.settings(false));
+        h.list(ListKind.CACHED, Harness.cache(1), Harness.cache(2), Harness.cache(3));
+        homes(h, 300);
+        h.list(ListKind.DELTA, Harness.entry(4, Health.READY, h.now));
+        h.sends.clear();
+        homes(h, 300);
+        long toCold = h.sends.stream().filter(s -> s.server() == 4).count();
+        assertTrue(toCold <= 2, "sent to the cold cache at once: " + toCold);
+    }
+
+    @Test
+    void withManyRoutersAPopularHomeIsGivenOneAtATime() {
+        Harness h = new Harness(Harness.settings(false, 20, List.of()));
+        h.caches(4);
+        homes(h, 50);
+        for (int i = 0; i < 60; i++) {
+            h.arrive(1000 + i, READ, 7919);
+            Harness.Send send = h.last();
+            h.now += 50 * MS;
+            h.close(send, 0, Ending.OK, true);
+        }
+        h.arrive(2000, READ, 7919);
+        h.arrive(2001, READ, 7919);
+        int last = h.sends.size() - 1;
+        assertNotEquals(h.sends.get(last - 1).server(), h.sends.get(last).server());
+    }
+
+    @Test
+    void aFullListThatOmitsACacheTakesItOffTheRing() {
+        Harness h = new Harness(Harness.settings(false));
+        h.caches(3);
+        h.list(ListKind.FULL, Harness.cache(2));
+        Set<Long> used = new HashSet<>(homes(h, 100).values());
+        assertEquals(Set.of(2L), used);
+    }
+
+    @Test
+    void aFailedWatchIsAskedAgainLaterAndTheListStays() {
+        Harness h = new Harness(Harness.settings(false));
+        assertEquals(List.of("watch true"), h.actions);
+        h.caches(2);
+        h.list(ListKind.FAILED);
+        assertEquals(1, h.actions.stream().filter("watch true"::equals).count());
+        h.pass(5 * SECOND);
+        assertEquals(2, h.actions.stream().filter("watch true"::equals).count());
+        h.arrive(1, READ, 5);
+        assertEquals(1, h.sends.size());
+    }
+
+    @Test
+    void unknownEventsAreIgnored() {
+        Harness h = new Harness(Harness.settings(false));
+        h.caches(2);
+        h.actions.clear();
+        h.close(new Harness.Send(77, 1, 0), 0, Ending.OK, true);
+        h.router.handle(h.now, new Routing.Withdrawn(78));
+        h.router.handle(h.now, new Routing.Timer(79L << 8));
+        h.router.handle(h.now, new Routing.PeerMessage(1, new byte[3]));
+        assertEquals(List.of(), h.actions);
+    }
+
+    @Test
+    void theSameEventsGiveTheSameActions() {
+        Harness a = new Harness(Harness.settings(true, 2, List.of()), 11);
+        Harness b = new Harness(Harness.settings(true, 2, List.of()), 11);
+        for (Harness h : List.of(a, b)) {
+            h.list(ListKind.CACHED, Harness.cache(1), Harness.cache(2), Harness.cache(3), Harness.origin(50));
+            h.list(ListKind.FAILED);
+            for (int i = 0; i < 200; i++) {
+                h.arrive(i, i % 4, i % 17);
+                h.pass(7 * MS);
+                if (i % 3 == 0 && !h.sends.isEmpty()) {
+                    h.close(h.last(), 0, Ending.values()[i % 9], false);
+                }
+            }
+        }
+        assertEquals(a.actions, b.actions);
+    }
+}
