--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -319,11 +319,8 @@
     // ---- health: a sick cache is passed over but for a trickle
 
     private boolean passedOver(Server s, Request r) {
-        if (!s.ejected) {
-            return false;
-        }
         boolean trial = now >= s.trialAt && s.inFlight == 0 && r.type.effect() == Routing.Effect.SAFE;
-        return !trial;
+        return s.ejected && !trial;
     }
 
     /** One sample of a cache's health; quick errors must not attract keys by keeping counts low. */
@@ -441,7 +438,7 @@
     }
 
     private void askCache(Request r) {
-        Server s = ring.isEmpty() ? null : pick(r);
+        Server s = pick(r);
         if (s == null) {
             giveUp(r);
         } else if (willFetch(r, s)) {
@@ -624,7 +621,7 @@
         for (int i = 0; cache == null && i < origins.size(); i++) {
             s = lessLoaded(s, origins.get(i));
         }
-        if (s == null || r.overQuota && origin.inFlight >= origin.spare) {
+        if (s == null || noRoomToSpare(r, origin)) {
             giveUp(r);
         } else if (origin.inFlight < origin.limit) {
             send(r, s, true);
@@ -640,7 +637,7 @@
         origin.inFlight--;
         Routing.Ending ending = e.ending();
         // What a cache did before it fetched says nothing of the origin: blaming that would lock the gate.
-        boolean cacheOnly = a.onRing && ending.neverRan() || a.onRing && ending == Routing.Ending.RESET;
+        boolean cacheOnly = a.onRing && (ending.neverRan() || ending == Routing.Ending.RESET);
         if (ending == Routing.Ending.CANCELLED || ending == Routing.Ending.MOOT || a.server.ejected
                 || cacheOnly) {
             return;
@@ -681,7 +678,11 @@
 
     private boolean admitted(Request r, Gate gate) {
         double part = OPEN_TO_ALL + (1 - OPEN_TO_ALL) * value(r);
-        return gate.inFlight < gate.limit * part && !(r.overQuota && gate.inFlight >= gate.spare);
+        return gate.inFlight < gate.limit * part && !noRoomToSpare(r, gate);
+    }
+
+    private static boolean noRoomToSpare(Request r, Gate gate) {
+        return r.overQuota && gate.inFlight >= gate.spare;
     }
 
     /**
--- a/src/test/java/beaconturn/decision/FourRulesTest.java
+++ b/src/test/java/beaconturn/decision/FourRulesTest.java
@@ -133,8 +133,7 @@
     void aRequestThatWaitsForAFetchIsAnsweredLongBeforeItsDeadline() {
         Harness h = new Harness(Harness.settings(true));
         h.list(ListKind.CACHED, Harness.cache(1), Harness.origin(50));
-        h.arrive(1, READ, 5);
-        h.close(h.last(), 0, Ending.MISS, false);
+        h.miss(1, 5);
         h.arrive(2, READ, 5, SECOND);
         h.pass(600 * MS);
         assertEquals(List.of(2L), h.refused);
--- a/src/test/java/beaconturn/decision/Harness.java
+++ b/src/test/java/beaconturn/decision/Harness.java
@@ -92,6 +92,12 @@
         router.handle(now, new Routing.Arrival(request, 0, 0, key, type, left, false, write, 0));
     }
 
+    /** A read that its cache lacks, so that it goes on to the origin. */
+    void miss(long request, long key) {
+        arrive(request, READ, key);
+        close(last(), 0, Ending.MISS, false);
+    }
+
     void close(Send send, int attempt, Ending ending, boolean closed) {
         router.handle(now, new Routing.AttemptClosed(send.request(), 50 * MS, closed, send.server(), ending,
             Routing.Note.NONE, attempt, new float[0]));
--- a/src/test/java/beaconturn/decision/RingRouterTest.java
+++ b/src/test/java/beaconturn/decision/RingRouterTest.java
@@ -122,8 +122,7 @@
     void aFetchThatFailsIsHandedToTheNextInLine() {
         Harness h = new Harness(Harness.settings(true));
         h.list(ListKind.CACHED, Harness.cache(1), Harness.origin(50));
-        h.arrive(1, READ, 5);
-        h.close(h.last(), 0, Ending.MISS, false);
+        h.miss(1, 5);
         Harness.Send fetch = h.last();
         h.arrive(2, READ, 5);
         h.close(fetch, 1, Ending.ERROR, false);
