Cold budget from the answers of warm caches, with a seeded phase below one token

Cause: each of some hundred routers gave a cold cache a whole first token, and took what caches were sent, more than they answered, as what they carry. Now answers count, less one standard deviation of a small count.

--- a/src/main/java/beaconturn/decision/Bucket.java
+++ b/src/main/java/beaconturn/decision/Bucket.java
@@ -1,13 +1,21 @@
 package beaconturn.decision;
 
-/** Tokens that trickle in up to a burst. */
+import java.util.SplittableRandom;
+
+/** Tokens that trickle in up to a burst; a new bucket starts at a random part of one token. */
 final class Bucket {
     double tokens;
-    long filledAt = Long.MIN_VALUE;
+    private boolean started;
+    private long filledAt;
 
-    void fill(long now, double perNano, double burst) {
-        tokens = filledAt == Long.MIN_VALUE ? Math.min(1, burst)
-            : Math.min(burst, tokens + perNano * (now - filledAt));
+    void fill(long now, double perNano, double burst, SplittableRandom phase) {
+        tokens = started ? Math.min(burst, tokens + perNano * (now - filledAt)) : phase.nextDouble();
+        started = true;
         filledAt = now;
     }
+
+    /** Back to a new bucket. */
+    void reset() {
+        started = false;
+    }
 }
--- a/src/main/java/beaconturn/decision/Rate.java
+++ b/src/main/java/beaconturn/decision/Rate.java
@@ -23,10 +23,10 @@
         return count / memory;
     }
 
-    /** The highest rate of late; it fades over some times the memory. */
+    /** The highest rate of late, less one standard deviation of its count; it fades over some memories. */
     double peakPerNano(long now) {
         age(now);
-        return peak / memory;
+        return Math.max(0, peak - Math.sqrt(peak)) / memory;
     }
 
     private void age(long now) {
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -78,7 +78,7 @@
     private final Gate caches = new Gate();
     private final Gate origin = new Gate();
     private final Bucket[] quotas;
-    private final Rate ringSends;
+    private final Rate answers;
     private final Rate arrivals;
     private final Rate[] tenantArrivals;
     private long[] points = new long[0];
@@ -97,7 +97,7 @@
         this.out = out;
         this.now = now;
         this.random = new SplittableRandom(seed);
-        this.ringSends = new Rate(rules.cold() / 4.0);
+        this.answers = new Rate(rules.cold() / 4.0);
         this.arrivals = new Rate(rules.cold() / 4.0);
         this.tenantArrivals = new Rate[settings.tenants().size()];
         Arrays.setAll(tenantArrivals, i -> new Rate(rules.cold() / 4.0));
@@ -162,7 +162,7 @@
         Attempt a = r.attempts.get(e.attempt());
         a.open = false;
         a.neverRan = e.ending().neverRan();
-        a.server.settle(now, smoothing());
+        a.server.settle(now, SMOOTHING * (answerTime.mean + 1));
         a.server.inFlight--;
         forgetIfGone(a.server);
         if (a.onRing) {
@@ -262,24 +262,16 @@
      * exceeds the bound on an even part of that floor is given one request at a time.
      */
     private boolean crowded(Server s) {
-        s.settle(now, smoothing());
+        s.settle(now, SMOOTHING * (answerTime.mean + 1));
         return s.smoothLoad > (1 + EPSILON) * LEAST_CAP / settings.routers();
     }
 
-    private double smoothing() {
-        return SMOOTHING * (answerTime.mean + 1);
-    }
-
     private static Server lessLoaded(Server a, Server b) {
         return a == null || b.inFlight < a.inFlight ? b : a;
     }
 
     private int cap() {
-        int total = 0;
-        for (Server s : ring) {
-            total += s.inFlight;
-        }
-        return cap(total, ring.size());
+        return cap(caches.inFlight, ring.size());
     }
 
     /** The most a cache may hold when one more request joins {@code total} in flight on {@code n} caches. */
@@ -364,19 +356,20 @@
     }
 
     /**
-     * What caches were sent at the recent peak is what they can carry; every router holds a cold one to its
-     * own mean of that, times warmth, times a part of the fall multiple. So all routers together stay under
-     * the rule, whatever part of the traffic each has. Held lower, a cold cache that warms by its work stays
-     * cold and its neighbours are crowded.
+     * What caches answered at the recent peak is what they can carry (what they were sent may be more); every
+     * router holds a cold one to its own mean of that, times warmth, times a part of the fall multiple. So
+     * all routers together stay under the rule, whatever part of the traffic each has. Each starts at a
+     * seeded phase below one token: hundreds of routers with a whole first token would spend the rule's
+     * budget at once. Held lower, a cold cache that warms by its work stays cold.
      */
     private boolean coldBudgetLeft(Server s) {
         double warmth = warmth(s);
         if (warmth >= 1) {
             return true;
         }
-        double peers = ringSends.peakPerNano(now) / ring.size();
+        double peers = answers.peakPerNano(now) / ring.size();
         double perNano = COLD_SAFETY * rules.fallMultiple() * warmth * peers;
-        s.cold.fill(now, perNano, Math.max(1, perNano * rules.overloadFor() / 4));
+        s.cold.fill(now, perNano, Math.max(1, perNano * rules.overloadFor() / 4), random);
         return s.cold.tokens >= 1;
     }
 
@@ -421,7 +414,7 @@
         Attempt a = new Attempt(s, now, !isOrigin(s), fetches);
         r.attempts.add(a);
         r.queued = false;
-        s.settle(now, smoothing());
+        s.settle(now, SMOOTHING * (answerTime.mean + 1));
         s.inFlight++;
         origin.inFlight += fetches ? 1 : 0;
         out.send(r.id, s.id, r.deadline - now);
@@ -429,7 +422,6 @@
             return;
         }
         caches.inFlight++;
-        ringSends.count(now);
         s.cold.tokens -= 1;
         long lateAfter = lateAfter(r, fetches);
         if (now + lateAfter < r.deadline) {
@@ -455,6 +447,9 @@
         if (ending == Routing.Ending.CANCELLED || ending == Routing.Ending.MOOT) {
             return;
         }
+        if (answered) {
+            answers.count(now);
+        }
         boolean fetched = a.fetches || e.note() == Routing.Note.MISS && !settings.origin().aside();
         boolean late = e.elapsed() > lateAfter(r, fetched);
         if (ending == Routing.Ending.OK && !fetched) {
@@ -697,7 +692,7 @@
         arrivals.count(now);
         tenantArrivals[index].count(now);
         double perSecond = tenant.quotaPerSecond() / settings.routers();
-        quotas[index].fill(now, perSecond / 1e9, Math.max(1, perSecond));
+        quotas[index].fill(now, perSecond / 1e9, Math.max(1, perSecond), random);
         if (quotas[index].tokens >= 1) {
             quotas[index].tokens--;
             return false;
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -34,7 +34,7 @@
         if (e.bootTime() != bootTime) {
             sick = 0;
             ejected = false;
-            cold.tokens = 0;
+            cold.reset();
         }
         zone = e.zone();
         cell = e.cell();
--- a/src/test/java/beaconturn/decision/RingRouterTest.java
+++ b/src/test/java/beaconturn/decision/RingRouterTest.java
@@ -164,6 +164,32 @@
         assertTrue(toCold <= 2, "sent to the cold cache at once: " + toCold);
     }
 
+    @Test
+    void manyRoutersTogetherKeepAColdCacheWithinItsBudget() {
+        int routers = 200;
+        long toCold = 0;
+        for (int i = 0; i < routers; i++) {
+            Harness h = new Harness(Harness.settings(false, routers, List.of()), i);
+            h.caches(10);
+            for (int k = 0; k < 40; k++) {
+                h.now += 100 * MS;
+                h.arrive(k, READ, i * 1000L + k);
+                h.close(h.last(), 0, Ending.OK, true);
+            }
+            h.list(ListKind.DELTA, Harness.entry(11, Health.READY, h.now));
+            h.sends.clear();
+            for (int k = 100; k < 150; k++) {
+                h.now += 20 * MS;
+                h.arrive(k, READ, i * 1000L + k);
+                h.close(h.last(), 0, Ending.OK, true);
+            }
+            toCold += h.sends.stream().filter(s -> s.server() == 11).count();
+        }
+        // Up to then ten requests a second at each router, one a second for each of the ten warm caches; the settings
+        // allow three times the cold share of at least 0.2, which is 0.25 at the second's end.
+        assertTrue(toCold > 0 && toCold <= 3 * 0.25 * routers, "sent to the cold cache: " + toCold);
+    }
+
     @Test
     void withManyRoutersAPopularHomeIsGivenOneAtATime() {
         Harness h = new Harness(Harness.settings(false, 20, List.of()));
