--- a/src/test/java/beaconturn/decision/RingRouterTest.java
+++ b/src/test/java/beaconturn/decision/RingRouterTest.java
@@ -185,7 +185,7 @@
             }
             toCold += h.sends.stream().filter(s -> s.server() == 11).count();
         }
-        // Up to then ten requests a second at each router, one a second for each of the ten warm caches; the settings
+        // Up to then ten requests a second at each router, one for each warm cache; the settings
         // allow three times the cold share of at least 0.2, which is 0.25 at the second's end.
         assertTrue(toCold > 0 && toCold <= 3 * 0.25 * routers, "sent to the cold cache: " + toCold);
     }
