--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -75,8 +75,8 @@
     private final Average answerTime = new Average(NEWEST);
     private final Average fetchTime = new Average(NEWEST);
     private final KeyMemory held;
-    private final Gate caches = new Gate();
-    private final Gate origin = new Gate();
+    private final Gate caches;
+    private final Gate origin;
     private final Bucket[] quotas;
     private final Rate answers;
     private final Rate arrivals;
@@ -97,6 +97,8 @@
         this.out = out;
         this.now = now;
         this.random = new SplittableRandom(seed);
+        this.caches = new Gate(settings.routers());
+        this.origin = new Gate(settings.routers());
         this.answers = new Rate(rules.cold() / 4.0);
         this.arrivals = new Rate(rules.cold() / 4.0);
         this.tenantArrivals = new Rate[settings.tenants().size()];
@@ -461,7 +463,7 @@
         }
         if (!fetched && !a.server.ejected) {
             caches.observe(now, ending == Routing.Ending.FULL ? 1 : e.elapsed() / (double) r.type.aim(),
-                answerTime.mean, ring.size());
+                answerTime.mean, Math.max(1, ring.size()) / (double) settings.routers());
         }
     }
 
@@ -673,11 +675,11 @@
 
     private boolean admitted(Request r, Gate gate) {
         double part = OPEN_TO_ALL + (1 - OPEN_TO_ALL) * value(r);
-        return gate.inFlight < gate.limit * part && !noRoomToSpare(r, gate);
+        return gate.below(gate.limit * part, random) && !noRoomToSpare(r, gate);
     }
 
-    private static boolean noRoomToSpare(Request r, Gate gate) {
-        return r.overQuota && gate.inFlight >= gate.spare;
+    private boolean noRoomToSpare(Request r, Gate gate) {
+        return r.overQuota && !gate.below(gate.spare, random);
     }
 
     /**
@@ -756,22 +758,32 @@
         private double spare = 1e9;
         private int inFlight;
         private final Slowness slowness = new Slowness(NEWEST, FORGET_IDLE);
+        private final double routers;
         private long shrunkAt;
 
-        void observe(long now, double partOfAim, double answerTime, int least) {
+        Gate(int routers) {
+            this.routers = routers;
+        }
+
+        /** A limit's fraction is kept by chance: rounded up, hundreds of routers would add up to far more. */
+        boolean below(double most, SplittableRandom random) {
+            return inFlight + random.nextDouble() < most;
+        }
+
+        void observe(long now, double partOfAim, double answerTime, double least) {
             slowness.add(partOfAim);
             boolean due = now - shrunkAt > answerTime;
             boolean busy = slowness.now > Math.min(CROWDED, BUSY * slowness.idle);
-            spare = next(spare, busy, due, 1);
+            spare = next(spare, busy, due, 1.0 / routers);
             limit = next(limit, slowness.now > CROWDED, due, least);
             shrunkAt = due && busy ? now : shrunkAt;
         }
 
-        private double next(double old, boolean crowded, boolean due, int least) {
+        private double next(double old, boolean crowded, boolean due, double least) {
             if (crowded) {
                 return due ? Math.max(least, Math.min(old, inFlight + 1) * SHRINK) : old;
             }
-            return old + 1 / old;
+            return old + Math.min(NEWEST * old, 1 / old);
         }
     }
 }
