A key beyond the bound by itself is spread over several caches clockwise

Cause: a router with few requests in flight never sees a hot key's home at its cap; hundreds of such routers bury it.

--- a/src/main/java/beaconturn/decision/Request.java
+++ b/src/main/java/beaconturn/decision/Request.java
@@ -14,6 +14,7 @@
     final boolean overQuota;
     final long deadline;
     final List<Attempt> attempts = new ArrayList<>(2);
+    double keyPart;
     Server missedAt;
     Flight flight;
     boolean queued;
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -27,6 +27,8 @@
     private static final double LATE_DEVIATIONS = 4;
     /** Loads are smoothed over this many mean answer times. */
     private static final double SMOOTHING = 8;
+    /** Requests of late that tell a key's part of them: this many for each cache. */
+    private static final double RECENT = 1;
     /** Sick: this share of bad samples above the fleet's own; three in a row reach it. */
     private static final double SICK = 0.25;
     /** Share of the ring that may be passed over as sick; beyond it the fleet is at fault, not caches. */
@@ -75,6 +77,7 @@
     private final Average answerTime = new Average(NEWEST);
     private final Average fetchTime = new Average(NEWEST);
     private final KeyMemory held;
+    private final Popularity popularity = new Popularity(KEYS_REMEMBERED);
     private final Gate caches;
     private final Gate origin;
     private final Bucket[] quotas;
@@ -143,6 +146,7 @@
     private void arrived(Routing.Arrival e) {
         Request r = new Request(e, settings.classes().get(e.requestClass()), now, overQuota(e.tenant()));
         requests.put(r.id, r);
+        r.keyPart = r.key == 0 || r.write ? 0 : popularity.count(r.key, RECENT * Math.max(1, ring.size()));
         retryBudget = Math.min(Math.max(1, ring.size()), retryBudget + RETRY_RATIO);
         boolean toOrigin = settings.origin().aside() && r.write;
         if (!admitted(r, toOrigin ? origin : caches)) {
@@ -236,6 +240,7 @@
         int start = found >= 0 ? found : -found - 1;
         Server leastLoaded = null;
         Server lastResort = null;
+        int skip = random.nextInt(spread(r));
         walk++;
         for (int i = 0, seen = 0; seen < ring.size(); i++) {
             Server s = ring.get((int) points[(start + i) % points.length] & 0xffff);
@@ -249,7 +254,7 @@
             }
             if (passedOver(s, r)) {
                 lastResort = lessLoaded(lastResort, s);
-            } else if (s.inFlight < cap && !(s.inFlight > 0 && crowded(s))) {
+            } else if (s.inFlight < cap && !(s.inFlight > 0 && crowded(s)) && skip-- <= 0) {
                 return s;
             } else {
                 leastLoaded = lessLoaded(leastLoaded, s);
@@ -268,6 +273,16 @@
         return s.smoothLoad > (1 + EPSILON) * LEAST_CAP / settings.routers();
     }
 
+    /**
+     * Over how many caches clockwise a key is spread: as many as keep each one's part of it under the bound.
+     * A router with few requests in flight never sees a hot key's home at its cap, and hundreds of such
+     * routers would bury it.
+     */
+    private int spread(Request r) {
+        int most = Math.max(1, ring.size());
+        return Math.min(most, Math.max(1, (int) Math.ceil(r.keyPart * most / (1 + EPSILON))));
+    }
+
     private static Server lessLoaded(Server a, Server b) {
         return a == null || b.inFlight < a.inFlight ? b : a;
     }
