--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -90,6 +90,7 @@
     private long walk;
     private double retryBudget;
     private double fleetSick;
+    private long judgedAt;
     private long watchBackoff;
 
     /** A router that starts empty; its first list follows. */
@@ -332,10 +333,16 @@
         return s.ejected && !trial;
     }
 
-    /** One sample of a cache's health; quick errors must not attract keys by keeping counts low. */
+    /**
+     * One sample of a cache's health; quick errors must not attract keys by keeping counts low. Where a router
+     * has a sample of a cache in many seconds only, ten of them would come too late: what is older than the
+     * longest trial gap counts for less.
+     */
     private void judge(Server s, boolean bad) {
-        s.sick += NEWEST * ((bad ? 1 : 0) - s.sick);
-        fleetSick += NEWEST / Math.max(1, ring.size()) * ((bad ? 1 : 0) - fleetSick);
+        s.sick += weight(NEWEST, s.judgedAt) * ((bad ? 1 : 0) - s.sick);
+        fleetSick += weight(NEWEST / Math.max(1, ring.size()), judgedAt) * ((bad ? 1 : 0) - fleetSick);
+        s.judgedAt = now;
+        judgedAt = now;
         if (s.ejected && bad) {
             s.trialGap = Math.min(2 * s.trialGap, LONGEST_TRIAL);
         } else if (s.ejected) {
@@ -353,6 +360,11 @@
         s.trialAt = now + (long) (s.trialGap * answerTime.mean);
     }
 
+    private double weight(double least, long before) {
+        double gap = before == 0 ? 0 : now - before;
+        return Math.max(least, gap / (gap + LONGEST_TRIAL * (answerTime.mean + 1)));
+    }
+
     private int ejectedCount() {
         int count = 0;
         for (Server s : ring) {
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -14,6 +14,7 @@
     double smoothLoad;
     long settledAt;
     double sick;
+    long judgedAt;
     boolean ejected;
     double trialGap;
     long trialAt;
