--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -280,8 +280,8 @@
      * routers would bury it.
      */
     private int spread(Request r) {
-        int most = Math.max(1, ring.size());
-        return Math.min(most, Math.max(1, (int) Math.ceil(r.keyPart * most / (1 + EPSILON))));
+        int most = Math.min(ring.size(), settings.routers() / LEAST_CAP);
+        return Math.max(1, Math.min(most, (int) Math.ceil(2 * r.keyPart * ring.size())));
     }
 
     private static Server lessLoaded(Server a, Server b) {
