Safe requests end at their aim where lateness earns nothing; beyond quota shed at 0.3 of the aim

And shedding began only when answers took half their aim. The quietest answer time goes: a ratio of the aim does as well.

--- a/src/main/java/beaconturn/decision/Request.java
+++ b/src/main/java/beaconturn/decision/Request.java
@@ -29,7 +29,9 @@
         this.type = type;
         this.write = e.write();
         this.overQuota = overQuota;
-        this.deadline = now + e.left();
+        // What is late earns nothing: a cache that goes on working on it is slow for the next one too.
+        boolean worthless = type.lateWorth() <= 0 && type.effect() == Routing.Effect.SAFE;
+        this.deadline = now + (worthless ? Math.min(e.left(), type.aim()) : e.left());
     }
 
     int openCount() {
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,10 +43,8 @@
     private static final double COLD_SAFETY = 0.8;
     /** Crowded: answers take this part of their aim; beyond it the rest of the way leaves no time. */
     private static final double CROWDED = 0.5;
-    /** No room to spare for what exceeds a quota: answers take this many times their quietest of late. */
-    private static final double BUSY = 2;
-    /** How fast the quietest time of late is forgotten, a sample: some hundred answers. */
-    private static final double FORGET_IDLE = 0.002;
+    /** No room to spare for what exceeds a quota: answers take this part of their aim. */
+    private static final double BUSY = 0.3;
     /** A crowded gate shrinks to this part of what is in flight, at most once an answer time. */
     private static final double SHRINK = 0.85;
     /** Occupancy of the gate up to which worthless requests pass; full worth passes up to 1. */
@@ -78,8 +77,8 @@
     private final Average fetchTime = new Average(NEWEST);
     private final KeyMemory held;
     private final Popularity popularity = new Popularity(KEYS_REMEMBERED);
-    private final Gate caches;
-    private final Gate origin;
+    private final Gate caches = new Gate();
+    private final Gate origin = new Gate();
     private final Bucket[] quotas;
     private final Rate answers;
     private final Rate arrivals;
@@ -101,8 +100,6 @@
         this.out = out;
         this.now = now;
         this.random = new SplittableRandom(seed);
-        this.caches = new Gate(settings.routers());
-        this.origin = new Gate(settings.routers());
         this.answers = new Rate(rules.cold() / 4.0);
         this.arrivals = new Rate(rules.cold() / 4.0);
         this.tenantArrivals = new Rate[settings.tenants().size()];
@@ -300,20 +297,15 @@
     /** Points come from the server's id alone, so that all routers agree and a change moves few keys. */
     private void buildRing() {
         listChanged = false;
-        double unit = ratingUnit();
-        int[] counts = new int[ring.size()];
-        int total = 0;
-        for (int i = 0; i < counts.length; i++) {
-            counts[i] = (int) Math.round(POINTS * Math.max(0.25, Math.min(4, ring.get(i).rating / unit)));
-            total += counts[i];
-        }
-        points = new long[total];
+        long[] all = new long[4 * POINTS * ring.size()];
         int at = 0;
-        for (int i = 0; i < counts.length; i++) {
-            for (int k = 0; k < counts[i]; k++) {
-                points[at++] = Hash.mix(ring.get(i).id * 4099 + k) & -0x10000L | i;
+        for (int i = 0; i < ring.size(); i++) {
+            long count = Math.round(POINTS * Math.max(0.25, Math.min(4, ring.get(i).rating / ratingUnit())));
+            for (int k = 0; k < count; k++) {
+                all[at++] = Hash.mix(ring.get(i).id * 4099 + k) & -0x10000L | i;
             }
         }
+        points = Arrays.copyOf(all, at);
         Arrays.sort(points);
     }
 
@@ -334,9 +326,9 @@
     }
 
     /**
-     * One sample of a cache's health; quick errors must not attract keys by keeping counts low. Where a router
-     * has a sample of a cache in many seconds only, ten of them would come too late: what is older than the
-     * longest trial gap counts for less.
+     * One sample of a cache's health; quick errors must not attract keys by keeping counts low. Where a
+     * router has a sample of a cache in many seconds only, ten of them would come too late: what is older
+     * than the longest trial gap counts for less.
      */
     private void judge(Server s, boolean bad) {
         s.sick += weight(NEWEST, s.judgedAt) * ((bad ? 1 : 0) - s.sick);
@@ -350,7 +342,8 @@
             s.trialGap = TRIAL_AFTER;
         }
         boolean sick = s.sick > (s.ejected ? SICK / 2 : SICK + fleetSick);
-        if (sick && !s.ejected && ejectedCount() + 1 > Math.max(1, ring.size() * MOST_EJECTED)) {
+        if (sick && !s.ejected && ring.stream().filter(c -> c.ejected).count() + 1
+                > Math.max(1, ring.size() * MOST_EJECTED)) {
             return;
         }
         if (sick != s.ejected) {
@@ -361,18 +354,10 @@
     }
 
     private double weight(double least, long before) {
-        double gap = before == 0 ? 0 : now - before;
+        double gap = before == 0 || !answerTime.any ? 0 : now - before;
         return Math.max(least, gap / (gap + LONGEST_TRIAL * (answerTime.mean + 1)));
     }
 
-    private int ejectedCount() {
-        int count = 0;
-        for (Server s : ring) {
-            count += s.ejected ? 1 : 0;
-        }
-        return count;
-    }
-
     // ---- cold starts: a freshly started cache gets no more than its guaranteed share
 
     /** Part of its capacity that a cache has for certain: an even rise from the cold share. */
@@ -489,7 +474,7 @@
             judge(a.server, !answered || late);
         }
         if (!fetched && !a.server.ejected) {
-            caches.observe(now, ending == Routing.Ending.FULL ? 1 : e.elapsed() / (double) r.type.aim(),
+            caches.observe(ending == Routing.Ending.FULL ? 1 : e.elapsed() / (double) r.type.aim(),
                 answerTime.mean, Math.max(1, ring.size()) / (double) settings.routers());
         }
     }
@@ -670,12 +655,12 @@
             fetchTime.add(e.elapsed());
         }
         boolean ok = ending == Routing.Ending.OK;
-        origin.observe(now, ok ? e.elapsed() / (double) r.type.aim() : 1, fetchTime.mean, 1);
+        origin.observe(ok ? e.elapsed() / (double) r.type.aim() : 1, fetchTime.mean, 1);
     }
 
     private void releaseFetches() {
         while (!fetchQueue.isEmpty() && origin.inFlight < origin.limit) {
-            Request next = worthiest();
+            Request next = fetchQueue.stream().max(Comparator.comparingDouble(this::value)).orElseThrow();
             fetchQueue.remove(next);
             refetch(next);
         }
@@ -685,14 +670,6 @@
         return settings.origin().aside() && s.kind == settings.origin().kind();
     }
 
-    private Request worthiest() {
-        Request best = fetchQueue.get(0);
-        for (Request r : fetchQueue) {
-            best = value(r) > value(best) ? r : best;
-        }
-        return best;
-    }
-
     // ---- admission: what is worth least goes first, and only when it is crowded
 
     /** Part of the highest worth that the request stands for; 1 for the best, little beyond a quota. */
@@ -702,11 +679,11 @@
 
     private boolean admitted(Request r, Gate gate) {
         double part = OPEN_TO_ALL + (1 - OPEN_TO_ALL) * value(r);
-        return gate.below(gate.limit * part, random) && !noRoomToSpare(r, gate);
+        return gate.below(gate.limit * part) && !noRoomToSpare(r, gate);
     }
 
     private boolean noRoomToSpare(Request r, Gate gate) {
-        return r.overQuota && !gate.below(gate.spare, random);
+        return r.overQuota && !gate.below(gate.spare);
     }
 
     /**
@@ -714,10 +691,10 @@
      * its share of the traffic here. A router of a busy zone sees every tenant over the even part.
      */
     private boolean overQuota(int index) {
-        if (index >= quotas.length || settings.tenants().get(index).quotaPerSecond() <= 0) {
+        Routing.Tenant tenant = index < quotas.length ? settings.tenants().get(index) : null;
+        if (tenant == null || tenant.quotaPerSecond() <= 0) {
             return false;
         }
-        Routing.Tenant tenant = settings.tenants().get(index);
         arrivals.count(now);
         tenantArrivals[index].count(now);
         double perSecond = tenant.quotaPerSecond() / settings.routers();
@@ -780,28 +757,23 @@
     }
 
     /** Limits in flight, learned from how long answers take against their aim: for all, and for the rest. */
-    private static final class Gate {
+    private final class Gate {
         private double limit = 1e9;
         private double spare = 1e9;
         private int inFlight;
-        private final Slowness slowness = new Slowness(NEWEST, FORGET_IDLE);
-        private final double routers;
+        private final Slowness slowness = new Slowness(NEWEST);
         private long shrunkAt;
 
-        Gate(int routers) {
-            this.routers = routers;
-        }
-
         /** A limit's fraction is kept by chance: rounded up, hundreds of routers would add up to far more. */
-        boolean below(double most, SplittableRandom random) {
+        boolean below(double most) {
             return inFlight + random.nextDouble() < most;
         }
 
-        void observe(long now, double partOfAim, double answerTime, double least) {
+        void observe(double partOfAim, double answerTime, double least) {
             slowness.add(partOfAim);
             boolean due = now - shrunkAt > answerTime;
-            boolean busy = slowness.now > Math.min(CROWDED, BUSY * slowness.idle);
-            spare = next(spare, busy, due, 1.0 / routers);
+            boolean busy = slowness.now > BUSY;
+            spare = next(spare, busy, due, 1.0 / settings.routers());
             limit = next(limit, slowness.now > CROWDED, due, least);
             shrunkAt = due && busy ? now : shrunkAt;
         }
