--- a/src/main/java/beaconturn/decision/Request.java
+++ b/src/main/java/beaconturn/decision/Request.java
@@ -13,6 +13,8 @@
     final boolean write;
     final boolean overQuota;
     final long deadline;
+    /** From here on an answer to a safe request earns nothing; the deadline for all others. */
+    final long due;
     final List<Attempt> attempts = new ArrayList<>(2);
     double keyPart;
     Server missedAt;
@@ -29,9 +31,9 @@
         this.type = type;
         this.write = e.write();
         this.overQuota = overQuota;
-        // What is late earns nothing: a cache that goes on working on it is slow for the next one too.
+        this.deadline = now + e.left();
         boolean worthless = type.lateWorth() <= 0 && type.effect() == Routing.Effect.SAFE;
-        this.deadline = now + (worthless ? Math.min(e.left(), type.aim()) : e.left());
+        this.due = worthless ? Math.min(deadline, now + type.aim()) : deadline;
     }
 
     int openCount() {
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -193,7 +193,7 @@
 
     /** Decides what follows an attempt that did not end its request. */
     private void proceed(Request r, Attempt a, Routing.Ending ending) {
-        if (now >= r.deadline) {
+        if (now >= r.due) {
             // An ending handled a tick late may come when no time is left: holding it would lose the request.
             giveUp(r);
         } else if (ending == Routing.Ending.MISS && a.onRing) {
@@ -431,14 +431,16 @@
         s.settle(now, SMOOTHING * (answerTime.mean + 1));
         s.inFlight++;
         origin.inFlight += fetches ? 1 : 0;
-        out.send(r.id, s.id, r.deadline - now);
+        // A cache that goes on with what earns nothing any more is late for the next one too. Where the cache
+        // itself fetches it goes on all the same: what it brings is kept.
+        out.send(r.id, s.id, (fetches && a.onRing ? r.deadline : Math.max(now + 1, r.due)) - now);
         if (!a.onRing) {
             return;
         }
         caches.inFlight++;
         s.cold.tokens -= 1;
         long lateAfter = lateAfter(r, fetches);
-        if (now + lateAfter < r.deadline) {
+        if (now + lateAfter < r.due) {
             out.timer(lateAfter, r.id << 8 | (r.attempts.size() - 1) << 2 | LATE);
         }
     }
@@ -508,7 +510,7 @@
     }
 
     private void retry(Request r, Attempt a) {
-        if (!a.onRing || !furtherAttemptEarned() || r.deadline - now <= answerTimes[r.classIndex].mean) {
+        if (!a.onRing || !furtherAttemptEarned() || r.due - now <= answerTimes[r.classIndex].mean) {
             giveUp(r);
             return;
         }
