--- a/src/main/java/beaconturn/decision/Request.java
+++ b/src/main/java/beaconturn/decision/Request.java
@@ -23,7 +23,8 @@
     boolean streaming;
     boolean done;
 
-    Request(Routing.Arrival e, Routing.RequestClass type, long now, boolean overQuota) {
+    Request(Routing.Arrival e, Routing.RequestClass type, long now, boolean overQuota,
+            boolean cutAtAim) {
         this.id = e.request();
         this.key = e.key();
         this.hash = Hash.mix(e.key() != 0 ? e.key() : e.request());
@@ -32,8 +33,7 @@
         this.write = e.write();
         this.overQuota = overQuota;
         this.deadline = now + e.left();
-        boolean worthless = type.lateWorth() <= 0 && type.effect() == Routing.Effect.SAFE;
-        this.due = worthless ? Math.min(deadline, now + type.aim()) : deadline;
+        this.due = cutAtAim ? Math.min(deadline, now + type.aim()) : deadline;
     }
 
     int openCount() {
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -142,7 +142,11 @@
     }
 
     private void arrived(Routing.Arrival e) {
-        Request r = new Request(e, settings.classes().get(e.requestClass()), now, overQuota(e.tenant()));
+        Routing.RequestClass type = settings.classes().get(e.requestClass());
+        // A cache that goes on with what earns nothing is late for the next one too; not so where caches fetch.
+        boolean cutAtAim = settings.origin().aside() && type.lateWorth() <= 0
+            && type.effect() == Routing.Effect.SAFE;
+        Request r = new Request(e, type, now, overQuota(e.tenant()), cutAtAim);
         requests.put(r.id, r);
         r.keyPart = r.key == 0 || r.write ? 0 : popularity.count(r.key, RECENT * Math.max(1, ring.size()));
         retryBudget = Math.min(Math.max(1, ring.size()), retryBudget + RETRY_RATIO);
@@ -362,11 +366,8 @@
 
     /** Part of its capacity that a cache has for certain: an even rise from the cold share. */
     private double warmth(Server s) {
-        if (s.bootTime == 0 || now - s.bootTime >= rules.cold()) {
-            return 1;
-        }
-        double age = Math.max(0, now - s.bootTime) / (double) rules.cold();
-        return rules.coldShare() + (1 - rules.coldShare()) * age;
+        double age = s.bootTime == 0 ? 1 : Math.max(0, now - s.bootTime) / (double) rules.cold();
+        return age >= 1 ? 1 : rules.coldShare() + (1 - rules.coldShare()) * age;
     }
 
     /**
@@ -431,9 +432,7 @@
         s.settle(now, SMOOTHING * (answerTime.mean + 1));
         s.inFlight++;
         origin.inFlight += fetches ? 1 : 0;
-        // A cache that goes on with what earns nothing any more is late for the next one too. Where the cache
-        // itself fetches it goes on all the same: what it brings is kept.
-        out.send(r.id, s.id, (fetches && a.onRing ? r.deadline : Math.max(now + 1, r.due)) - now);
+        out.send(r.id, s.id, Math.max(now + 1, r.due) - now);
         if (!a.onRing) {
             return;
         }
@@ -784,7 +783,7 @@
             if (crowded) {
                 return due ? Math.max(least, Math.min(old, inFlight + 1) * SHRINK) : old;
             }
-            return old + Math.min(NEWEST * old, 1 / old);
+            return old + (old < 1 ? NEWEST * old : 1 / old);
         }
     }
 }
