--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -143,7 +143,7 @@
 
     private void arrived(Routing.Arrival e) {
         Routing.RequestClass type = settings.classes().get(e.requestClass());
-        // A cache that goes on with what earns nothing is late for the next one too; not so where caches fetch.
+        // A cache that goes on with what earns nothing is late for the next; not so where caches fetch.
         boolean cutAtAim = settings.origin().aside() && type.lateWorth() <= 0
             && type.effect() == Routing.Effect.SAFE;
         Request r = new Request(e, type, now, overQuota(e.tenant()), cutAtAim);
