--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -28,6 +28,8 @@
     private static final double LATE_DEVIATIONS = 4;
     /** Loads are smoothed over this many mean answer times. */
     private static final double SMOOTHING = 8;
+    /** A cache that reports this many times the mean in hand is passed: under it, chance and delay rule. */
+    private static final double REPORTED = 2.5;
     /** Requests of late that tell a key's part of them: this many for each cache. */
     private static final double RECENT = 1;
     /** Sick: this share of bad samples above the fleet's own; three in a row reach it. */
@@ -90,12 +92,15 @@
     private double retryBudget;
     private double fleetSick;
     private long judgedAt;
+    private final Average busy = new Average(NEWEST / 4);
+    private final int busyField;
     private long watchBackoff;
 
     /** A router that starts empty; its first list follows. */
     public RingRouter(Routing.Settings settings, long seed, long now, Routing.Actions out) {
         this.settings = settings;
         this.rules = settings.rules();
+        this.busyField = settings.reportNames().indexOf("busy_reqs");
         this.may = settings.permissions();
         this.out = out;
         this.now = now;
@@ -170,7 +175,7 @@
         Attempt a = r.attempts.get(e.attempt());
         a.open = false;
         a.neverRan = e.ending().neverRan();
-        a.server.settle(now, SMOOTHING * (answerTime.mean + 1));
+        a.server.settle(now, smoothing());
         a.server.inFlight--;
         forgetIfGone(a.server);
         if (a.onRing) {
@@ -256,7 +261,7 @@
             }
             if (passedOver(s, r)) {
                 lastResort = lessLoaded(lastResort, s);
-            } else if (s.inFlight < cap && !(s.inFlight > 0 && crowded(s)) && skip-- <= 0) {
+            } else if (s.inFlight < cap && !crowded(s) && skip-- <= 0) {
                 return s;
             } else {
                 leastLoaded = lessLoaded(leastLoaded, s);
@@ -266,25 +271,29 @@
     }
 
     /**
-     * With two in flight always allowed, many routers can pile up twice their number on one popular home
-     * while each is under its cap. So a cache whose smoothed load (the source's advice against herds)
-     * exceeds the bound on an even part of that floor is given one request at a time.
+     * The floor of two lets many routers pile up twice their number on one home. So a cache whose smoothed
+     * load (as the source advises) exceeds the bound on an even part of it gets one at a time; one that said
+     * lately that it holds far more than the mean gets none.
      */
     private boolean crowded(Server s) {
-        s.settle(now, SMOOTHING * (answerTime.mean + 1));
-        return s.smoothLoad > (1 + EPSILON) * LEAST_CAP / settings.routers();
+        boolean reported = s.busy > REPORTED * (busy.mean + 1) && now - s.busyAt < smoothing();
+        return reported || s.inFlight > 0
+            && s.settle(now, smoothing()) > (1 + EPSILON) * LEAST_CAP / settings.routers();
     }
 
     /**
      * Over how many caches clockwise a key is spread: as many as keep each one's part of it under the bound.
-     * A router with few requests in flight never sees a hot key's home at its cap, and hundreds of such
-     * routers would bury it.
+     * With few requests in flight a hot key's home is never at its cap; hundreds of routers would bury it.
      */
     private int spread(Request r) {
         int most = Math.min(ring.size(), settings.routers() / LEAST_CAP);
         return Math.max(1, Math.min(most, (int) Math.ceil(2 * r.keyPart * ring.size())));
     }
 
+    private double smoothing() {
+        return SMOOTHING * (answerTime.mean + 1);
+    }
+
     private static Server lessLoaded(Server a, Server b) {
         return a == null || b.inFlight < a.inFlight ? b : a;
     }
@@ -301,10 +310,13 @@
     /** Points come from the server's id alone, so that all routers agree and a change moves few keys. */
     private void buildRing() {
         listChanged = false;
+        // The power of two nearest the mean rating: a change of members seldom moves it.
+        double mean = ring.stream().mapToDouble(s -> s.rating).average().orElse(1);
+        double unit = Math.pow(2, Math.rint(Math.log(mean) / Math.log(2)));
         long[] all = new long[4 * POINTS * ring.size()];
         int at = 0;
         for (int i = 0; i < ring.size(); i++) {
-            long count = Math.round(POINTS * Math.max(0.25, Math.min(4, ring.get(i).rating / ratingUnit())));
+            long count = Math.round(POINTS * Math.max(0.25, Math.min(4, ring.get(i).rating / unit)));
             for (int k = 0; k < count; k++) {
                 all[at++] = Hash.mix(ring.get(i).id * 4099 + k) & -0x10000L | i;
             }
@@ -313,15 +325,6 @@
         Arrays.sort(points);
     }
 
-    /** Ratings count against the power of two nearest their mean: a change of members seldom moves it. */
-    private double ratingUnit() {
-        double sum = 0;
-        for (Server s : ring) {
-            sum += s.rating;
-        }
-        return sum <= 0 ? 1 : Math.pow(2, Math.rint(Math.log(sum / ring.size()) / Math.log(2)));
-    }
-
     // ---- health: a sick cache is passed over but for a trickle
 
     private boolean passedOver(Server s, Request r) {
@@ -330,9 +333,8 @@
     }
 
     /**
-     * One sample of a cache's health; quick errors must not attract keys by keeping counts low. Where a
-     * router has a sample of a cache in many seconds only, ten of them would come too late: what is older
-     * than the longest trial gap counts for less.
+     * One sample of a cache's health; quick errors must not attract keys by keeping counts low. Where samples
+     * are rare ten would come too late: what is older than the longest trial gap counts for less.
      */
     private void judge(Server s, boolean bad) {
         s.sick += weight(NEWEST, s.judgedAt) * ((bad ? 1 : 0) - s.sick);
@@ -371,11 +373,9 @@
     }
 
     /**
-     * What caches answered at the recent peak is what they can carry (what they were sent may be more); every
-     * router holds a cold one to its own mean of that, times warmth, times a part of the fall multiple. So
-     * all routers together stay under the rule, whatever part of the traffic each has. Each starts at a
-     * seeded phase below one token: hundreds of routers with a whole first token would spend the rule's
-     * budget at once. Held lower, a cold cache that warms by its work stays cold.
+     * What caches answered at the recent peak is what they can carry; each router holds a cold one to its own
+     * mean of that, times warmth, times a part of the fall multiple, so that all together keep the rule.
+     * Buckets start at a seeded phase: whole first tokens of hundreds of routers would spend it at once.
      */
     private boolean coldBudgetLeft(Server s) {
         double warmth = warmth(s);
@@ -429,7 +429,7 @@
         Attempt a = new Attempt(s, now, !isOrigin(s), fetches);
         r.attempts.add(a);
         r.queued = false;
-        s.settle(now, SMOOTHING * (answerTime.mean + 1));
+        s.settle(now, smoothing());
         s.inFlight++;
         origin.inFlight += fetches ? 1 : 0;
         out.send(r.id, s.id, Math.max(now + 1, r.due) - now);
@@ -467,6 +467,11 @@
         }
         boolean fetched = a.fetches || e.note() == Routing.Note.MISS && !settings.origin().aside();
         boolean late = e.elapsed() > lateAfter(r, fetched);
+        if (busyField >= 0 && busyField < e.report().length) {
+            a.server.busy = e.report()[busyField];
+            a.server.busyAt = now;
+            busy.add(a.server.busy);
+        }
         if (ending == Routing.Ending.OK && !fetched) {
             answerTimes[r.classIndex].add(e.elapsed());
             answerTime.add(e.elapsed());
@@ -655,8 +660,8 @@
         if (ending == Routing.Ending.OK && e.note() != Routing.Note.HIT) {
             fetchTime.add(e.elapsed());
         }
-        boolean ok = ending == Routing.Ending.OK;
-        origin.observe(ok ? e.elapsed() / (double) r.type.aim() : 1, fetchTime.mean, 1);
+        double partOfAim = ending == Routing.Ending.OK ? e.elapsed() / (double) r.type.aim() : 1;
+        origin.observe(partOfAim, fetchTime.mean, 1);
     }
 
     private void releaseFetches() {
@@ -692,10 +697,10 @@
      * its share of the traffic here. A router of a busy zone sees every tenant over the even part.
      */
     private boolean overQuota(int index) {
-        Routing.Tenant tenant = index < quotas.length ? settings.tenants().get(index) : null;
-        if (tenant == null || tenant.quotaPerSecond() <= 0) {
+        if (index >= quotas.length || settings.tenants().get(index).quotaPerSecond() <= 0) {
             return false;
         }
+        Routing.Tenant tenant = settings.tenants().get(index);
         arrivals.count(now);
         tenantArrivals[index].count(now);
         double perSecond = tenant.quotaPerSecond() / settings.routers();
@@ -709,9 +714,8 @@
 
     /** Beyond a quota: as long as clients listen; else soon enough for the aim, spread by chance. */
     private long retryAfter(Request r) {
-        long longest = may.maxRetryAfter();
         long soon = (long) (r.type.aim() * (0.2 + 0.2 * random.nextDouble()));
-        return r.overQuota ? longest : Math.min(longest, soon);
+        return r.overQuota ? may.maxRetryAfter() : Math.min(may.maxRetryAfter(), soon);
     }
 
     // ---- discovery: the list decides who is on the ring
@@ -744,11 +748,8 @@
     }
 
     private void dropUnready(List<Server> from) {
-        for (int i = from.size() - 1; i >= 0; i--) {
-            if (from.get(i).health != Routing.Health.READY) {
-                forgetIfGone(from.remove(i));
-            }
-        }
+        from.stream().filter(s -> s.health != Routing.Health.READY).forEach(this::forgetIfGone);
+        from.removeIf(s -> s.health != Routing.Health.READY);
     }
 
     private void forgetIfGone(Server s) {
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -13,6 +13,8 @@
     int inFlight;
     double smoothLoad;
     long settledAt;
+    double busy;
+    long busyAt;
     double sick;
     long judgedAt;
     boolean ejected;
@@ -24,11 +26,12 @@
         this.id = id;
     }
 
-    /** Brings the smoothed load up to now; called before every change of the load. */
-    void settle(long now, double memory) {
+    /** Brings the smoothed load up to now and returns it; called before every change of the load. */
+    double settle(long now, double memory) {
         double passed = now - settledAt;
         smoothLoad += (inFlight - smoothLoad) * passed / (passed + memory);
         settledAt = now;
+        return smoothLoad;
     }
 
     void update(Routing.ServerEntry e, boolean useRating) {
--- a/src/test/java/beaconturn/decision/Harness.java
+++ b/src/test/java/beaconturn/decision/Harness.java
@@ -55,6 +55,12 @@
             may, new Routing.Origin(aside, aside ? ORIGIN_KIND : -1, false, 0, 0), List.of());
     }
 
+    static Routing.Settings reporting(Routing.Settings s, String name) {
+        return new Routing.Settings(s.index(), s.routers(), s.zone(), s.askForList(), s.ratingStable(),
+            s.worthByWork(), s.overShareWorth(), s.tick(), s.classes(), s.tenants(), s.rules(),
+            s.permissions(), s.origin(), List.of(name));
+    }
+
     private static Routing.RequestClass type(Effect effect, Scope scope) {
         return new Routing.RequestClass(effect, scope, 5 * SECOND, SECOND, 4 * SECOND, 1, 0, false);
     }
--- a/src/test/java/beaconturn/decision/RingRouterTest.java
+++ b/src/test/java/beaconturn/decision/RingRouterTest.java
@@ -167,6 +167,31 @@
         }
     }
 
+    @Test
+    void aCacheThatReportsFarMoreThanTheMeanIsPassedForAWhile() {
+        Harness h = new Harness(Harness.reporting(Harness.settings(false, 20, List.of()), "busy_reqs"));
+        h.caches(6);
+        homes(h, 20);
+        homes(h, 20);
+        h.arrive(1, READ, 5);
+        long home = h.last().server();
+        h.close(h.last(), 0, Ending.OK, true);
+        for (int i = 0; i < 40; i++) {
+            h.now += 10 * MS;
+            h.arrive(100 + i, READ, i < 39 ? 1000 + i : 5);
+            float held = h.last().server() == home && i > 5 ? 60 : 2;
+            h.router.handle(h.now, new Routing.AttemptClosed(h.last().request(), 50 * MS, true,
+                h.last().server(), Ending.OK, Routing.Note.HIT, 0, new float[] {held}));
+        }
+        assertNotEquals(home, h.last().server());
+        h.now += 20 * SECOND;
+        h.arrive(200, READ, 5);
+        h.close(h.last(), 0, Ending.OK, true);
+        h.now += SECOND;
+        h.arrive(201, READ, 5);
+        assertEquals(home, h.last().server());
+    }
+
     @Test
     void aHotKeyIsSpreadThoughFewRequestsAreOutAtOnce() {
         Harness h = new Harness(Harness.settings(false, 100, List.of()));
