--- a/src/test/java/beaconturn/decision/FourRulesTest.java
+++ b/src/test/java/beaconturn/decision/FourRulesTest.java
@@ -177,4 +177,43 @@
         assertEquals(52, h.sends.size());
         assertEquals(List.of(100L), h.refused);
     }
+
+    @Test
+    void oddListsEndInAPromptRefusalOrALegalSend() {
+        Harness h = new Harness(Harness.settings(true, 400, List.of()));
+        h.arrive(1, READ, 5);
+        h.list(ListKind.CACHED, Harness.origin(50));
+        h.arrive(2, READ, 5);
+        h.list(ListKind.DELTA);
+        h.list(ListKind.DELTA, Harness.entry(1, Health.DRAINING, 0));
+        h.arrive(3, READ, 5);
+        assertEquals(List.of(1L, 2L, 3L), h.refused);
+        assertEquals(List.of(), h.sends);
+        h.list(ListKind.DELTA, Harness.cache(2));
+        h.list(ListKind.DELTA, Harness.cache(2));
+        h.arrive(4, READ, 5);
+        assertEquals(2L, h.last().server());
+    }
+
+    @Test
+    void aNewBootTimeWhileARequestIsOutKeepsItAndHoldsTheCacheToItsBudget() {
+        Harness h = through();
+        h.arrive(100, READ, 5);
+        Harness.Send out = h.last();
+        h.list(ListKind.DELTA, Harness.entry(out.server(), Health.READY, h.now));
+        h.arrive(101, READ, 5);
+        h.close(out, 0, Ending.RESET, false);
+        assertTrue(h.sends.stream().skip(1).noneMatch(s -> s.server() == out.server()), h.sends.toString());
+    }
+
+    @Test
+    void severalHundredCachesEachGetKeys() {
+        Harness h = new Harness(Harness.settings(false, 1, List.of()));
+        h.caches(400);
+        for (int i = 0; i < 8000; i++) {
+            h.arrive(i, READ, i + 1);
+            h.close(h.last(), 0, Ending.OK, true);
+        }
+        assertEquals(400, h.sends.stream().map(Harness.Send::server).distinct().count());
+    }
 }
