Tidy: one bounded map, one check of own doings, no memory of keys where none is asked for

KeyMemory and Popularity share LatestUsed; both closings ask Ending.ownDoing; a change of load settles in one place. In aside mode nobody asks which cache holds a key, so it is no longer noted there. Trials of sick caches are looked at for ejected caches only; forgetIfGone already checks what a filter before it repeated. The comment on spread said the whole bound where half an even part is meant. Tests share the set-up of an aside router, a served read and a hit; all assertions stay.

--- a/src/main/java/beaconturn/decision/KeyMemory.java
+++ b/src/main/java/beaconturn/decision/KeyMemory.java
@@ -1,6 +1,5 @@
 package beaconturn.decision;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** Which cache lately answered for which key, and how long, as learned, an unused key stays held. */
@@ -13,14 +12,7 @@
     KeyMemory(int most, long heldFor, double step) {
         this.heldFor = heldFor;
         this.step = step;
-        this.usedAt = new LinkedHashMap<>(16, 0.75f, true) {
-            private static final long serialVersionUID = 1L;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<Long, Long> eldest) {
-                return size() > most;
-            }
-        };
+        this.usedAt = new LatestUsed<>(most);
     }
 
     /** True where the cache answered for the key so lately that it should still hold it. */
--- a/src/main/java/beaconturn/decision/Popularity.java
+++ b/src/main/java/beaconturn/decision/Popularity.java
@@ -1,6 +1,5 @@
 package beaconturn.decision;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
 
 /** The part that each key has of the requests of late; every request fades all earlier ones a little. */
@@ -15,14 +14,7 @@
 
     /** Keeps the {@code most} keys that were asked for last. */
     Popularity(int most) {
-        this.counts = new LinkedHashMap<>(16, 0.75f, true) {
-            private static final long serialVersionUID = 1L;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<Long, Count> eldest) {
-                return size() > most;
-            }
-        };
+        this.counts = new LatestUsed<>(most);
     }
 
     /**
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -85,6 +85,8 @@
     private final Rate answers;
     private final Rate arrivals;
     private final Rate[] tenantArrivals;
+    private final Average reportedLoad = new Average(NEWEST / 4);
+    private final int loadField;
     private long[] points = new long[0];
     private boolean listChanged;
     private long now;
@@ -92,23 +94,22 @@
     private double retryBudget;
     private double fleetSick;
     private long judgedAt;
-    private final Average busy = new Average(NEWEST / 4);
-    private final int busyField;
     private long watchBackoff;
 
     /** A router that starts empty; its first list follows. */
     public RingRouter(Routing.Settings settings, long seed, long now, Routing.Actions out) {
         this.settings = settings;
         this.rules = settings.rules();
-        this.busyField = settings.reportNames().indexOf("busy_reqs");
+        this.loadField = settings.reportNames().indexOf("busy_reqs");
         this.may = settings.permissions();
         this.out = out;
         this.now = now;
         this.random = new SplittableRandom(seed);
-        this.answers = new Rate(rules.cold() / 4.0);
-        this.arrivals = new Rate(rules.cold() / 4.0);
+        double rateMemory = rules.cold() / 4.0;
+        this.answers = new Rate(rateMemory);
+        this.arrivals = new Rate(rateMemory);
         this.tenantArrivals = new Rate[settings.tenants().size()];
-        Arrays.setAll(tenantArrivals, i -> new Rate(rules.cold() / 4.0));
+        Arrays.setAll(tenantArrivals, i -> new Rate(rateMemory));
         this.highestWorth = settings.classes().stream().mapToDouble(Routing.RequestClass::worth).max()
             .orElse(1);
         this.answerTimes = new Average[settings.classes().size()];
@@ -175,8 +176,7 @@
         Attempt a = r.attempts.get(e.attempt());
         a.open = false;
         a.neverRan = e.ending().neverRan();
-        a.server.settle(now, smoothing());
-        a.server.inFlight--;
+        a.server.load(-1, now, smoothing());
         forgetIfGone(a.server);
         if (a.onRing) {
             cacheClosed(r, a, e);
@@ -184,9 +184,6 @@
         if (a.fetches) {
             fetchClosed(r, a, e);
         }
-        if (a.onRing && !r.write && e.ending() == Routing.Ending.OK) {
-            held.answered(r.key, a.server.id, e.note() == Routing.Note.MISS, now);
-        }
         if (e.closed() && !r.done) {
             r.missedAt = a.onRing && !settings.origin().aside() ? a.server : r.missedAt;
             conclude(r, e.ending() == Routing.Ending.OK);
@@ -276,13 +273,14 @@
      * lately that it holds far more than the mean gets none.
      */
     private boolean crowded(Server s) {
-        boolean reported = s.busy > REPORTED * (busy.mean + 1) && now - s.busyAt < smoothing();
-        return reported || s.inFlight > 0
+        boolean full = s.reported > REPORTED * (reportedLoad.mean + 1) && now - s.reportedAt < smoothing();
+        return full || s.inFlight > 0
             && s.settle(now, smoothing()) > (1 + EPSILON) * LEAST_CAP / settings.routers();
     }
 
     /**
-     * Over how many caches clockwise a key is spread: as many as keep each one's part of it under the bound.
+     * Over how many caches clockwise a key is spread: each then holds at most half an even part by this key,
+     * as homes of hot keys hold others too; never over more caches than half the routers.
      * With few requests in flight a hot key's home is never at its cap; hundreds of routers would bury it.
      */
     private int spread(Request r) {
@@ -328,8 +326,7 @@
     // ---- health: a sick cache is passed over but for a trickle
 
     private boolean passedOver(Server s, Request r) {
-        boolean trial = now >= s.trialAt && s.inFlight == 0 && r.type.effect() == Routing.Effect.SAFE;
-        return s.ejected && !trial;
+        return s.ejected && (now < s.trialAt || s.inFlight > 0 || r.type.effect() != Routing.Effect.SAFE);
     }
 
     /**
@@ -429,8 +426,7 @@
         Attempt a = new Attempt(s, now, !isOrigin(s), fetches);
         r.attempts.add(a);
         r.queued = false;
-        s.settle(now, smoothing());
-        s.inFlight++;
+        s.load(1, now, smoothing());
         origin.inFlight += fetches ? 1 : 0;
         out.send(r.id, s.id, Math.max(now + 1, r.due) - now);
         if (!a.onRing) {
@@ -459,18 +455,22 @@
         caches.inFlight--;
         Routing.Ending ending = e.ending();
         boolean answered = ending == Routing.Ending.OK || ending == Routing.Ending.MISS;
-        if (ending == Routing.Ending.CANCELLED || ending == Routing.Ending.MOOT) {
+        if (ending.ownDoing()) {
             return;
         }
         if (answered) {
             answers.count(now);
         }
-        boolean fetched = a.fetches || e.note() == Routing.Note.MISS && !settings.origin().aside();
+        boolean missed = e.note() == Routing.Note.MISS && !settings.origin().aside();
+        boolean fetched = a.fetches || missed;
         boolean late = e.elapsed() > lateAfter(r, fetched);
-        if (busyField >= 0 && busyField < e.report().length) {
-            a.server.busy = e.report()[busyField];
-            a.server.busyAt = now;
-            busy.add(a.server.busy);
+        if (loadField >= 0 && loadField < e.report().length) {
+            a.server.reported = e.report()[loadField];
+            a.server.reportedAt = now;
+            reportedLoad.add(a.server.reported);
+        }
+        if (ending == Routing.Ending.OK && !r.write && !settings.origin().aside()) {
+            held.answered(r.key, a.server.id, missed, now);
         }
         if (ending == Routing.Ending.OK && !fetched) {
             answerTimes[r.classIndex].add(e.elapsed());
@@ -653,8 +653,7 @@
         Routing.Ending ending = e.ending();
         // What a cache did before it fetched says nothing of the origin: blaming that would lock the gate.
         boolean cacheOnly = a.onRing && (ending.neverRan() || ending == Routing.Ending.RESET);
-        if (ending == Routing.Ending.CANCELLED || ending == Routing.Ending.MOOT || a.server.ejected
-                || cacheOnly) {
+        if (ending.ownDoing() || a.server.ejected || cacheOnly) {
             return;
         }
         if (ending == Routing.Ending.OK && e.note() != Routing.Note.HIT) {
@@ -748,7 +747,7 @@
     }
 
     private void dropUnready(List<Server> from) {
-        from.stream().filter(s -> s.health != Routing.Health.READY).forEach(this::forgetIfGone);
+        from.forEach(this::forgetIfGone);
         from.removeIf(s -> s.health != Routing.Health.READY);
     }
 
--- a/src/main/java/beaconturn/decision/Routing.java
+++ b/src/main/java/beaconturn/decision/Routing.java
@@ -25,6 +25,11 @@
         public boolean neverRan() {
             return this == FULL || this == CONNECT_FAILED || this == MOOT || this == MISS;
         }
+
+        /** True where the router's own doing ended the attempt, which says nothing of the server. */
+        public boolean ownDoing() {
+            return this == CANCELLED || this == MOOT;
+        }
     }
 
     /** What a server said about the key it answered for. */
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -13,8 +13,8 @@
     int inFlight;
     double smoothLoad;
     long settledAt;
-    double busy;
-    long busyAt;
+    double reported;
+    long reportedAt;
     double sick;
     long judgedAt;
     boolean ejected;
@@ -26,7 +26,13 @@
         this.id = id;
     }
 
-    /** Brings the smoothed load up to now and returns it; called before every change of the load. */
+    /** Counts requests in flight up or down; the smoothed load is brought up to now first. */
+    void load(int change, long now, double memory) {
+        settle(now, memory);
+        inFlight += change;
+    }
+
+    /** Brings the smoothed load up to now and returns it. */
     double settle(long now, double memory) {
         double passed = now - settledAt;
         smoothLoad += (inFlight - smoothLoad) * passed / (passed + memory);
--- a/src/test/java/beaconturn/decision/FourRulesTest.java
+++ b/src/test/java/beaconturn/decision/FourRulesTest.java
@@ -22,8 +22,7 @@
         h.caches(6);
         // Earns some budget for further attempts.
         for (int i = 1; i <= 30; i++) {
-            h.arrive(i, READ, i);
-            h.close(h.last(), 0, Ending.OK, true);
+            h.serve(i, i);
         }
         h.sends.clear();
         return h;
@@ -104,11 +103,9 @@
 
     @Test
     void aWaitingRequestIsNotSentWhereItsObjectIsStoredOnceThatCacheDrains() {
-        Harness h = new Harness(Harness.settings(true));
-        h.list(ListKind.CACHED, Harness.cache(1), Harness.cache(2), Harness.origin(50));
-        h.arrive(1, READ, 5);
-        long home = h.last().server();
-        h.close(h.last(), 0, Ending.MISS, false);
+        Harness h = Harness.aside(2);
+        h.miss(1, 5);
+        long home = h.sends.get(0).server();
         Harness.Send fetch = h.last();
         h.arrive(2, READ, 5);
         h.list(ListKind.DELTA, Harness.entry(home, Health.DRAINING, 0));
@@ -118,10 +115,8 @@
 
     @Test
     void aMissThatArrivesAfterTheDeadlineIsAnsweredAtOnce() {
-        Harness h = new Harness(Harness.settings(true));
-        h.list(ListKind.CACHED, Harness.cache(1), Harness.origin(50));
-        h.arrive(9, READ, 5);
-        h.close(h.last(), 0, Ending.MISS, false);
+        Harness h = Harness.aside(1);
+        h.miss(9, 5);
         h.arrive(1, READ, 6, 100 * MS);
         Harness.Send late = h.last();
         h.now += 104 * MS;
@@ -131,8 +126,7 @@
 
     @Test
     void aRequestThatWaitsForAFetchIsAnsweredLongBeforeItsDeadline() {
-        Harness h = new Harness(Harness.settings(true));
-        h.list(ListKind.CACHED, Harness.cache(1), Harness.origin(50));
+        Harness h = Harness.aside(1);
         h.miss(1, 5);
         h.arrive(2, READ, 5, SECOND);
         h.pass(600 * MS);
@@ -168,8 +162,7 @@
         Harness h = new Harness(Harness.settings(false, 1, List.of(), 2));
         h.caches(5);
         for (int i = 1; i <= 50; i++) {
-            h.arrive(i, READ, i);
-            h.close(h.last(), 0, Ending.OK, true);
+            h.serve(i, i);
         }
         h.arrive(100, READ, 5);
         h.close(h.last(), 0, Ending.FULL, false);
@@ -211,8 +204,7 @@
         Harness h = new Harness(Harness.settings(false, 1, List.of()));
         h.caches(400);
         for (int i = 0; i < 8000; i++) {
-            h.arrive(i, READ, i + 1);
-            h.close(h.last(), 0, Ending.OK, true);
+            h.serve(i, i + 1);
         }
         assertEquals(400, h.sends.stream().map(Harness.Send::server).distinct().count());
     }
--- a/src/test/java/beaconturn/decision/Harness.java
+++ b/src/test/java/beaconturn/decision/Harness.java
@@ -36,6 +36,14 @@
         router = new RingRouter(settings, seed, now, this);
     }
 
+    /** A router in aside mode that knows the given number of caches, and the origin as server 50. */
+    static Harness aside(int caches) {
+        Harness h = new Harness(settings(true));
+        h.caches(caches);
+        h.list(ListKind.DELTA, origin(50));
+        return h;
+    }
+
     static Routing.Settings settings(boolean aside) {
         return settings(aside, 1, List.of());
     }
@@ -98,6 +106,12 @@
         router.handle(now, new Routing.Arrival(request, 0, 0, key, type, left, false, write, 0));
     }
 
+    /** A read that its cache answers. */
+    void serve(long request, long key) {
+        arrive(request, READ, key);
+        close(last(), 0, Ending.OK, true);
+    }
+
     /** A read that its cache lacks, so that it goes on to the origin. */
     void miss(long request, long key) {
         arrive(request, READ, key);
@@ -109,6 +123,12 @@
             Routing.Note.NONE, attempt, new float[0]));
     }
 
+    /** The last send is answered from what its cache holds, with a load report. */
+    void hit(long elapsed, float... report) {
+        router.handle(now, new Routing.AttemptClosed(last().request(), elapsed, true, last().server(),
+            Ending.OK, Routing.Note.HIT, 0, report));
+    }
+
     /** Delivers all timers due within the given time, in order, and moves the clock there. */
     void pass(long time) {
         long until = now + time;
--- a/src/test/java/beaconturn/decision/RingRouterTest.java
+++ b/src/test/java/beaconturn/decision/RingRouterTest.java
@@ -74,8 +74,7 @@
         // Known as held, so that no single flight holds the later ones back.
         for (int i = 1; i <= 3; i++) {
             h.list(ListKind.FULL, Harness.cache(i));
-            h.arrive(i, READ, 5);
-            h.close(h.last(), 0, Ending.OK, true);
+            h.serve(i, 5);
         }
         h.list(ListKind.FULL, Harness.cache(1), Harness.cache(2), Harness.cache(3));
         h.sends.clear();
@@ -105,11 +104,9 @@
 
     @Test
     void oneFetchForAKeyTheOthersWaitAndGoWhereItIsStored() {
-        Harness h = new Harness(Harness.settings(true));
-        h.list(ListKind.CACHED, Harness.cache(1), Harness.cache(2), Harness.origin(50));
-        h.arrive(1, READ, 5);
-        long home = h.last().server();
-        h.close(h.last(), 0, Ending.MISS, false);
+        Harness h = Harness.aside(2);
+        h.miss(1, 5);
+        long home = h.sends.get(0).server();
         Harness.Send fetch = h.last();
         assertEquals(50L, fetch.server());
         h.arrive(2, READ, 5);
@@ -120,8 +117,7 @@
 
     @Test
     void aFetchThatFailsIsHandedToTheNextInLine() {
-        Harness h = new Harness(Harness.settings(true));
-        h.list(ListKind.CACHED, Harness.cache(1), Harness.origin(50));
+        Harness h = Harness.aside(1);
         h.miss(1, 5);
         Harness.Send fetch = h.last();
         h.arrive(2, READ, 5);
@@ -180,13 +176,11 @@
             h.now += 10 * MS;
             h.arrive(100 + i, READ, i < 39 ? 1000 + i : 5);
             float held = h.last().server() == home && i > 5 ? 60 : 2;
-            h.router.handle(h.now, new Routing.AttemptClosed(h.last().request(), 50 * MS, true,
-                h.last().server(), Ending.OK, Routing.Note.HIT, 0, new float[] {held}));
+            h.hit(50 * MS, held);
         }
         assertNotEquals(home, h.last().server());
         h.now += 20 * SECOND;
-        h.arrive(200, READ, 5);
-        h.close(h.last(), 0, Ending.OK, true);
+        h.serve(200, 5);
         h.now += SECOND;
         h.arrive(201, READ, 5);
         assertEquals(home, h.last().server());
@@ -244,8 +238,7 @@
             h.router.handle(h.now, new Routing.Arrival(i, tenant, 0, i, READ, SECOND, false, false, 0));
             refused[tenant] += h.refused.size() - before;
             if (h.refused.size() == before) {
-                h.router.handle(h.now, new Routing.AttemptClosed(i, 400 * MS, true, h.last().server(),
-                    Ending.OK, Routing.Note.HIT, 0, new float[0]));
+                h.hit(400 * MS);
             }
         }
         assertEquals(0, refused[1]);
@@ -273,15 +266,13 @@
             h.caches(10);
             for (int k = 0; k < 40; k++) {
                 h.now += 100 * MS;
-                h.arrive(k, READ, i * 1000L + k);
-                h.close(h.last(), 0, Ending.OK, true);
+                h.serve(k, i * 1000L + k);
             }
             h.list(ListKind.DELTA, Harness.entry(11, Health.READY, h.now));
             h.sends.clear();
             for (int k = 100; k < 150; k++) {
                 h.now += 20 * MS;
-                h.arrive(k, READ, i * 1000L + k);
-                h.close(h.last(), 0, Ending.OK, true);
+                h.serve(k, i * 1000L + k);
             }
             toCold += h.sends.stream().filter(s -> s.server() == 11).count();
         }
