--- /dev/null
+++ b/src/main/java/beaconturn/cli/CheckConfigCommand.java
@@ -0,0 +1,27 @@
+package beaconturn.cli;
+
+import beaconturn.net.ConfigException;
+import beaconturn.net.RouterConfig;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+
+/** Reads a configuration as serve would, and says what is wrong with it. */
+@Parameters(commandNames = "check-config", commandDescription = "read a configuration and check it")
+final class CheckConfigCommand implements Command {
+    @ParametersDelegate
+    private final ConfigFile config = new ConfigFile();
+
+    @Override
+    public int execute() {
+        try {
+            RouterConfig read = config.read();
+            System.out.println("configuration is sound: " + read.name() + " on " + read.listen() + ", "
+                + read.settings().classNames().size() + " classes, " + read.known().members().size()
+                + " cache servers known");
+            return 0;
+        } catch (ConfigException e) {
+            System.err.println("check-config: " + e.getMessage());
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/cli/ConfigFile.java
@@ -0,0 +1,22 @@
+package beaconturn.cli;
+
+import beaconturn.net.ConfigException;
+import beaconturn.net.RouterConfig;
+import com.beust.jcommander.Parameter;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** The option that names the configuration, shared by the commands that need one. */
+final class ConfigFile {
+    @Parameter(names = "--config", description = "the configuration file; PROXY_CONFIG where not given")
+    private String file;
+
+    RouterConfig read() throws ConfigException {
+        Map<String, String> variables = System.getenv();
+        String path = file != null ? file : variables.get("PROXY_CONFIG");
+        if (path == null) {
+            throw new ConfigException("no configuration: neither --config nor PROXY_CONFIG is given");
+        }
+        return RouterConfig.read(Path.of(path), variables);
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line and the log. */
+package beaconturn.cli;
--- /dev/null
+++ b/src/main/java/beaconturn/core/Attempt.java
@@ -0,0 +1,59 @@
+package beaconturn.core;
+
+/** One sending of a request to a cache server. */
+public final class Attempt {
+    private final long request;
+    private final int number;
+    private final long server;
+    private final Call call;
+    private final long sentAt;
+    private final long allowFor;
+    private boolean over;
+
+    Attempt(long request, int number, long server, Call call, long sentAt, long allowFor) {
+        this.request = request;
+        this.number = number;
+        this.server = server;
+        this.call = call;
+        this.sentAt = sentAt;
+        this.allowFor = allowFor;
+    }
+
+    /** The request that is sent. */
+    public Call call() {
+        return call;
+    }
+
+    /** The cache server, by the number that the module knows it by. */
+    public long server() {
+        return server;
+    }
+
+    /** When the router stops waiting for this attempt. */
+    public long until() {
+        return sentAt + allowFor;
+    }
+
+    long request() {
+        return request;
+    }
+
+    int number() {
+        return number;
+    }
+
+    long sentAt() {
+        return sentAt;
+    }
+
+    /** Notes the attempt's end; false if it had ended before. For the module's thread. */
+    boolean end() {
+        boolean first = !over;
+        over = true;
+        return first;
+    }
+
+    boolean over() {
+        return over;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/core/Call.java
@@ -0,0 +1,32 @@
+package beaconturn.core;
+
+import beaconturn.protocol.Slice;
+import java.util.List;
+
+/**
+ * One request of a client, whatever protocol it came in. Exactly one of the three answers is given, by the
+ * module's thread; none of them may block.
+ */
+public interface Call {
+    /** What the request says of itself. */
+    Ask ask();
+
+    /** When the client stops waiting. */
+    long deadline();
+
+    /** The request's bytes for a cache server that is told to answer within so many milliseconds. */
+    List<Slice> forwarded(long waitMillis);
+
+    /** The client gets the answer of a cache server. */
+    void served(Slice answer);
+
+    /** The client is refused and may come again after so many nanoseconds; 0 gives no advice. */
+    void refused(long retryAfter);
+
+    /** The client is told that the request failed. */
+    void failed();
+
+    /** What a request says of itself; {@code hint} and {@code key} 0 mean none. */
+    record Ask(int requestClass, long key, boolean write, boolean clientRetry, int tenant, long hint,
+            double size) { }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/core/Message.java
@@ -0,0 +1,16 @@
+package beaconturn.core;
+
+/** What can be posted to the module's actor. */
+public sealed interface Message {
+    /** A request has come in whole. */
+    record Arrived(Call call) implements Message { }
+
+    /** The client of a request has gone. */
+    record Left(Call call) implements Message { }
+
+    /** An attempt has ended. */
+    record Ended(Attempt attempt, Outcome outcome) implements Message { }
+
+    /** Discovery has answered or failed. */
+    record News(ListNews news) implements Message { }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/core/ModuleActor.java
@@ -0,0 +1,65 @@
+package beaconturn.core;
+
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** The module's thread: takes one message at a time from its mailbox and runs the module's timers. */
+public final class ModuleActor implements Runnable {
+    private static final Logger LOG = Logger.getLogger(ModuleActor.class.getName());
+    private static final int MOST_MESSAGES = 8192;
+    private static final long LONGEST_WAIT = 1_000_000_000;
+
+    private final Mailbox<Message> mailbox = new Mailbox<>(MOST_MESSAGES);
+    private final AtomicBoolean stopped = new AtomicBoolean();
+    private volatile int open;
+    private ModuleHost host;
+
+    /** Says whom to run; called once, before the thread starts. */
+    public void host(ModuleHost toRun) {
+        host = toRun;
+    }
+
+    /** Posts a message, waiting for room: never called by the module's own thread. */
+    public void post(Message message) {
+        try {
+            mailbox.put(message);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** How many requests wait for their answer, as of the last message. */
+    public int open() {
+        return open;
+    }
+
+    /** Ends the thread after the message at hand. */
+    public void stop() {
+        stopped.set(true);
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (!stopped.get()) {
+                Message message = mailbox.poll(host.untilNext(LONGEST_WAIT));
+                step(message);
+                open = host.open();
+            }
+        } catch (InterruptedException e) {
+            LOG.fine("module actor interrupted");
+        }
+    }
+
+    private void step(Message message) {
+        try {
+            if (message != null) {
+                host.handle(message);
+            }
+            host.runDue();
+        } catch (RuntimeException e) {
+            LOG.log(Level.SEVERE, "module actor failed on a message and goes on", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -0,0 +1,227 @@
+package beaconturn.core;
+
+import beaconturn.decision.RingRouter;
+import beaconturn.decision.Routing;
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * Runs one decision module: messages become its events, its actions reach clients, cache servers and
+ * discovery. Decides nothing, does no I/O and belongs to one thread.
+ */
+public final class ModuleHost {
+    private static final Logger LOG = Logger.getLogger(ModuleHost.class.getName());
+
+    private final Routing.Settings settings;
+    private final Clock clock;
+    private final Fleet fleet;
+    private final ListSource list;
+    private final RequestTable table = new RequestTable();
+    private final Timers timers = new Timers();
+    private final Queue<Routing.Event> pending = new ArrayDeque<>();
+    private final Routing.Router router;
+
+    /** A host whose module starts with the settings and the seed. */
+    public ModuleHost(Routing.Settings settings, long seed, Clock clock, Fleet fleet, ListSource list) {
+        this.settings = settings;
+        this.clock = clock;
+        this.fleet = fleet;
+        this.list = list;
+        this.router = new RingRouter(settings, seed, clock.now(), new Actions());
+    }
+
+    /** Handles one message and all that follows from it at once. */
+    public void handle(Message message) {
+        if (message instanceof Message.Arrived arrived) {
+            arrived(arrived.call());
+        } else if (message instanceof Message.Left left) {
+            withdraw(table.of(left.call()));
+        } else if (message instanceof Message.Ended ended) {
+            ended(ended.attempt(), ended.outcome());
+        } else if (message instanceof Message.News news) {
+            fleet.follow(news.news());
+            deliver(news.news().event());
+        }
+    }
+
+    /** Runs the timers that are due. */
+    public void runDue() {
+        for (Runnable due = timers.takeDue(clock.now()); due != null; due = timers.takeDue(clock.now())) {
+            due.run();
+        }
+    }
+
+    /** How long until the next timer, at most the given time. */
+    public long untilNext(long atMost) {
+        long now = clock.now();
+        return Math.max(0, timers.next(now + atMost) - now);
+    }
+
+    /** How many requests wait for their answer. */
+    public int open() {
+        return table.open();
+    }
+
+    private void arrived(Call call) {
+        long now = clock.now();
+        RequestTable.Entry r = table.add(call);
+        Call.Ask ask = call.ask();
+        timers.at(call.deadline() + settings.rules().answerSlack(), () -> overdue(r));
+        deliver(new Routing.Arrival(r.id(), ask.tenant(), ask.hint(), ask.key(), ask.requestClass(),
+            call.deadline() - now, ask.clientRetry(), ask.write(), ask.size()));
+        if (r.broken()) {
+            overdue(r);
+        }
+    }
+
+    /** A request must not go without an answer, even if the module fails: its client is told so. */
+    private void overdue(RequestTable.Entry r) {
+        if (!r.closed()) {
+            LOG.warning("request " + r.id() + " had no answer from the module; failed");
+            table.close(r);
+            r.call().failed();
+            deliver(new Routing.Withdrawn(r.id()));
+        }
+    }
+
+    private void withdraw(RequestTable.Entry r) {
+        if (r != null && !r.closed()) {
+            table.close(r);
+            deliver(new Routing.Withdrawn(r.id()));
+        }
+    }
+
+    private void ended(Attempt a, Outcome outcome) {
+        if (!a.end()) {
+            return;
+        }
+        RequestTable.Entry r = table.get(a.request());
+        if (outcome.ending() == Routing.Ending.OK && !r.closed()) {
+            table.close(r);
+            r.call().served(outcome.answer());
+        }
+        boolean closed = r.closed();
+        table.ended(r);
+        deliver(new Routing.AttemptClosed(a.request(), Math.max(0, outcome.at() - a.sentAt()), closed,
+            a.server(), outcome.ending(), outcome.note(), a.number(), outcome.report()));
+    }
+
+    private void timedOut(Attempt a) {
+        if (!a.over()) {
+            fleet.abort(a);
+            ended(a, Outcome.of(Routing.Ending.TIMEOUT, clock.now()));
+        }
+    }
+
+    /** Hands the event to the module, then the events that its own actions caused. */
+    private void deliver(Routing.Event event) {
+        pending.add(event);
+        if (pending.size() > 1) {
+            return;
+        }
+        while (!pending.isEmpty()) {
+            Routing.Event next = pending.element();
+            try {
+                router.handle(clock.now(), next);
+            } catch (RuntimeException e) {
+                // One event that the module fails on must not end the router, nor strand its request.
+                LOG.log(Level.SEVERE, "decision module failed on " + next.getClass().getSimpleName(), e);
+                if (next instanceof Routing.Arrival arrival) {
+                    table.breakOff(arrival.request());
+                }
+            }
+            pending.remove();
+        }
+    }
+
+    /** What the module does, carried out at once. */
+    private final class Actions implements Routing.Actions {
+        @Override
+        public void send(long request, long server, long allowFor) {
+            RequestTable.Entry r = table.get(request);
+            if (r == null || r.closed() || r.attempts().size() >= settings.permissions().maxTries()) {
+                LOG.warning("send for request " + request + ", which may not have it: not sent");
+                int number = r == null ? 0 : r.attempts().size();
+                pending.add(new Routing.AttemptClosed(request, 0, r == null || r.closed(), server,
+                    Routing.Ending.MOOT, Routing.Note.NONE, number, new float[0]));
+                return;
+            }
+            long now = clock.now();
+            long left = Math.max(0, r.call().deadline() - now);
+            long allowed = allowFor == 0 ? left : Math.min(left, allowFor);
+            Attempt a = table.attempt(r, server, now, allowed);
+            timers.at(a.until(), () -> timedOut(a));
+            fleet.send(a);
+        }
+
+        @Override
+        public void cancel(long request, int attempt) {
+            RequestTable.Entry r = table.get(request);
+            if (r == null || attempt >= r.attempts().size()) {
+                return;
+            }
+            Attempt a = r.attempts().get(attempt);
+            if (a.end()) {
+                fleet.abort(a);
+                table.ended(r);
+                pending.add(new Routing.AttemptClosed(request, clock.now() - a.sentAt(), r.closed(),
+                    a.server(), Routing.Ending.CANCELLED, Routing.Note.NONE, attempt, new float[0]));
+            }
+        }
+
+        @Override
+        public void refuse(long request, long retryAfter) {
+            RequestTable.Entry r = table.get(request);
+            if (r != null && !r.closed()) {
+                table.close(r);
+                r.call().refused(retryAfter);
+            }
+        }
+
+        @Override
+        public void fail(long request) {
+            RequestTable.Entry r = table.get(request);
+            if (r != null && !r.closed()) {
+                table.close(r);
+                r.call().failed();
+            }
+        }
+
+        @Override
+        public void timer(long delay, long token) {
+            timers.at(clock.now() + delay, () -> deliver(new Routing.Timer(token)));
+        }
+
+        @Override
+        public void watch(boolean on) {
+            list.watch(on);
+        }
+
+        @Override
+        public void fetchList() {
+            list.fetch();
+        }
+
+        @Override
+        public void probe(long server) {
+            LOG.warning("probes are not part of this protocol; none sent");
+        }
+
+        @Override
+        public void tell(int peer, byte[] body) {
+            LOG.warning("messages between routers are not in use; none sent");
+        }
+
+        @Override
+        public void closeIdle(long server) {
+            fleet.closeIdle(server);
+        }
+
+        @Override
+        public void log(String text) {
+            LOG.info("module: " + text);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/core/Outcome.java
@@ -0,0 +1,14 @@
+package beaconturn.core;
+
+import beaconturn.decision.Routing;
+import beaconturn.protocol.Slice;
+
+/** How an attempt ended and when; {@code answer} is null unless a cache server answered it. */
+public record Outcome(Routing.Ending ending, long at, Routing.Note note, float[] report, Slice answer) {
+    private static final float[] NO_REPORT = {};
+
+    /** An end without an answer. */
+    public static Outcome of(Routing.Ending ending, long at) {
+        return new Outcome(ending, at, Routing.Note.NONE, NO_REPORT, null);
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/core/RequestTable.java
@@ -0,0 +1,104 @@
+package beaconturn.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The requests that are not over yet: unanswered, or with an attempt still out. For one thread. */
+final class RequestTable {
+    private final Map<Long, Entry> entries = new HashMap<>();
+    private final Map<Call, Entry> byCall = new IdentityHashMap<>();
+    private long lastId;
+
+    /** One request: its call until it is closed, and its attempts in the order of their sending. */
+    static final class Entry {
+        private final long id;
+        private final Call call;
+        private final List<Attempt> attempts = new ArrayList<>(2);
+        private boolean closed;
+        private boolean broken;
+        private int out;
+
+        private Entry(long id, Call call) {
+            this.id = id;
+            this.call = call;
+        }
+
+        long id() {
+            return id;
+        }
+
+        Call call() {
+            return call;
+        }
+
+        List<Attempt> attempts() {
+            return attempts;
+        }
+
+        /** Whether it has its answer, or nobody waits for one. */
+        boolean closed() {
+            return closed;
+        }
+
+        /** Whether the module failed on its arrival. */
+        boolean broken() {
+            return broken;
+        }
+    }
+
+    Entry add(Call call) {
+        Entry r = new Entry(++lastId, call);
+        entries.put(r.id, r);
+        byCall.put(call, r);
+        return r;
+    }
+
+    /** The request of that number, or null once it is over. */
+    Entry get(long id) {
+        return entries.get(id);
+    }
+
+    /** The request of a call that still waits, or null. */
+    Entry of(Call call) {
+        return byCall.get(call);
+    }
+
+    int open() {
+        return byCall.size();
+    }
+
+    Attempt attempt(Entry r, long server, long now, long allowFor) {
+        Attempt a = new Attempt(r.id, r.attempts.size(), server, r.call, now, allowFor);
+        r.attempts.add(a);
+        r.out++;
+        return a;
+    }
+
+    void close(Entry r) {
+        r.closed = true;
+        byCall.remove(r.call);
+        forget(r);
+    }
+
+    void ended(Entry r) {
+        r.out--;
+        forget(r);
+    }
+
+    /** Notes that the module failed on the request's arrival. */
+    void breakOff(long id) {
+        Entry r = entries.get(id);
+        if (r != null) {
+            r.broken = true;
+        }
+    }
+
+    private void forget(Entry r) {
+        if (r.closed && r.out == 0) {
+            entries.remove(r.id);
+        }
+    }
+}
--- a/src/main/java/beaconturn/sim/SettingsParser.java
+++ b/src/main/java/beaconturn/core/SettingsReader.java
@@ -1,40 +1,45 @@
-package beaconturn.sim;
+package beaconturn.core;
 
 import beaconturn.decision.Routing;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 
-/** Reads the start-up settings: one path=value a line; unknown paths are skipped. */
-final class SettingsParser {
+/** Reads the settings from paths and values, however they came; unknown paths are skipped. */
+public final class SettingsReader {
     private static final long NEVER = Long.MAX_VALUE / 4;
-    private final Map<String, String> values = new HashMap<>();
-
-    private SettingsParser(String text) {
-        for (String line : text.split("\n")) {
-            int equals = line.indexOf('=');
-            if (equals > 0) {
-                values.put(line.substring(0, equals).trim(), line.substring(equals + 1).trim());
-            }
-        }
+    private final Map<String, String> values;
+
+    private SettingsReader(Map<String, String> values) {
+        this.values = values;
     }
 
     /** Returns the settings, or names the first one that is missing or unreadable. */
-    static Routing.Settings parse(String text) throws WireException {
-        return new SettingsParser(text).settings();
+    public static Settings read(Map<String, String> values) throws SettingsException {
+        SettingsReader reader = new SettingsReader(values);
+        return new Settings(reader.routing(), reader.classNames(), reader.words("dcs"),
+            reader.words("flavors"), reader.whole("permissions.conn_idle", NEVER));
     }
 
-    private Routing.Settings settings() throws WireException {
+    private List<String> classNames() throws SettingsException {
+        List<String> names = new ArrayList<>();
+        for (int i = 0; i < required("classes.count"); i++) {
+            names.add(word("classes." + i + ".name", Integer.toString(i)));
+        }
+        return List.copyOf(names);
+    }
+
+    private Routing.Settings routing() throws SettingsException {
         String weights = word("weights", "none");
         return new Routing.Settings(
             (int) whole("index", 0), (int) Math.max(1, required("replicas_of_me")), (int) whole("zone", 0),
             word("discovery", "push").equals("ask"), weights.equals("nominal") || weights.equals("rough"),
             word("counted_by", "request").equals("work"), number("over_share_worth", 1),
-            whole("tick", 0), classes(), tenants(), rules(), permissions(), origin(), reportNames());
+            whole("tick", 0), classes(), tenants(), rules(), permissions(), origin(),
+            words("load_report.names"));
     }
 
-    private List<Routing.RequestClass> classes() throws WireException {
+    private List<Routing.RequestClass> classes() throws SettingsException {
         List<Routing.RequestClass> classes = new ArrayList<>();
         long count = required("classes.count");
         for (int i = 0; i < count; i++) {
@@ -46,7 +51,7 @@
         return List.copyOf(classes);
     }
 
-    private List<Routing.Tenant> tenants() throws WireException {
+    private List<Routing.Tenant> tenants() throws SettingsException {
         List<Routing.Tenant> tenants = new ArrayList<>();
         long count = whole("tenants.count", 0);
         for (int i = 0; i < count; i++) {
@@ -56,13 +61,13 @@
         return List.copyOf(tenants);
     }
 
-    private Routing.Rules rules() throws WireException {
+    private Routing.Rules rules() throws SettingsException {
         return new Routing.Rules(whole("rules.answer_slack", 0), whole("rules.ask_within", NEVER),
             number("rules.cold_share", 1), whole("rules.cold", 0), whole("rules.drain_grace", 0),
             number("rules.fall_multiple", 1), whole("rules.overload_for", NEVER));
     }
 
-    private Routing.Permissions permissions() throws WireException {
+    private Routing.Permissions permissions() throws SettingsException {
         String at = "permissions.";
         return new Routing.Permissions(flag(at + "cancel", false), flag(at + "peers", false),
             flag(at + "probes", false), flag(at + "retry_after", false), flag(at + "second_copies", false),
@@ -70,35 +75,39 @@
             (int) whole(at + "multiplex", 1), whole(at + "dial_timeout", 0));
     }
 
-    private Routing.Origin origin() throws WireException {
+    private Routing.Origin origin() throws SettingsException {
         String at = "family_info.";
         return new Routing.Origin(word(at + "mode", "through").equals("aside"),
             (int) whole(at + "origin_kind", -1), flag(at + "ordered", false),
             whole(at + "origin_fall", 0), number(at + "origin_fall_multiple", 0));
     }
 
-    private List<String> reportNames() {
-        String names = word("load_report.names", "");
-        return names.isEmpty() ? List.of() : List.of(names.split(","));
+    private List<String> words(String path) {
+        String words = word(path, "");
+        return words.isEmpty() ? List.of() : List.of(words.split(","));
     }
 
-    private Routing.Effect effect(String path) throws WireException {
+    private Routing.Effect effect(String path) throws SettingsException {
         String word = word(path, "");
         return switch (word) {
             case "read_like" -> Routing.Effect.SAFE;
             case "idempotency_key" -> Routing.Effect.KEYED;
             case "non_idempotent" -> Routing.Effect.UNSAFE;
-            default -> throw new WireException("setting " + path + ": missing or unreadable: '" + word + "'");
+            default -> throw unreadable(path, word);
         };
     }
 
-    private Routing.Scope scope(String path) throws WireException {
+    private static SettingsException unreadable(String path, String word) {
+        return new SettingsException("setting " + path + ": missing or unreadable: '" + word + "'");
+    }
+
+    private Routing.Scope scope(String path) throws SettingsException {
         String word = word(path, "all");
         return switch (word) {
             case "all" -> Routing.Scope.ALL;
             case "zone" -> Routing.Scope.ZONE;
             case "cell" -> Routing.Scope.CELL;
-            default -> throw new WireException("setting " + path + ": unreadable: '" + word + "'");
+            default -> throw unreadable(path, word);
         };
     }
 
@@ -110,18 +119,18 @@
         return Boolean.parseBoolean(word(path, Boolean.toString(fallback)));
     }
 
-    private long required(String path) throws WireException {
+    private long required(String path) throws SettingsException {
         if (!values.containsKey(path)) {
-            throw new WireException("setting " + path + ": missing");
+            throw new SettingsException("setting " + path + ": missing");
         }
         return whole(path, 0);
     }
 
-    private long whole(String path, long fallback) throws WireException {
+    private long whole(String path, long fallback) throws SettingsException {
         return (long) number(path, fallback);
     }
 
-    private double number(String path, double fallback) throws WireException {
+    private double number(String path, double fallback) throws SettingsException {
         String value = values.get(path);
         if (value == null) {
             return fallback;
@@ -129,7 +138,7 @@
         try {
             return Double.parseDouble(value);
         } catch (NumberFormatException e) {
-            throw new WireException("setting " + path + ": not a number: '" + value + "'");
+            throw new SettingsException("setting " + path + ": not a number: '" + value + "'");
         }
     }
 }
--- /dev/null
+++ b/src/main/java/beaconturn/net/CacheConnection.java
@@ -0,0 +1,150 @@
+package beaconturn.net;
+
+import beaconturn.core.Attempt;
+import beaconturn.core.Clock;
+import beaconturn.core.Outcome;
+import beaconturn.decision.Routing;
+import beaconturn.protocol.InputBuffer;
+import beaconturn.protocol.ProtocolException;
+import beaconturn.protocol.RespReader;
+import beaconturn.protocol.RespValue;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+
+/**
+ * One connection to a cache server, which carries one request at a time: answers come in order, so a second
+ * request would wait for the first, and giving one up would cut off the other. Its thread reads at all
+ * times, so that a peer's close is seen before the next request is written.
+ */
+final class CacheConnection {
+    private static final long MILLI = 1_000_000;
+    /** A whole request fits into the kernel's buffer, so that writing one to a silent peer never blocks. */
+    private static final int SEND_BUFFER = 128 * 1024;
+    private static final int LONGEST_VALUE = 1 << 16;
+
+    /** What a connection tells the actor that owns it; called on the connection's thread. */
+    interface Owner {
+        void ended(CacheConnection connection, Attempt attempt, Outcome outcome, boolean reusable);
+
+        void closed(CacheConnection connection);
+    }
+
+    private final InetSocketAddress address;
+    private final long connectTimeout;
+    private final Clock clock;
+    private final ReplyReader replies;
+    private final Owner owner;
+    private final Socket socket = new Socket();
+    private Attempt attempt;
+    private boolean written;
+    private volatile boolean closed;
+
+    CacheConnection(InetSocketAddress address, long connectTimeout, Clock clock, ReplyReader replies,
+            Owner owner) {
+        this.address = address;
+        this.connectTimeout = connectTimeout;
+        this.clock = clock;
+        this.replies = replies;
+        this.owner = owner;
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Connects on a thread of its own, sends the attempt and goes on reading. */
+    void open(Attempt first) {
+        attempt = first;
+        Threads.start("cache-" + address.getPort(), () -> run(first));
+    }
+
+    /** Sends the next attempt on the idle connection; false if it is dead, and nothing was written then. */
+    boolean reuse(Attempt next) {
+        // One step with the writing: else a break seen in between would pass for a request never written.
+        synchronized (this) {
+            if (closed) {
+                return false;
+            }
+            attempt = next;
+            written = false;
+            transmit(next);
+            return true;
+        }
+    }
+
+    /** Ends the connection, and with it whatever is out on it; takes no lock that a writer holds. */
+    void close() {
+        closed = true;
+        Sockets.close(socket);
+    }
+
+    private void run(Attempt first) {
+        try {
+            long now = clock.now();
+            long wait = Math.min(connectTimeout, first.until() - now);
+            socket.setTcpNoDelay(true);
+            socket.setSendBufferSize(SEND_BUFFER);
+            socket.connect(address, (int) Math.max(1, wait / MILLI));
+            transmit(first);
+            read();
+        } catch (IOException | ProtocolException | RuntimeException e) {
+            broken();
+        } finally {
+            close();
+            owner.closed(this);
+        }
+    }
+
+    private void transmit(Attempt a) {
+        synchronized (this) {
+            long wait = Math.max(1, (a.until() - clock.now()) / MILLI);
+            try {
+                Sockets.write(socket.getOutputStream(), a.call().forwarded(wait));
+                written = true;
+            } catch (IOException e) {
+                Sockets.close(socket);
+            }
+        }
+    }
+
+    private void read() throws IOException, ProtocolException {
+        InputBuffer in = new InputBuffer();
+        RespReader reader = new RespReader(LONGEST_VALUE);
+        while (Sockets.read(socket.getInputStream(), in)) {
+            for (RespValue v = reader.next(in); v != null; v = reader.next(in)) {
+                answered(replies.read(v, clock.now()), in.size() == 0);
+            }
+        }
+        broken();
+    }
+
+    private void answered(Outcome outcome, boolean clean) throws ProtocolException {
+        Attempt done;
+        synchronized (this) {
+            done = attempt;
+            attempt = null;
+            closed = closed || !clean;
+        }
+        if (done == null) {
+            throw new ProtocolException("answer without a request");
+        }
+        owner.ended(this, done, outcome, clean);
+    }
+
+    /** The connection broke: whether its request may have run depends on its last byte. */
+    private void broken() {
+        Attempt lost;
+        boolean mayHaveRun;
+        synchronized (this) {
+            lost = attempt;
+            mayHaveRun = written;
+            attempt = null;
+            closed = true;
+        }
+        if (lost != null) {
+            Routing.Ending ending = mayHaveRun ? Routing.Ending.RESET : Routing.Ending.CONNECT_FAILED;
+            owner.ended(this, lost, Outcome.of(ending, clock.now()), false);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/net/CacheFleet.java
@@ -0,0 +1,118 @@
+package beaconturn.net;
+
+import beaconturn.core.Attempt;
+import beaconturn.core.Fleet;
+import beaconturn.core.ListNews;
+import beaconturn.core.Message;
+import beaconturn.core.Outcome;
+import beaconturn.decision.Routing;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.logging.Logger;
+
+/** The actors of the cache servers that the list has named; used by the module's thread alone. */
+final class CacheFleet implements Fleet {
+    private static final Logger LOG = Logger.getLogger(CacheFleet.class.getName());
+    private final CacheServer.Site site;
+    private final Map<Long, Known> servers = new HashMap<>();
+
+    private record Known(CacheServer actor, String host, Routing.Health health, long bootTime) { }
+
+    CacheFleet(CacheServer.Site site) {
+        this.site = site;
+    }
+
+    @Override
+    public void send(Attempt attempt) {
+        Known known = servers.get(attempt.server());
+        if (known != null && known.health() != Routing.Health.GONE) {
+            known.actor().send(attempt);
+        } else {
+            // Posting to the module from its own thread could wait for itself.
+            Threads.start("unknown-server", () -> site.module().accept(new Message.Ended(attempt,
+                Outcome.of(Routing.Ending.CONNECT_FAILED, site.clock().now()))));
+        }
+    }
+
+    @Override
+    public void abort(Attempt attempt) {
+        Known known = servers.get(attempt.server());
+        if (known != null) {
+            known.actor().abort(attempt);
+        }
+    }
+
+    @Override
+    public void closeIdle(long server) {
+        Known known = servers.get(server);
+        if (known != null) {
+            known.actor().closeIdle();
+        }
+    }
+
+    @Override
+    public void follow(ListNews news) {
+        if (news.kind() == Routing.ListKind.FAILED) {
+            return;
+        }
+        servers.values().removeIf(CacheFleet::ended);
+        Set<Long> named = new HashSet<>();
+        for (ListNews.Member member : news.members()) {
+            named.add(member.entry().server());
+            update(member);
+        }
+        if (news.kind() != Routing.ListKind.DELTA) {
+            Set<Long> missing = new HashSet<>(servers.keySet());
+            missing.removeAll(named);
+            missing.forEach(this::gone);
+        }
+    }
+
+    private void update(ListNews.Member member) {
+        Routing.ServerEntry entry = member.entry();
+        if (entry.health() == Routing.Health.GONE) {
+            gone(entry.server());
+            return;
+        }
+        Known old = servers.get(entry.server());
+        CacheServer actor = old == null ? start(member) : old.actor();
+        if (old == null || old.health() != entry.health() || old.bootTime() != entry.bootTime()) {
+            LOG.info("cache server " + member.host() + " at " + member.dial() + " is " + entry.health()
+                + (entry.bootTime() == 0 ? "" : ", started " + entry.bootTime() / 1_000_000));
+        }
+        if (old != null) {
+            actor.dial(Sockets.address(member.dial()));
+        }
+        if (old != null && old.bootTime() != entry.bootTime()) {
+            // What was connected before the restart is dead, even where the peer's end was never heard of.
+            actor.closeIdle();
+        }
+        servers.put(entry.server(), new Known(actor, member.host(), entry.health(), entry.bootTime()));
+    }
+
+    private CacheServer start(ListNews.Member member) {
+        CacheServer actor = new CacheServer(site, member.host(), Sockets.address(member.dial()));
+        actor.start();
+        return actor;
+    }
+
+    /** It keeps its actor while attempts are out: they may still be answered or called off. */
+    private void gone(long server) {
+        Known known = servers.get(server);
+        if (known != null && known.health() != Routing.Health.GONE) {
+            LOG.info("cache server " + known.host() + " is gone");
+            known.actor().closeIdle();
+            servers.put(server, new Known(known.actor(), known.host(), Routing.Health.GONE, 0));
+        }
+    }
+
+    private static boolean ended(Known known) {
+        boolean over = known.health() == Routing.Health.GONE && known.actor().quiet();
+        if (over) {
+            known.actor().retire();
+        }
+        return over;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/net/CacheServer.java
@@ -0,0 +1,220 @@
+package beaconturn.net;
+
+import beaconturn.core.Attempt;
+import beaconturn.core.Clock;
+import beaconturn.core.Mailbox;
+import beaconturn.core.Message;
+import beaconturn.core.Outcome;
+import beaconturn.decision.Routing;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** One cache server: an actor that owns the connections to it. Its thread never waits for the peer. */
+final class CacheServer {
+    private static final Logger LOG = Logger.getLogger(CacheServer.class.getName());
+    private static final int MOST_MESSAGES = 4096;
+
+    /** What the actor needs of the router round it. */
+    record Site(Clock clock, Consumer<Message> module, ConnectionBudget budget, ReplyReader replies,
+            long connectTimeout, long idleTime) { }
+
+    private sealed interface Task {
+        record Send(Attempt attempt) implements Task { }
+
+        record Abort(Attempt attempt) implements Task { }
+
+        record Ended(CacheConnection connection, Attempt attempt, boolean reusable) implements Task { }
+
+        record Closed(CacheConnection connection) implements Task { }
+
+        record Dial(InetSocketAddress address) implements Task { }
+
+        record CloseIdle() implements Task { }
+
+        record Retire() implements Task { }
+    }
+
+    private record Idle(CacheConnection connection, long since) { }
+
+    private final Site site;
+    private final String host;
+    private final Mailbox<Task> mailbox = new Mailbox<>(MOST_MESSAGES);
+    private final Map<Attempt, CacheConnection> out = new HashMap<>();
+    private final Deque<Idle> idle = new ArrayDeque<>();
+    private final CacheConnection.Owner owner = new Reports();
+    private InetSocketAddress dial;
+    private volatile int connections;
+    private boolean retired;
+
+    CacheServer(Site site, String host, InetSocketAddress dial) {
+        this.site = site;
+        this.host = host;
+        this.dial = dial;
+    }
+
+    void start() {
+        Threads.start("server-" + host, this::run);
+    }
+
+    /** Never waits: the module's thread calls it. A full mailbox means that nothing was written. */
+    void send(Attempt attempt) {
+        if (!mailbox.offer(new Task.Send(attempt))) {
+            LOG.warning(host + ": mailbox full, attempt not sent");
+            Threads.start("full-" + host, () -> unreachable(attempt));
+        }
+    }
+
+    void abort(Attempt attempt) {
+        tell(new Task.Abort(attempt));
+    }
+
+    void closeIdle() {
+        tell(new Task.CloseIdle());
+    }
+
+    void dial(InetSocketAddress address) {
+        tell(new Task.Dial(address));
+    }
+
+    /** Whether no connection is open. */
+    boolean quiet() {
+        return connections == 0;
+    }
+
+    /** Ends the actor once nothing is out any more. */
+    void retire() {
+        tell(new Task.Retire());
+    }
+
+    private void tell(Task task) {
+        if (!mailbox.offer(task)) {
+            LOG.severe(host + ": mailbox full, lost " + task);
+        }
+    }
+
+    private void run() {
+        try {
+            while (!(retired && connections == 0)) {
+                Task task = mailbox.poll(site.idleTime());
+                try {
+                    handle(task);
+                    dropOld();
+                } catch (RuntimeException e) {
+                    LOG.log(Level.SEVERE, host + ": actor failed on a message and goes on", e);
+                }
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void handle(Task task) {
+        if (task instanceof Task.Send send) {
+            begin(send.attempt());
+        } else if (task instanceof Task.Abort abort) {
+            CacheConnection used = out.remove(abort.attempt());
+            if (used != null) {
+                used.close();
+            }
+        } else if (task instanceof Task.Ended ended) {
+            settle(ended);
+        } else if (task instanceof Task.Closed closed) {
+            idle.removeIf(i -> i.connection() == closed.connection());
+            connections--;
+            site.budget().release();
+        } else if (task instanceof Task.Dial changed) {
+            if (!changed.address().equals(dial)) {
+                LOG.info(host + ": address changes from " + dial + " to " + changed.address());
+                dial = changed.address();
+                dropIdle();
+            }
+        } else if (task instanceof Task.CloseIdle) {
+            dropIdle();
+        } else if (task instanceof Task.Retire) {
+            retired = true;
+            dropIdle();
+        }
+    }
+
+    /** The connection used last is taken first, so that those too many grow old and are closed. */
+    private void begin(Attempt attempt) {
+        if (attempt.until() <= site.clock().now()) {
+            unreachable(attempt);
+            return;
+        }
+        dropOld();
+        while (!idle.isEmpty()) {
+            CacheConnection next = idle.pop().connection();
+            out.put(attempt, next);
+            if (next.reuse(attempt)) {
+                return;
+            }
+            out.remove(attempt);
+        }
+        if (!site.budget().take()) {
+            unreachable(attempt);
+            return;
+        }
+        CacheConnection fresh = new CacheConnection(dial, site.connectTimeout(), site.clock(),
+            site.replies(), owner);
+        connections++;
+        out.put(attempt, fresh);
+        fresh.open(attempt);
+    }
+
+    private void settle(Task.Ended ended) {
+        boolean wanted = out.remove(ended.attempt()) != null;
+        CacheConnection used = ended.connection();
+        if (ended.reusable() && wanted && !retired && used.address().equals(dial)) {
+            idle.push(new Idle(used, site.clock().now()));
+        } else {
+            used.close();
+        }
+    }
+
+    private void dropOld() {
+        long oldest = site.clock().now() - site.idleTime();
+        while (!idle.isEmpty() && idle.peekLast().since() < oldest) {
+            idle.pollLast().connection().close();
+        }
+    }
+
+    private void dropIdle() {
+        idle.forEach(i -> i.connection().close());
+        idle.clear();
+    }
+
+    private void unreachable(Attempt attempt) {
+        site.module().accept(new Message.Ended(attempt,
+            Outcome.of(Routing.Ending.CONNECT_FAILED, site.clock().now())));
+    }
+
+    /** Runs on the threads of the connections. */
+    private final class Reports implements CacheConnection.Owner {
+        @Override
+        public void ended(CacheConnection connection, Attempt attempt, Outcome outcome, boolean reusable) {
+            // The pool first: what the module sends next finds the connection idle.
+            post(new Task.Ended(connection, attempt, reusable));
+            site.module().accept(new Message.Ended(attempt, outcome));
+        }
+
+        @Override
+        public void closed(CacheConnection connection) {
+            post(new Task.Closed(connection));
+        }
+
+        private void post(Task task) {
+            try {
+                mailbox.put(task);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/net/ClientCall.java
@@ -0,0 +1,59 @@
+package beaconturn.net;
+
+import beaconturn.core.Call;
+import beaconturn.protocol.RespWriter;
+import beaconturn.protocol.Slice;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A request that came as a RESP2 command, and the place of its answer on the client's connection. */
+final class ClientCall extends Reply implements Call {
+    private static final long MILLI = 1_000_000;
+    private final Call.Ask ask;
+    private final long deadline;
+    private final RequestParser.Parts parts;
+
+    ClientCall(Call.Ask ask, long deadline, RequestParser.Parts parts) {
+        this.ask = ask;
+        this.deadline = deadline;
+        this.parts = parts;
+    }
+
+    @Override
+    public Call.Ask ask() {
+        return ask;
+    }
+
+    @Override
+    public long deadline() {
+        return deadline;
+    }
+
+    @Override
+    public List<Slice> forwarded(long waitMillis) {
+        List<Slice> pieces = new ArrayList<>(4);
+        pieces.add(RespWriter.listOf(parts.value() == null ? 4 : 5));
+        pieces.add(parts.head());
+        pieces.add(RespWriter.bulk(parts.attributesWith(waitMillis)));
+        if (parts.value() != null) {
+            pieces.add(parts.value());
+        }
+        return pieces;
+    }
+
+    @Override
+    public void served(Slice answer) {
+        fill(answer);
+    }
+
+    /** Rounded up, so that no client comes again before it should. */
+    @Override
+    public void refused(long retryAfter) {
+        fill(RespWriter.failure(retryAfter <= 0 ? "BUSY" : "BUSY " + (retryAfter + MILLI - 1) / MILLI));
+    }
+
+    @Override
+    public void failed() {
+        fill(RespWriter.failure("ERR failed"));
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/net/ListReader.java
@@ -0,0 +1,87 @@
+package beaconturn.net;
+
+import beaconturn.core.ListNews;
+import beaconturn.core.Settings;
+import beaconturn.decision.Routing;
+import beaconturn.protocol.Json;
+import beaconturn.protocol.ProtocolException;
+import beaconturn.protocol.Slice;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Turns discovery's form of the list into news for the module. */
+final class ListReader {
+    private static final long MILLI = 1_000_000;
+    private final Settings settings;
+
+    ListReader(Settings settings) {
+        this.settings = settings;
+    }
+
+    /** The news in an answer of discovery. */
+    ListNews read(Json answer) throws ProtocolException {
+        boolean whole = answer.get("whole").word("false").equals("true");
+        return read(answer, whole ? Routing.ListKind.FULL : Routing.ListKind.DELTA);
+    }
+
+    /** The list that the router had before it started; it may be old. */
+    ListNews known(Json answer) throws ProtocolException {
+        return read(answer, Routing.ListKind.CACHED);
+    }
+
+    private ListNews read(Json answer, Routing.ListKind kind) throws ProtocolException {
+        if (!(answer.get("hosts") instanceof Json.Items)) {
+            throw new ProtocolException("list without hosts");
+        }
+        List<ListNews.Member> members = new ArrayList<>();
+        for (Json line : answer.get("hosts").items()) {
+            members.add(member(line));
+        }
+        return new ListNews((long) number(answer, "seq", 0), kind, List.copyOf(members));
+    }
+
+    /** The number that stands for a cache server comes from its name, which is the same at every router. */
+    private ListNews.Member member(Json line) throws ProtocolException {
+        String host = line.get("host").word("");
+        Routing.Health health = health(line.get("health").word(""));
+        String dial = line.get("dial").word("");
+        if (host.isEmpty()) {
+            throw new ProtocolException("list line without a host");
+        }
+        if (health != Routing.Health.GONE) {
+            checkAddress(dial);
+        }
+        byte[] name = host.getBytes(StandardCharsets.UTF_8);
+        Routing.ServerEntry entry = new Routing.ServerEntry(NameHash.of(new Slice(name, 0, name.length)),
+            settings.zones().indexOf(line.get("site").word("")),
+            settings.kinds().indexOf(line.get("class").word("")), (int) number(line, "block", 0), health,
+            number(line, "share", 1), (long) number(line, "born_ms", 0) * MILLI);
+        return new ListNews.Member(entry, host, dial);
+    }
+
+    private static void checkAddress(String dial) throws ProtocolException {
+        try {
+            Sockets.address(dial);
+        } catch (IllegalArgumentException e) {
+            throw new ProtocolException("dial is " + e.getMessage());
+        }
+    }
+
+    private static Routing.Health health(String word) throws ProtocolException {
+        return switch (word) {
+            case "ready" -> Routing.Health.READY;
+            case "draining" -> Routing.Health.DRAINING;
+            case "gone" -> Routing.Health.GONE;
+            default -> throw new ProtocolException("unknown health '" + word + "'");
+        };
+    }
+
+    private static double number(Json line, String name, double fallback) throws ProtocolException {
+        try {
+            return Double.parseDouble(line.get(name).word(Double.toString(fallback)));
+        } catch (NumberFormatException e) {
+            throw new ProtocolException(name + " is not a number");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/net/NameHash.java
@@ -0,0 +1,20 @@
+package beaconturn.net;
+
+import beaconturn.protocol.Slice;
+
+/** The number that stands for a name; FNV-1a, so that every router and every start finds the same one. */
+final class NameHash {
+    private static final long BASIS = 0xcbf29ce484222325L;
+    private static final long PRIME = 0x100000001b3L;
+
+    private NameHash() {
+    }
+
+    static long of(Slice name) {
+        long hash = BASIS;
+        for (int i = 0; i < name.length(); i++) {
+            hash = (hash ^ name.at(i) & 0xff) * PRIME;
+        }
+        return hash;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/net/Reply.java
@@ -0,0 +1,28 @@
+package beaconturn.net;
+
+import beaconturn.protocol.Slice;
+import java.util.concurrent.CountDownLatch;
+
+/** The place of one answer in the order of a client's connection: filled once, by any thread. */
+class Reply {
+    private final CountDownLatch filled = new CountDownLatch(1);
+    private volatile Slice bytes;
+
+    /** Fills in the answer; one that comes second is dropped. */
+    final synchronized void fill(Slice answer) {
+        if (bytes == null) {
+            bytes = answer;
+            filled.countDown();
+        }
+    }
+
+    final boolean isFilled() {
+        return bytes != null;
+    }
+
+    /** Waits for the answer. */
+    final Slice await() throws InterruptedException {
+        filled.await();
+        return bytes;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -0,0 +1,113 @@
+package beaconturn.net;
+
+import beaconturn.core.Clock;
+import beaconturn.core.Lifecycle;
+import beaconturn.core.Message;
+import beaconturn.core.ModuleActor;
+import beaconturn.core.ModuleHost;
+import beaconturn.decision.Routing;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.logging.Logger;
+
+/** One real router: puts the parts together, starts them, and takes them down at the end. */
+public final class RouterServer {
+    private static final Logger LOG = Logger.getLogger(RouterServer.class.getName());
+    private static final long MILLI = 1_000_000;
+    /** Descriptors for everything but connections: the jar, the log, discovery, the listener, JVM files. */
+    private static final int SPARE_SOCKETS = 48;
+    /** After a planned stop is announced, new connections still come for up to 0.4 s. */
+    private static final long ACCEPT_ON = 550 * MILLI;
+    private static final long STEP_MILLIS = 5;
+    private static final long SWEEP_MILLIS = 1000;
+
+    private final RouterConfig config;
+    private final Clock clock = Clock.system();
+    private final Lifecycle lifecycle;
+    private final ModuleActor module = new ModuleActor();
+    private final ClientConnections clients;
+    private final RequestParser parser;
+    private final Listener listener;
+    private final Discovery discovery;
+
+    /** Binds the address; nothing is served before {@link #start}. */
+    public RouterServer(RouterConfig config, Lifecycle lifecycle) throws IOException {
+        this.config = config;
+        this.lifecycle = lifecycle;
+        int forPeers = config.sockets() - SPARE_SOCKETS;
+        this.clients = new ClientConnections(forPeers / 2);
+        this.parser = new RequestParser(config.settings());
+        this.discovery = new Discovery(config.discovery(), new ListReader(config.settings()),
+            config.known().version(), module::post);
+        Routing.Settings routing = config.settings().routing();
+        CacheFleet fleet = new CacheFleet(new CacheServer.Site(clock, module::post,
+            new ConnectionBudget(forPeers - forPeers / 2), new ReplyReader(routing),
+            routing.permissions().connectTimeout(), config.settings().idleTime() / 2));
+        module.host(new ModuleHost(routing, config.seed(), clock, fleet, discovery));
+        this.listener = new Listener(config.listen(), this::accepted);
+    }
+
+    /** Starts all actors; clients are told that the router is ready. */
+    public void start() {
+        Threads.start("module", module);
+        module.post(new Message.News(config.known()));
+        discovery.start();
+        listener.start();
+        Threads.start("sweeper", this::sweep);
+        lifecycle.advance(Lifecycle.Phase.SERVING);
+        LOG.info(config.name() + " serves on " + listener.address());
+    }
+
+    /** Where clients connect. */
+    public InetSocketAddress address() {
+        return listener.address();
+    }
+
+    /**
+     * Serves on while connections still come, then closes those between requests until all that was taken
+     * is answered.
+     */
+    public void drain() throws InterruptedException {
+        if (!lifecycle.advance(Lifecycle.Phase.DRAINING)) {
+            return;
+        }
+        long longest = config.settings().routing().classes().stream()
+            .mapToLong(Routing.RequestClass::deadline).max().orElse(0);
+        long began = clock.now();
+        Thread.sleep(ACCEPT_ON / MILLI);
+        listener.close();
+        while (clients.count() > 0 && clock.now() < began + ACCEPT_ON + longest) {
+            clients.closeQuiet(clock.now());
+            Thread.sleep(STEP_MILLIS);
+        }
+        LOG.info("drained in " + (clock.now() - began) / MILLI + " ms, " + module.open() + " unanswered");
+        module.stop();
+        lifecycle.advance(Lifecycle.Phase.STOPPED);
+    }
+
+    private void accepted(Socket socket) {
+        try {
+            while (!clients.makeRoom(clock.now())) {
+                Thread.sleep(STEP_MILLIS);
+            }
+            ClientConnection connection = new ClientConnection(socket, parser, clock, lifecycle, module::post,
+                clients::remove);
+            clients.add(connection);
+            connection.start();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void sweep() {
+        try {
+            while (lifecycle.phase() != Lifecycle.Phase.STOPPED) {
+                clients.closeStuck(clock.now());
+                Thread.sleep(SWEEP_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/net/Sockets.java
@@ -0,0 +1,77 @@
+package beaconturn.net;
+
+import beaconturn.protocol.InputBuffer;
+import beaconturn.protocol.Slice;
+import java.io.BufferedOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.List;
+
+/** Small helpers that all connections share. */
+final class Sockets {
+    private static final int COALESCED = 2048;
+
+    private Sockets() {
+    }
+
+    /** Reads what is there, waiting for the first byte; false at the end of the stream. */
+    static boolean read(InputStream from, InputBuffer into) throws IOException {
+        int room = into.room();
+        int got = from.read(into.array(), into.end(), room);
+        if (got < 0) {
+            return false;
+        }
+        into.filled(got);
+        return true;
+    }
+
+    /** Writes small pieces as one, so that a message of many of them is one packet. */
+    static void write(OutputStream to, List<Slice> pieces) throws IOException {
+        if (pieces.size() == 1) {
+            Slice only = pieces.get(0);
+            to.write(only.array(), only.from(), only.length());
+            return;
+        }
+        BufferedOutputStream out = new BufferedOutputStream(to, COALESCED);
+        for (Slice piece : pieces) {
+            out.write(piece.array(), piece.from(), piece.length());
+        }
+        out.flush();
+    }
+
+    /** Closes without waiting; a socket that is closed already stays so. */
+    static void close(Closeable socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // There is nothing left to do with a socket that fails to close.
+            return;
+        }
+    }
+
+    static Socket connect(InetSocketAddress address, int timeoutMillis) throws IOException {
+        Socket socket = new Socket();
+        try {
+            socket.setTcpNoDelay(true);
+            socket.connect(address, Math.max(1, timeoutMillis));
+            return socket;
+        } catch (IOException | RuntimeException e) {
+            close(socket);
+            throw e;
+        }
+    }
+
+    /** An address written as host:port, without asking any name service. */
+    static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon <= 0 || !text.substring(colon + 1).matches("[0-9]{1,5}")
+                || !text.substring(0, colon).matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
+            throw new IllegalArgumentException("not an address and port: '" + text + "'");
+        }
+        return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
+    }
+}
--- a/src/main/java/beaconturn/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** The command line of beaconturn. */
-package beaconturn;
--- a/src/main/java/beaconturn/sim/Wire.java
+++ b/src/main/java/beaconturn/sim/Wire.java
@@ -1,12 +1,16 @@
 package beaconturn.sim;
 
+import beaconturn.core.SettingsException;
+import beaconturn.core.SettingsReader;
 import beaconturn.decision.Routing;
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** The codes of the simulator's wire, and how its records become the decision module's events. */
 final class Wire {
@@ -79,7 +83,22 @@
     static Up up(ByteBuffer in) throws WireException {
         long seed = in.getLong();
         byte[] text = bytes(in, in.getInt());
-        return new Up(seed, SettingsParser.parse(new String(text, StandardCharsets.UTF_8)));
+        return new Up(seed, settings(new String(text, StandardCharsets.UTF_8)));
+    }
+
+    private static Routing.Settings settings(String text) throws WireException {
+        Map<String, String> values = new HashMap<>();
+        for (String line : text.split("\n")) {
+            int equals = line.indexOf('=');
+            if (equals > 0) {
+                values.put(line.substring(0, equals).trim(), line.substring(equals + 1).trim());
+            }
+        }
+        try {
+            return SettingsReader.read(values).routing();
+        } catch (SettingsException e) {
+            throw new WireException(e.getMessage());
+        }
     }
 
     private static Routing.ServerList serverList(ByteBuffer in) throws WireException {
--- a/src/test/java/beaconturn/package-info.java
+++ b/src/test/java/beaconturn/cli/package-info.java
@@ -1,2 +1,2 @@
 /** Tests of the command line. */
-package beaconturn;
+package beaconturn.cli;
