--- a/src/main/java/beaconturn/core/Attempt.java
+++ b/src/main/java/beaconturn/core/Attempt.java
@@ -10,7 +10,8 @@
     private final long allowFor;
     private boolean over;
 
-    Attempt(long request, int number, long server, Call call, long sentAt, long allowFor) {
+    /** The attempt of that number of a request; it may be out for {@code allowFor} from {@code sentAt} on. */
+    public Attempt(long request, int number, long server, Call call, long sentAt, long allowFor) {
         this.request = request;
         this.number = number;
         this.server = server;
--- a/src/main/java/beaconturn/core/Mailbox.java
+++ b/src/main/java/beaconturn/core/Mailbox.java
@@ -20,6 +20,11 @@
         return queue.offer(message);
     }
 
+    /** Posts without waiting, but only if room for so many more stays; false if not. */
+    public boolean offerLeaving(int room, T message) {
+        return queue.remainingCapacity() > room && queue.offer(message);
+    }
+
     /** Posts, waiting for room: for threads that may wait, which the module's may not. */
     public void put(T message) throws InterruptedException {
         queue.put(message);
--- a/src/main/java/beaconturn/core/ModuleActor.java
+++ b/src/main/java/beaconturn/core/ModuleActor.java
@@ -58,7 +58,7 @@
                 host.handle(message);
             }
             host.runDue();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.log(Level.SEVERE, "module actor failed on a message and goes on", e);
         }
     }
--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -4,6 +4,7 @@
 import beaconturn.decision.Routing;
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.function.Function;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -13,6 +14,7 @@
  */
 public final class ModuleHost {
     private static final Logger LOG = Logger.getLogger(ModuleHost.class.getName());
+    private static final float[] NO_REPORT = {};
 
     private final Routing.Settings settings;
     private final Clock clock;
@@ -25,11 +27,17 @@
 
     /** A host whose module starts with the settings and the seed. */
     public ModuleHost(Routing.Settings settings, long seed, Clock clock, Fleet fleet, ListSource list) {
+        this(settings, clock, fleet, list, out -> new RingRouter(settings, seed, clock.now(), out));
+    }
+
+    /** A host of any module, for tests. */
+    ModuleHost(Routing.Settings settings, Clock clock, Fleet fleet, ListSource list,
+            Function<Routing.Actions, Routing.Router> module) {
         this.settings = settings;
         this.clock = clock;
         this.fleet = fleet;
         this.list = list;
-        this.router = new RingRouter(settings, seed, clock.now(), new Actions());
+        this.router = module.apply(new Actions());
     }
 
     /** Handles one message and all that follows from it at once. */
@@ -125,7 +133,7 @@
             Routing.Event next = pending.element();
             try {
                 router.handle(clock.now(), next);
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | StackOverflowError e) {
                 // One event that the module fails on must not end the router, nor strand its request.
                 LOG.log(Level.SEVERE, "decision module failed on " + next.getClass().getSimpleName(), e);
                 if (next instanceof Routing.Arrival arrival) {
@@ -145,7 +153,7 @@
                 LOG.warning("send for request " + request + ", which may not have it: not sent");
                 int number = r == null ? 0 : r.attempts().size();
                 pending.add(new Routing.AttemptClosed(request, 0, r == null || r.closed(), server,
-                    Routing.Ending.MOOT, Routing.Note.NONE, number, new float[0]));
+                    Routing.Ending.MOOT, Routing.Note.NONE, number, NO_REPORT));
                 return;
             }
             long now = clock.now();
@@ -153,7 +161,9 @@
             long allowed = allowFor == 0 ? left : Math.min(left, allowFor);
             Attempt a = table.attempt(r, server, now, allowed);
             timers.at(a.until(), () -> timedOut(a));
-            fleet.send(a);
+            if (!fleet.send(a)) {
+                over(a, r, Routing.Ending.CONNECT_FAILED);
+            }
         }
 
         @Override
@@ -163,14 +173,20 @@
                 return;
             }
             Attempt a = r.attempts().get(attempt);
-            if (a.end()) {
+            if (!a.over()) {
                 fleet.abort(a);
-                table.ended(r);
-                pending.add(new Routing.AttemptClosed(request, clock.now() - a.sentAt(), r.closed(),
-                    a.server(), Routing.Ending.CANCELLED, Routing.Note.NONE, attempt, new float[0]));
+                over(a, r, Routing.Ending.CANCELLED);
             }
         }
 
+        /** Ends an attempt while the module acts: it hears of it once it has handled the event at hand. */
+        private void over(Attempt a, RequestTable.Entry r, Routing.Ending ending) {
+            a.end();
+            table.ended(r);
+            pending.add(new Routing.AttemptClosed(a.request(), clock.now() - a.sentAt(), r.closed(),
+                a.server(), ending, Routing.Note.NONE, a.number(), NO_REPORT));
+        }
+
         @Override
         public void refuse(long request, long retryAfter) {
             RequestTable.Entry r = table.get(request);
--- a/src/main/java/beaconturn/net/CacheConnection.java
+++ b/src/main/java/beaconturn/net/CacheConnection.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.logging.Logger;
 
 /**
  * One connection to a cache server, which carries one request at a time: answers come in order, so a second
@@ -18,6 +19,7 @@
  * times, so that a peer's close is seen before the next request is written.
  */
 final class CacheConnection {
+    private static final Logger LOG = Logger.getLogger(CacheConnection.class.getName());
     private static final long MILLI = 1_000_000;
     /** A whole request fits into the kernel's buffer, so that writing one to a silent peer never blocks. */
     private static final int SEND_BUFFER = 128 * 1024;
@@ -88,9 +90,12 @@
             socket.connect(address, (int) Math.max(1, wait / MILLI));
             transmit(first);
             read();
-        } catch (IOException | ProtocolException | RuntimeException e) {
-            broken();
+        } catch (ProtocolException e) {
+            LOG.warning("cache server at " + address + " broke its protocol: " + e.getMessage());
+        } catch (IOException e) {
+            LOG.finer("connection to " + address + " ended: " + e.getMessage());
         } finally {
+            broken();
             close();
             owner.closed(this);
         }
@@ -116,7 +121,6 @@
                 answered(replies.read(v, clock.now()), in.size() == 0);
             }
         }
-        broken();
     }
 
     private void answered(Outcome outcome, boolean clean) throws ProtocolException {
--- a/src/main/java/beaconturn/net/CacheFleet.java
+++ b/src/main/java/beaconturn/net/CacheFleet.java
@@ -3,8 +3,6 @@
 import beaconturn.core.Attempt;
 import beaconturn.core.Fleet;
 import beaconturn.core.ListNews;
-import beaconturn.core.Message;
-import beaconturn.core.Outcome;
 import beaconturn.decision.Routing;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -25,15 +23,9 @@
     }
 
     @Override
-    public void send(Attempt attempt) {
+    public boolean send(Attempt attempt) {
         Known known = servers.get(attempt.server());
-        if (known != null && known.health() != Routing.Health.GONE) {
-            known.actor().send(attempt);
-        } else {
-            // Posting to the module from its own thread could wait for itself.
-            Threads.start("unknown-server", () -> site.module().accept(new Message.Ended(attempt,
-                Outcome.of(Routing.Ending.CONNECT_FAILED, site.clock().now()))));
-        }
+        return known != null && known.health() != Routing.Health.GONE && known.actor().send(attempt);
     }
 
     @Override
--- a/src/main/java/beaconturn/net/CacheServer.java
+++ b/src/main/java/beaconturn/net/CacheServer.java
@@ -62,12 +62,9 @@
         Threads.start("server-" + host, this::run);
     }
 
-    /** Never waits: the module's thread calls it. A full mailbox means that nothing was written. */
-    void send(Attempt attempt) {
-        if (!mailbox.offer(new Task.Send(attempt))) {
-            LOG.warning(host + ": mailbox full, attempt not sent");
-            Threads.start("full-" + host, () -> unreachable(attempt));
-        }
+    /** Never waits: the module's thread calls it. Half of the mailbox is kept for what must not be lost. */
+    boolean send(Attempt attempt) {
+        return mailbox.offerLeaving(MOST_MESSAGES / 2, new Task.Send(attempt));
     }
 
     void abort(Attempt attempt) {
@@ -105,7 +102,7 @@
                 try {
                     handle(task);
                     dropOld();
-                } catch (RuntimeException e) {
+                } catch (RuntimeException | Error e) {
                     LOG.log(Level.SEVERE, host + ": actor failed on a message and goes on", e);
                 }
             }
@@ -163,9 +160,17 @@
         }
         CacheConnection fresh = new CacheConnection(dial, site.connectTimeout(), site.clock(),
             site.replies(), owner);
-        connections++;
         out.put(attempt, fresh);
-        fresh.open(attempt);
+        try {
+            fresh.open(attempt);
+            connections++;
+        } catch (OutOfMemoryError e) {
+            // No thread could be had for it: nothing was written, and the place is free again.
+            LOG.warning(host + ": no thread for a new connection");
+            out.remove(attempt);
+            site.budget().release();
+            unreachable(attempt);
+        }
     }
 
     private void settle(Task.Ended ended) {
--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -12,61 +12,87 @@
 import beaconturn.protocol.Slice;
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.logging.Logger;
 
 /**
  * One client: a thread that reads commands, and an actor that writes the answers in their order. Reading
  * goes on while requests are out, so that a client's close is seen at once.
  */
 final class ClientConnection {
+    private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
     private static final int MOST_PIPELINED = 64;
     private static final int LONGEST_VALUE = 1 << 16;
-    private static final Slice NO_MORE = Slice.of("");
+    private static final int LINGER_MILLIS = 250;
+    private static final long NEVER = Long.MAX_VALUE;
+    /** In the place of an answer: nothing more is written. */
+    private static final Slice END = Slice.of("");
+
+    /** What a connection needs of the router round it. */
+    record Site(RequestParser parser, Clock clock, Lifecycle lifecycle, Consumer<Message> module,
+            Consumer<ClientConnection> whenClosed) { }
 
     private final Socket socket;
-    private final RequestParser parser;
-    private final Clock clock;
-    private final Lifecycle lifecycle;
-    private final Consumer<Message> module;
-    private final Consumer<ClientConnection> whenClosed;
+    private final Site site;
     private final Mailbox<Reply> replies = new Mailbox<>(MOST_PIPELINED);
-    private final AtomicInteger unanswered = new AtomicInteger();
-    private final List<ClientCall> open = new ArrayList<>();
+    private final List<ClientCall> calls = new ArrayList<>();
+    private volatile long writingSince = NEVER;
     private volatile boolean halfRead;
-    private volatile long quietSince;
-    private volatile long writingSince;
+    // Guarded by this:
+    private int unanswered;
+    private long quietSince;
+    private long closingSince = NEVER;
 
-    ClientConnection(Socket socket, RequestParser parser, Clock clock, Lifecycle lifecycle,
-            Consumer<Message> module, Consumer<ClientConnection> whenClosed) {
+    ClientConnection(Socket socket, Site site) {
         this.socket = socket;
-        this.parser = parser;
-        this.clock = clock;
-        this.lifecycle = lifecycle;
-        this.module = module;
-        this.whenClosed = whenClosed;
-        this.quietSince = clock.now();
+        this.site = site;
+        this.quietSince = site.clock().now();
     }
 
     void start() {
-        Threads.start("client-read", this::read);
-        Threads.start("client-write", this::write);
+        try {
+            Threads.start("client-write", this::write);
+            Threads.start("client-read", this::read);
+        } catch (OutOfMemoryError e) {
+            LOG.warning("no thread for a new client connection, which is closed");
+            leave();
+        }
     }
 
-    /** Since when no request is out and none half read; or {@code Long.MAX_VALUE} if one is. */
-    long quietSince() {
-        return unanswered.get() == 0 && !halfRead ? quietSince : Long.MAX_VALUE;
+    /** Since when no request is out and none half read, or {@code Long.MAX_VALUE} if one is. */
+    synchronized long quietSince() {
+        return unanswered == 0 && !halfRead && closingSince == NEVER ? quietSince : NEVER;
     }
 
     /** Since when an answer is being written, or {@code Long.MAX_VALUE} if none is. */
     long writingSince() {
-        long since = writingSince;
-        return since == 0 ? Long.MAX_VALUE : since;
+        return writingSince;
+    }
+
+    /** Since when the client is awaited to close its end, or {@code Long.MAX_VALUE} if it is not. */
+    synchronized long closingSince() {
+        return closingSince;
+    }
+
+    /**
+     * Ends the connection if no request is out. Only its sending: closing all of it would reset it under a
+     * request that crosses, and with it the last answer on its way.
+     */
+    void finishIfQuiet() {
+        synchronized (this) {
+            if (quietSince() == NEVER) {
+                return;
+            }
+            closingSince = site.clock().now();
+        }
+        end();
     }
 
+    /** Closes at once, whatever is out. */
     void close() {
         Sockets.close(socket);
     }
@@ -76,18 +102,19 @@
             InputBuffer in = new InputBuffer();
             RespReader reader = new RespReader(LONGEST_VALUE);
             while (Sockets.read(socket.getInputStream(), in)) {
+                halfRead = true;
                 for (RespValue v = reader.next(in); v != null; v = reader.next(in)) {
                     command(v);
                 }
                 halfRead = in.size() > 0;
             }
-            leave();
         } catch (ProtocolException e) {
-            refuse(e.getMessage());
+            malformed(e.getMessage());
         } catch (IOException e) {
-            leave();
+            LOG.finer("client connection ended: " + e.getMessage());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } finally {
             leave();
         }
     }
@@ -98,83 +125,122 @@
             throw new ProtocolException("expected a command");
         }
         if (!RequestParser.isRequest(name.bytes())) {
-            inOrder(new Reply(), other(name.bytes().toString().toUpperCase(Locale.ROOT)));
+            Reply reply = new Reply();
+            reply.fill(other(name.bytes().toString().toUpperCase(Locale.ROOT)));
+            inOrder(reply);
             return;
         }
-        ClientCall call = parser.parse(array.items(), clock.now());
-        synchronized (open) {
-            open.removeIf(Reply::isFilled);
-            open.add(call);
+        ClientCall call = site.parser().parse(array.items(), site.clock().now());
+        if (inOrder(call)) {
+            calls.removeIf(Reply::isFilled);
+            calls.add(call);
+            site.module().accept(new Message.Arrived(call));
         }
-        inOrder(call, null);
-        module.accept(new Message.Arrived(call));
     }
 
     private Slice other(String name) {
         return switch (name) {
-            case "PING" -> lifecycle.ready() ? RespWriter.simple("PONG") : RespWriter.failure("ERR starting");
+            case "PING" -> site.lifecycle().ready() ? RespWriter.simple("PONG")
+                : RespWriter.failure("ERR starting");
             case "CLIENT", "SELECT" -> RespWriter.simple("OK");
             default -> RespWriter.failure("ERR unknown command");
         };
     }
 
-    private void inOrder(Reply reply, Slice answer) throws InterruptedException {
-        unanswered.incrementAndGet();
-        if (answer != null) {
-            reply.fill(answer);
+    /** Takes the next place in the order of answers; false if the connection takes no more requests. */
+    private boolean inOrder(Reply reply) throws InterruptedException {
+        synchronized (this) {
+            if (closingSince != NEVER) {
+                return false;
+            }
+            unanswered++;
         }
         replies.put(reply);
+        return true;
     }
 
     /** Malformed input: what came before it is answered, then one error, then the connection ends. */
-    private void refuse(String reason) {
+    private void malformed(String reason) {
         try {
-            inOrder(new Reply(), RespWriter.failure("ERR " + reason));
-            inOrder(new Reply(), NO_MORE);
+            Reply error = new Reply();
+            error.fill(RespWriter.failure("ERR " + reason));
+            if (inOrder(error)) {
+                Reply last = new Reply();
+                last.fill(END);
+                replies.put(last);
+            }
+            discard();
+        } catch (IOException e) {
+            LOG.finer("client connection ended: " + e.getMessage());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            leave();
         }
     }
 
-    /** The client has gone: nobody waits for what it still had out. */
-    private void leave() {
-        close();
-        List<ClientCall> left;
-        synchronized (open) {
-            left = List.copyOf(open);
-        }
-        for (ClientCall call : left) {
-            if (!call.isFilled()) {
-                module.accept(new Message.Left(call));
-                call.fill(NO_MORE);
+    /** Reads on without looking, until the client closes: unread bytes would reset the error on its way. */
+    private void discard() throws IOException {
+        socket.setSoTimeout(LINGER_MILLIS);
+        byte[] ignored = new byte[1024];
+        boolean more = true;
+        while (more && site.clock().now() < longestLinger()) {
+            try {
+                more = socket.getInputStream().read(ignored) >= 0;
+            } catch (SocketTimeoutException e) {
+                more = true;
             }
         }
+    }
+
+    private synchronized long longestLinger() {
+        return closingSince == NEVER ? NEVER : closingSince + LINGER_MILLIS * 1_000_000L;
+    }
+
+    private void end() {
         Reply last = new Reply();
-        last.fill(NO_MORE);
+        last.fill(END);
         if (!replies.offer(last)) {
-            // The mailbox is full of answers to a closed socket; the first of them ends the writer.
-            return;
+            LOG.finer("the writer of a closed connection ends at its next answer");
         }
     }
 
+    /** The connection is over: nobody waits for what it still had out. */
+    private void leave() {
+        close();
+        for (ClientCall call : calls) {
+            if (!call.isFilled()) {
+                site.module().accept(new Message.Left(call));
+                call.fill(END);
+            }
+        }
+        end();
+        site.whenClosed().accept(this);
+    }
+
     private void write() {
         try {
-            for (Slice next = replies.take().await(); next != NO_MORE; next = replies.take().await()) {
-                writingSince = clock.now();
-                socket.getOutputStream().write(next.array(), next.from(), next.length());
-                writingSince = 0;
-                quietSince = clock.now();
-                unanswered.decrementAndGet();
+            for (Slice next = replies.take().await(); next != END; next = replies.take().await()) {
+                writingSince = site.clock().now();
+                Sockets.write(socket.getOutputStream(), List.of(next));
+                writingSince = NEVER;
+                answered();
             }
+            synchronized (this) {
+                closingSince = Math.min(closingSince, site.clock().now());
+            }
+            socket.shutdownOutput();
         } catch (IOException e) {
             // The reader sees the same end and tells the module; nothing can be said to this client.
-            writingSince = 0;
+            close();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-        } finally {
             close();
-            whenClosed.accept(this);
+        } finally {
+            writingSince = NEVER;
         }
     }
+
+    private synchronized void answered() {
+        unanswered--;
+        quietSince = site.clock().now();
+    }
 }
--- a/src/main/java/beaconturn/net/ClientConnections.java
+++ b/src/main/java/beaconturn/net/ClientConnections.java
@@ -1,7 +1,7 @@
 package beaconturn.net;
 
 import java.util.Comparator;
-import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -10,8 +10,10 @@
     private static final long MILLI = 1_000_000;
     /** A client that takes no byte for so long is not coming back for its answer. */
     private static final long LONGEST_WRITE = 10_000 * MILLI;
-    /** An answer just written should reach its client before the connection ends. */
+    /** An answer just written should reach its client before the connection is closed for room. */
     private static final long SETTLED = 30 * MILLI;
+    /** How long a client may take to close its end of a connection that the router has ended. */
+    private static final long LONGEST_LINGER = 250 * MILLI;
 
     private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
     private final int most;
@@ -37,24 +39,23 @@
         if (open.size() < most) {
             return true;
         }
-        List<ClientConnection> quiet = open.stream().filter(c -> c.quietSince() < now - SETTLED)
-            .sorted(Comparator.comparingLong(ClientConnection::quietSince)).limit(1).toList();
-        quiet.forEach(this::close);
-        return !quiet.isEmpty();
+        Optional<ClientConnection> oldest = open.stream().filter(c -> c.quietSince() < now - SETTLED)
+            .min(Comparator.comparingLong(ClientConnection::quietSince));
+        oldest.ifPresent(c -> {
+            c.finishIfQuiet();
+            c.close();
+        });
+        return open.size() < most;
     }
 
-    /** Closes the connections between requests, leaving alone those whose last answer is very new. */
-    void closeQuiet(long now) {
-        open.stream().filter(c -> c.quietSince() < now - SETTLED).forEach(this::close);
+    /** Ends the connections between requests. */
+    void finishQuiet() {
+        open.forEach(ClientConnection::finishIfQuiet);
     }
 
-    /** Closes the connections whose clients have stopped reading. */
-    void closeStuck(long now) {
-        open.stream().filter(c -> c.writingSince() < now - LONGEST_WRITE).forEach(ClientConnection::close);
-    }
-
-    private void close(ClientConnection connection) {
-        connection.close();
-        open.remove(connection);
+    /** Closes the connections whose clients have stopped reading, or do not close their end. */
+    void sweep(long now) {
+        open.stream().filter(c -> c.writingSince() < now - LONGEST_WRITE
+            || c.closingSince() < now - LONGEST_LINGER).forEach(ClientConnection::close);
     }
 }
--- a/src/main/java/beaconturn/net/Listener.java
+++ b/src/main/java/beaconturn/net/Listener.java
@@ -45,7 +45,7 @@
                 Socket socket = server.accept();
                 socket.setTcpNoDelay(true);
                 accepted.accept(socket);
-            } catch (IOException | RuntimeException e) {
+            } catch (IOException | RuntimeException | Error e) {
                 // Out of descriptors, or a client gone while it waited: the next one may do better.
                 if (!closed) {
                     LOG.log(Level.WARNING, "accept failed: " + e);
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -6,9 +6,11 @@
 import beaconturn.core.ModuleActor;
 import beaconturn.core.ModuleHost;
 import beaconturn.decision.Routing;
+import beaconturn.protocol.ProtocolException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /** One real router: puts the parts together, starts them, and takes them down at the end. */
@@ -27,7 +29,7 @@
     private final Lifecycle lifecycle;
     private final ModuleActor module = new ModuleActor();
     private final ClientConnections clients;
-    private final RequestParser parser;
+    private final ClientConnection.Site site;
     private final Listener listener;
     private final Discovery discovery;
 
@@ -37,7 +39,8 @@
         this.lifecycle = lifecycle;
         int forPeers = config.sockets() - SPARE_SOCKETS;
         this.clients = new ClientConnections(forPeers / 2);
-        this.parser = new RequestParser(config.settings());
+        this.site = new ClientConnection.Site(new RequestParser(config.settings()), clock, lifecycle,
+            module::post, clients::remove);
         this.discovery = new Discovery(config.discovery(), new ListReader(config.settings()),
             config.known().version(), module::post);
         Routing.Settings routing = config.settings().routing();
@@ -50,6 +53,7 @@
 
     /** Starts all actors; clients are told that the router is ready. */
     public void start() {
+        warmUp();
         Threads.start("module", module);
         module.post(new Message.News(config.known()));
         discovery.start();
@@ -78,7 +82,8 @@
         Thread.sleep(ACCEPT_ON / MILLI);
         listener.close();
         while (clients.count() > 0 && clock.now() < began + ACCEPT_ON + longest) {
-            clients.closeQuiet(clock.now());
+            clients.finishQuiet();
+            clients.sweep(clock.now());
             Thread.sleep(STEP_MILLIS);
         }
         LOG.info("drained in " + (clock.now() - began) / MILLI + " ms, " + module.open() + " unanswered");
@@ -86,13 +91,26 @@
         lifecycle.advance(Lifecycle.Phase.STOPPED);
     }
 
+    private void warmUp() {
+        try {
+            long began = clock.now();
+            new WarmUp(config).run();
+            LOG.info("warmed up in " + (clock.now() - began) / MILLI + " ms");
+        } catch (ProtocolException | RuntimeException e) {
+            // A router that is slow at first is better than none.
+            LOG.log(Level.WARNING, "warm-up failed", e);
+        }
+    }
+
     private void accepted(Socket socket) {
         try {
-            while (!clients.makeRoom(clock.now())) {
-                Thread.sleep(STEP_MILLIS);
+            if (!clients.makeRoom(clock.now())) {
+                LOG.warning("all " + clients.count() + " client connections are at work, new ones wait");
+                while (!clients.makeRoom(clock.now())) {
+                    Thread.sleep(STEP_MILLIS);
+                }
             }
-            ClientConnection connection = new ClientConnection(socket, parser, clock, lifecycle, module::post,
-                clients::remove);
+            ClientConnection connection = new ClientConnection(socket, site);
             clients.add(connection);
             connection.start();
         } catch (InterruptedException e) {
@@ -103,7 +121,7 @@
     private void sweep() {
         try {
             while (lifecycle.phase() != Lifecycle.Phase.STOPPED) {
-                clients.closeStuck(clock.now());
+                clients.sweep(clock.now());
                 Thread.sleep(SWEEP_MILLIS);
             }
         } catch (InterruptedException e) {
--- a/src/main/java/beaconturn/net/Sockets.java
+++ b/src/main/java/beaconturn/net/Sockets.java
@@ -14,13 +14,15 @@
 /** Small helpers that all connections share. */
 final class Sockets {
     private static final int COALESCED = 2048;
+    /** Each thread keeps a buffer outside the heap as large as its largest read or write. */
+    private static final int LARGEST_STEP = 16 * 1024;
 
     private Sockets() {
     }
 
     /** Reads what is there, waiting for the first byte; false at the end of the stream. */
     static boolean read(InputStream from, InputBuffer into) throws IOException {
-        int room = into.room();
+        int room = Math.min(LARGEST_STEP, into.room());
         int got = from.read(into.array(), into.end(), room);
         if (got < 0) {
             return false;
@@ -31,14 +33,12 @@
 
     /** Writes small pieces as one, so that a message of many of them is one packet. */
     static void write(OutputStream to, List<Slice> pieces) throws IOException {
-        if (pieces.size() == 1) {
-            Slice only = pieces.get(0);
-            to.write(only.array(), only.from(), only.length());
-            return;
-        }
         BufferedOutputStream out = new BufferedOutputStream(to, COALESCED);
         for (Slice piece : pieces) {
-            out.write(piece.array(), piece.from(), piece.length());
+            for (int done = 0; done < piece.length(); done += LARGEST_STEP) {
+                int step = Math.min(LARGEST_STEP, piece.length() - done);
+                out.write(piece.array(), piece.from() + done, step);
+            }
         }
         out.flush();
     }
--- /dev/null
+++ b/src/main/java/beaconturn/net/WarmUp.java
@@ -0,0 +1,114 @@
+package beaconturn.net;
+
+import beaconturn.core.Attempt;
+import beaconturn.core.Fleet;
+import beaconturn.core.ListNews;
+import beaconturn.core.ListSource;
+import beaconturn.core.Message;
+import beaconturn.core.ModuleHost;
+import beaconturn.core.Settings;
+import beaconturn.protocol.InputBuffer;
+import beaconturn.protocol.ProtocolException;
+import beaconturn.protocol.RespReader;
+import beaconturn.protocol.RespValue;
+import beaconturn.protocol.Slice;
+import java.util.ArrayDeque;
+import java.util.Queue;
+
+/**
+ * Runs requests through a module of its own before the router says that it is ready: parsers, decisions and
+ * writers are then compiled when the first client comes. All in memory, nothing is sent to anybody.
+ */
+final class WarmUp {
+    private static final int ROUNDS = 3000;
+    private static final long STEP = 5_000_000;
+    private static final int KEYS = 500;
+    private static final String ANSWER = "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n";
+
+    private final Settings settings;
+    private final RequestParser requests;
+    private final ReplyReader replies;
+    private final RespReader resp = new RespReader(1 << 16);
+    private final Queue<Attempt> sent = new ArrayDeque<>();
+    private final ModuleHost host;
+    private long now = 1;
+
+    WarmUp(RouterConfig config) {
+        this.settings = config.settings();
+        this.requests = new RequestParser(settings);
+        this.replies = new ReplyReader(settings.routing());
+        this.host = new ModuleHost(settings.routing(), config.seed(), () -> now, new NoFleet(), new NoList());
+        host.handle(new Message.News(config.known()));
+    }
+
+    /** Runs all rounds; each ends with the answers to what was sent two rounds before. */
+    void run() throws ProtocolException {
+        for (int i = 0; i < ROUNDS; i++) {
+            now += STEP;
+            host.runDue();
+            host.handle(new Message.Arrived(requests.parse(command(i).items(), now)));
+            while (sent.size() > 2) {
+                answer(sent.remove());
+            }
+        }
+    }
+
+    private RespValue.Array command(int round) throws ProtocolException {
+        String name = settings.classNames().get(round % settings.classNames().size());
+        String attributes = "c=" + name + ",d=480";
+        String text = String.format("*4\r\n$5\r\nC.GET\r\n$16\r\n%016x\r\n$16\r\n%016x\r\n$%d\r\n%s\r\n",
+            round % KEYS + 1, round, attributes.length(), attributes);
+        return (RespValue.Array) parse(text);
+    }
+
+    private void answer(Attempt attempt) throws ProtocolException {
+        attempt.call().forwarded(1);
+        host.handle(new Message.Ended(attempt, replies.read(parse(ANSWER), now)));
+    }
+
+    private RespValue parse(String text) throws ProtocolException {
+        InputBuffer in = new InputBuffer();
+        Slice bytes = Slice.of(text);
+        in.room();
+        System.arraycopy(bytes.array(), 0, in.array(), in.end(), bytes.length());
+        in.filled(bytes.length());
+        return resp.next(in);
+    }
+
+    private final class NoFleet implements Fleet {
+        @Override
+        public boolean send(Attempt attempt) {
+            return sent.add(attempt);
+        }
+
+        @Override
+        public void abort(Attempt attempt) {
+            sent.remove(attempt);
+        }
+
+        @Override
+        public void closeIdle(long server) {
+            sent.removeIf(a -> a.server() == server);
+        }
+
+        @Override
+        public void follow(ListNews news) {
+            sent.clear();
+        }
+    }
+
+    /** The warm-up's module keeps to the list that it was given. */
+    private static final class NoList implements ListSource {
+        private int calls;
+
+        @Override
+        public void watch(boolean on) {
+            calls++;
+        }
+
+        @Override
+        public void fetch() {
+            calls++;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/core/ModuleHostTest.java
@@ -0,0 +1,265 @@
+package beaconturn.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.decision.Routing;
+import beaconturn.protocol.Slice;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+/** The host between module and sockets, with a module that does what the test says. */
+class ModuleHostTest {
+    private static final long MILLI = 1_000_000;
+    private static final long SERVER = 7;
+    private final Routing.Settings settings = Samples.read().routing();
+    private final List<Routing.Event> events = new ArrayList<>();
+    private final FakeFleet fleet = new FakeFleet();
+    private Consumer<Routing.Event> module = e -> { };
+    private Routing.Actions actions;
+    private long now = 1000 * MILLI;
+    private final ModuleHost host = new ModuleHost(settings, () -> now, fleet, new NoList(), out -> {
+        actions = out;
+        return (clock, event) -> {
+            events.add(event);
+            module.accept(event);
+        };
+    });
+
+    /** Sends every arrival to the one server. */
+    private void sending(long allowFor) {
+        module = e -> {
+            if (e instanceof Routing.Arrival a) {
+                actions.send(a.request(), SERVER, allowFor);
+            }
+        };
+    }
+
+    private FakeCall arrive() {
+        FakeCall call = new FakeCall(now + 400 * MILLI);
+        host.handle(new Message.Arrived(call));
+        return call;
+    }
+
+    private Outcome ok(String answer) {
+        return new Outcome(Routing.Ending.OK, now, Routing.Note.HIT, new float[0], Slice.of(answer));
+    }
+
+    private Routing.AttemptClosed lastClosed() {
+        return (Routing.AttemptClosed) events.get(events.size() - 1);
+    }
+
+    @Test
+    void theFirstAnswerOfACacheServerIsTheClients() {
+        sending(0);
+        FakeCall call = arrive();
+        now += 30 * MILLI;
+        host.handle(new Message.Ended(fleet.sent.get(0), ok("value")));
+        assertEquals(List.of("served value"), call.answers);
+        assertEquals(30 * MILLI, lastClosed().elapsed());
+        assertTrue(lastClosed().closed());
+        assertEquals(0, host.open());
+    }
+
+    @Test
+    void aSecondAnswerIsDropped() {
+        module = e -> {
+            if (e instanceof Routing.Arrival a) {
+                actions.send(a.request(), SERVER, 0);
+                actions.send(a.request(), SERVER + 1, 0);
+            }
+        };
+        FakeCall call = arrive();
+        host.handle(new Message.Ended(fleet.sent.get(1), ok("one")));
+        host.handle(new Message.Ended(fleet.sent.get(0), ok("two")));
+        host.handle(new Message.Ended(fleet.sent.get(0), ok("three")));
+        assertEquals(List.of("served one"), call.answers);
+        assertEquals(3, events.size(), "each attempt ends once");
+    }
+
+    @Test
+    void anAttemptIsTimedOutAndEndedOnTheWire() {
+        sending(100 * MILLI);
+        FakeCall call = arrive();
+        now += 100 * MILLI;
+        host.runDue();
+        assertEquals(fleet.sent, fleet.aborted);
+        assertEquals(Routing.Ending.TIMEOUT, lastClosed().ending());
+        assertEquals(List.of(), call.answers, "what follows is the module's to decide");
+    }
+
+    @Test
+    void noAttemptOutlivesItsClient() {
+        sending(10_000 * MILLI);
+        arrive();
+        assertEquals(now + 400 * MILLI, fleet.sent.get(0).until());
+    }
+
+    @Test
+    void aCancelledAttemptIsEndedOnTheWireAndToldAfterTheEvent() {
+        module = e -> {
+            if (e instanceof Routing.Arrival a) {
+                actions.send(a.request(), SERVER, 0);
+                actions.cancel(a.request(), 0);
+                actions.refuse(a.request(), 20 * MILLI);
+            }
+        };
+        FakeCall call = arrive();
+        assertEquals(List.of("refused 20"), call.answers);
+        assertEquals(fleet.sent, fleet.aborted);
+        assertEquals(Routing.Ending.CANCELLED, lastClosed().ending());
+    }
+
+    @Test
+    void whatCannotBeStartedNeverRan() {
+        fleet.reachable = false;
+        sending(0);
+        arrive();
+        assertEquals(Routing.Ending.CONNECT_FAILED, lastClosed().ending());
+    }
+
+    /** A send for a request that has its answer would be an effect nobody asked for. */
+    @Test
+    void nothingIsSentForARequestThatIsOver() {
+        module = e -> {
+            if (e instanceof Routing.Arrival a) {
+                actions.fail(a.request());
+                actions.refuse(a.request(), 0);
+                actions.send(a.request(), SERVER, 0);
+            }
+        };
+        FakeCall call = arrive();
+        assertEquals(List.of("failed"), call.answers);
+        assertEquals(List.of(), fleet.sent);
+        assertEquals(Routing.Ending.MOOT, lastClosed().ending());
+    }
+
+    @Test
+    void aClientThatLeavesIsWithdrawnOnce() {
+        sending(0);
+        FakeCall call = arrive();
+        host.handle(new Message.Left(call));
+        host.handle(new Message.Left(call));
+        host.handle(new Message.Ended(fleet.sent.get(0), ok("late")));
+        assertEquals(List.of(), call.answers);
+        assertEquals(1, events.stream().filter(Routing.Withdrawn.class::isInstance).count());
+    }
+
+    /** Rule one must hold even against a defect of the module: no request goes without its answer. */
+    @Test
+    void aRequestThatTheModuleForgetsFailsWithinTheSlack() {
+        FakeCall call = arrive();
+        now += 400 * MILLI + settings.rules().answerSlack();
+        host.runDue();
+        assertEquals(List.of("failed"), call.answers);
+    }
+
+    @Test
+    void aModuleThatFailsOnAnArrivalFailsThatRequestAlone() {
+        module = e -> {
+            throw new IllegalStateException("defect");
+        };
+        FakeCall call = arrive();
+        assertEquals(List.of("failed"), call.answers);
+        sending(0);
+        FakeCall next = arrive();
+        host.handle(new Message.Ended(fleet.sent.get(0), ok("value")));
+        assertEquals(List.of("served value"), next.answers);
+    }
+
+    @Test
+    void timersComeInTheOrderOfTheirTimes() {
+        module = e -> {
+            if (e instanceof Routing.Arrival) {
+                actions.timer(20 * MILLI, 2);
+                actions.timer(10 * MILLI, 1);
+                actions.timer(20 * MILLI, 3);
+            }
+        };
+        arrive();
+        assertEquals(10 * MILLI, host.untilNext(1000 * MILLI));
+        now += 20 * MILLI;
+        host.runDue();
+        assertEquals(List.of(1L, 2L, 3L), events.stream().filter(Routing.Timer.class::isInstance)
+            .map(e -> ((Routing.Timer) e).token()).toList());
+    }
+
+    private static final class FakeCall implements Call {
+        private final long deadline;
+        private final List<String> answers = new ArrayList<>();
+
+        FakeCall(long deadline) {
+            this.deadline = deadline;
+        }
+
+        @Override
+        public Ask ask() {
+            return new Ask(0, 1, false, false, 0, 0, 0);
+        }
+
+        @Override
+        public long deadline() {
+            return deadline;
+        }
+
+        @Override
+        public List<Slice> forwarded(long waitMillis) {
+            return List.of();
+        }
+
+        @Override
+        public void served(Slice answer) {
+            answers.add("served " + answer);
+        }
+
+        @Override
+        public void refused(long retryAfter) {
+            answers.add("refused " + retryAfter / MILLI);
+        }
+
+        @Override
+        public void failed() {
+            answers.add("failed");
+        }
+    }
+
+    private static final class FakeFleet implements Fleet {
+        private final List<Attempt> sent = new ArrayList<>();
+        private final List<Attempt> aborted = new ArrayList<>();
+        private boolean reachable = true;
+
+        @Override
+        public boolean send(Attempt attempt) {
+            return reachable && sent.add(attempt);
+        }
+
+        @Override
+        public void abort(Attempt attempt) {
+            aborted.add(attempt);
+        }
+
+        @Override
+        public void closeIdle(long server) {
+            sent.clear();
+        }
+
+        @Override
+        public void follow(ListNews news) {
+            sent.clear();
+        }
+    }
+
+    private static final class NoList implements ListSource {
+        @Override
+        public void watch(boolean on) {
+            throw new AssertionError("not asked for here");
+        }
+
+        @Override
+        public void fetch() {
+            throw new AssertionError("not asked for here");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/core/SettingsReaderTest.java
@@ -0,0 +1,40 @@
+package beaconturn.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import beaconturn.decision.Routing;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class SettingsReaderTest {
+    @Test
+    void readsWhatTheModuleAndTheWireNeed() {
+        Settings settings = Samples.read();
+        assertEquals(List.of("read", "put", "ack"), settings.classNames());
+        assertEquals(List.of("east", "west"), settings.zones());
+        assertEquals(5_000_000_000L, settings.idleTime());
+        assertEquals(Routing.Effect.UNSAFE, settings.routing().classes().get(2).effect());
+        assertEquals(3, settings.routing().permissions().maxTries());
+    }
+
+    @Test
+    void namesTheFirstSettingThatIsMissingOrUnreadable() {
+        refused("classes.count", null);
+        refused("classes.1.effect", "sometimes");
+        refused("classes.2.target", "soon");
+        refused("classes.0.key_scope", "town");
+    }
+
+    private static void refused(String path, String value) {
+        Map<String, String> values = Samples.settings();
+        values.put(path, value);
+        if (value == null) {
+            values.remove(path);
+        }
+        String message = assertThrows(SettingsException.class, () -> SettingsReader.read(values))
+            .getMessage();
+        assertEquals("setting " + path, message.substring(0, message.indexOf(':')));
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/net/CacheServerTest.java
@@ -0,0 +1,284 @@
+package beaconturn.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.core.Attempt;
+import beaconturn.core.Call;
+import beaconturn.core.Clock;
+import beaconturn.core.Message;
+import beaconturn.core.Outcome;
+import beaconturn.core.Samples;
+import beaconturn.decision.Routing;
+import beaconturn.protocol.RespWriter;
+import beaconturn.protocol.Slice;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** What comes back from a cache server, outcome by outcome of the protocol's table. */
+class CacheServerTest {
+    private static final long SECOND = 1_000_000_000;
+    private static final String VALUE = "*3\r\n$2\r\nva\r\n$4\r\nmiss\r\n$-1\r\n";
+    private final Clock clock = Clock.system();
+    private final BlockingQueue<Message> module = new LinkedBlockingQueue<>();
+    private int sent;
+
+    private CacheServer server(InetSocketAddress dial, int connections, long idleTime) {
+        CacheServer server = new CacheServer(new CacheServer.Site(clock, module::add,
+            new ConnectionBudget(connections), new ReplyReader(Samples.read().routing()), SECOND, idleTime),
+            "s-1", dial);
+        server.start();
+        return server;
+    }
+
+    private CacheServer server(Peer peer) {
+        return server(peer.address(), 100, 60 * SECOND);
+    }
+
+    private Attempt attempt(Slice value) {
+        String name = "key-" + sent;
+        Call call = new ClientCall(new Call.Ask(0, 1, false, false, 0, 0, 0), clock.now() + 100 * SECOND,
+            new RequestParser.Parts(
+                Slice.of("$5\r\nC.GET\r\n" + RespWriter.bulk(name) + RespWriter.bulk("id")),
+                Map.of("d", "1"), value));
+        return new Attempt(++sent, 0, 7, call, clock.now(), 100 * SECOND);
+    }
+
+    private Attempt send(CacheServer server) {
+        Attempt attempt = attempt(null);
+        assertTrue(server.send(attempt));
+        return attempt;
+    }
+
+    private Outcome outcome(Attempt of) throws InterruptedException {
+        Message.Ended ended = (Message.Ended) module.poll(20, TimeUnit.SECONDS);
+        assertNotNull(ended, "no outcome");
+        assertEquals(of, ended.attempt());
+        return ended.outcome();
+    }
+
+    private void expect(Routing.Ending ending, Peer.Script script) throws InterruptedException {
+        try (Peer peer = new Peer(script)) {
+            assertEquals(ending, outcome(send(server(peer))).ending());
+            assertEquals(1, peer.connections(), "nothing is sent again by itself");
+        }
+    }
+
+    @Test
+    void anArrayIsServedWithItsNoteInHoweverManyPieces() throws InterruptedException {
+        try (Peer peer = new Peer(line -> {
+            line.command();
+            for (char c : VALUE.toCharArray()) {
+                line.write(Character.toString(c));
+            }
+            line.command();
+        })) {
+            Outcome outcome = outcome(send(server(peer)));
+            assertEquals(Routing.Ending.OK, outcome.ending());
+            assertEquals(Routing.Note.MISS, outcome.note());
+            assertEquals("$2\r\nva\r\n", outcome.answer().toString());
+        }
+    }
+
+    @Test
+    void anErrorMayHaveRun() throws InterruptedException {
+        expect(Routing.Ending.ERROR, line -> {
+            line.command();
+            line.write("-ERR failed\r\n");
+            line.command();
+        });
+    }
+
+    @Test
+    void busyNeverRan() throws InterruptedException {
+        expect(Routing.Ending.FULL, line -> {
+            line.command();
+            line.write("-BUSY\r\n");
+        });
+    }
+
+    @Test
+    void aConnectionThatEndsAfterTheLastByteIsAReset() throws InterruptedException {
+        expect(Routing.Ending.RESET, Peer.Line::command);
+        expect(Routing.Ending.RESET, line -> {
+            line.command();
+            line.reset();
+        });
+        expect(Routing.Ending.RESET, line -> {
+            line.command();
+            line.write(VALUE.substring(0, VALUE.length() - 1));
+        });
+    }
+
+    @Test
+    void anAnswerUnlikeTheProtocolIsNoValue() throws InterruptedException {
+        expect(Routing.Ending.RESET, line -> {
+            line.command();
+            line.write("HTTP/1.1 200 OK\r\n");
+            line.command();
+        });
+        expect(Routing.Ending.ERROR, line -> {
+            line.command();
+            line.write("*1\r\n$-1\r\n");
+            line.command();
+        });
+    }
+
+    @Test
+    void aRefusedConnectionNeverRan() throws InterruptedException {
+        Peer peer = new Peer(Peer.Line::command);
+        peer.close();
+        assertEquals(Routing.Ending.CONNECT_FAILED, outcome(send(server(peer))).ending());
+    }
+
+    @Test
+    void withoutAPlaceForAConnectionNothingRan() throws InterruptedException {
+        CountDownLatch over = new CountDownLatch(1);
+        try (Peer peer = new Peer(line -> over.await())) {
+            CacheServer server = server(peer.address(), 1, 60 * SECOND);
+            send(server);
+            assertEquals(Routing.Ending.CONNECT_FAILED, outcome(send(server)).ending());
+            over.countDown();
+        }
+    }
+
+    @Test
+    void connectionsAreUsedAgainOneRequestAtATime() throws InterruptedException {
+        try (Peer peer = new Peer(line -> {
+            for (String c = line.command(); !c.equals("end"); c = line.command()) {
+                line.note(c.split(" ")[1]);
+                line.write(VALUE);
+            }
+        })) {
+            CacheServer server = server(peer);
+            for (int i = 0; i < 5; i++) {
+                assertEquals(Routing.Ending.OK, outcome(send(server)).ending());
+                assertEquals("key-" + i, peer.note());
+            }
+            assertEquals(1, peer.connections());
+        }
+    }
+
+    /** A request behind another would wait for it, and giving one up would cut off the other. */
+    @Test
+    void requestsAtOnceGetConnectionsOfTheirOwn() throws InterruptedException {
+        CountDownLatch over = new CountDownLatch(1);
+        try (Peer peer = new Peer(line -> {
+            line.note(line.command());
+            over.await();
+        })) {
+            CacheServer server = server(peer);
+            send(server);
+            send(server);
+            peer.note();
+            peer.note();
+            assertEquals(2, peer.connections());
+            over.countDown();
+        }
+    }
+
+    /** Nothing proves an attempt over but the end of its connection. */
+    @Test
+    void anAttemptGivenUpEndsItsConnection() throws InterruptedException {
+        try (Peer peer = new Peer(line -> {
+            line.command();
+            line.note("begun");
+            line.note(line.command());
+        })) {
+            CacheServer server = server(peer);
+            Attempt attempt = send(server);
+            assertEquals("begun", peer.note());
+            server.abort(attempt);
+            assertEquals("end", peer.note());
+        }
+    }
+
+    @Test
+    void aConnectionThatThePeerHasClosedIsNotWrittenTo() throws InterruptedException {
+        try (Peer peer = new Peer(line -> {
+            line.command();
+            line.write(VALUE);
+            line.hangUp();
+            line.note("closed");
+        })) {
+            CacheServer server = server(peer);
+            assertEquals(Routing.Ending.OK, outcome(send(server)).ending());
+            peer.note();
+            awaitQuiet(server);
+            assertEquals(Routing.Ending.OK, outcome(send(server)).ending());
+            assertEquals(2, peer.connections());
+        }
+    }
+
+    private static void awaitQuiet(CacheServer server) {
+        while (!server.quiet()) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** The cache server closes idle connections; a request that crosses that would end as a reset. */
+    @Test
+    void idleConnectionsAreRetiredByTheRouterFirst() throws InterruptedException {
+        try (Peer peer = new Peer(line -> {
+            line.command();
+            line.write(VALUE);
+            line.note(line.command());
+        })) {
+            outcome(send(server(peer.address(), 10, SECOND / 20)));
+            assertEquals("end", peer.note());
+        }
+    }
+
+    @Test
+    void aNewAddressIsUsedFromThenOn() throws InterruptedException {
+        try (Peer old = new Peer(line -> {
+            line.command();
+            line.write(VALUE);
+            line.note(line.command());
+        }); Peer next = new Peer(line -> {
+            line.note(line.command().split(" ")[0]);
+            line.write(VALUE);
+            line.command();
+        })) {
+            CacheServer server = server(old);
+            outcome(send(server));
+            server.dial(next.address());
+            assertEquals(Routing.Ending.OK, outcome(send(server)).ending());
+            assertEquals("C.GET", next.note());
+            assertEquals("end", old.note(), "the idle connection to the old address is closed");
+        }
+    }
+
+    /** A peer that reads nothing must not hold up what is sent to it next, nor what is given up. */
+    @Test
+    void aSilentPeerHoldsUpNothing() throws InterruptedException {
+        CountDownLatch over = new CountDownLatch(1);
+        try (Peer peer = new Peer(line -> {
+            line.note("there");
+            over.await();
+        })) {
+            CacheServer server = server(peer);
+            Slice value = Slice.of("$65536\r\n" + "v".repeat(65536) + "\r\n");
+            Attempt[] attempts = new Attempt[8];
+            for (int i = 0; i < attempts.length; i++) {
+                attempts[i] = attempt(value);
+                assertTrue(server.send(attempts[i]));
+            }
+            for (Attempt attempt : attempts) {
+                peer.note();
+                server.abort(attempt);
+            }
+            awaitQuiet(server);
+            assertNull(module.stream().filter(m -> ((Message.Ended) m).outcome().answer() != null).findAny()
+                .orElse(null));
+            over.countDown();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/net/Peer.java
@@ -0,0 +1,188 @@
+package beaconturn.net;
+
+import beaconturn.protocol.InputBuffer;
+import beaconturn.protocol.ProtocolException;
+import beaconturn.protocol.RespReader;
+import beaconturn.protocol.RespValue;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A server of the test's own on an ephemeral loopback port; the script says what each connection does. */
+final class Peer implements Closeable {
+    private static final int SECONDS = 20;
+
+    /** What one connection does, on a thread of its own; the connection is closed when it returns. */
+    interface Script {
+        void serve(Line line) throws IOException, ProtocolException, InterruptedException;
+    }
+
+    private final ServerSocket server;
+    private final Script script;
+    private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
+    private final BlockingQueue<String> notes = new LinkedBlockingQueue<>();
+
+    Peer(Script script) {
+        this.script = script;
+        try {
+            this.server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        Threads.start("test-peer", this::accept);
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+    }
+
+    String dial() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    /** The next thing that a script has noted; fails if none comes. */
+    String note() throws InterruptedException {
+        String note = notes.poll(SECONDS, TimeUnit.SECONDS);
+        if (note == null) {
+            throw new AssertionError("the peer saw nothing");
+        }
+        return note;
+    }
+
+    List<String> notesLeft() {
+        return List.copyOf(notes);
+    }
+
+    int connections() {
+        return sockets.size();
+    }
+
+    @Override
+    public void close() {
+        Sockets.close(server);
+        sockets.forEach(Sockets::close);
+    }
+
+    private void accept() {
+        try {
+            while (true) {
+                Socket socket = server.accept();
+                socket.setTcpNoDelay(true);
+                sockets.add(socket);
+                Threads.start("test-line", () -> run(socket));
+            }
+        } catch (IOException e) {
+            notes.add("closed");
+        }
+    }
+
+    private void run(Socket socket) {
+        try {
+            script.serve(new Line(socket, notes));
+        } catch (IOException | ProtocolException e) {
+            notes.add("broken");
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            Sockets.close(socket);
+        }
+    }
+
+    /** One connection, from whichever end the test holds. */
+    static final class Line implements Closeable {
+        private final Socket socket;
+        private final BlockingQueue<String> notes;
+        private final InputBuffer in = new InputBuffer();
+        private final RespReader reader = new RespReader(1 << 16);
+
+        Line(Socket socket, BlockingQueue<String> notes) {
+            this.socket = socket;
+            this.notes = notes;
+        }
+
+        static Line to(InetSocketAddress address) throws IOException {
+            Socket socket = Sockets.connect(address, SECONDS * 1000);
+            socket.setSoTimeout(SECONDS * 1000);
+            return new Line(socket, new LinkedBlockingQueue<>());
+        }
+
+        void note(String text) {
+            notes.add(text);
+        }
+
+        void write(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        /** The next value, or null at the end of the stream. */
+        RespValue read() throws IOException, ProtocolException {
+            RespValue value = reader.next(in);
+            while (value == null) {
+                if (!Sockets.read(socket.getInputStream(), in)) {
+                    return null;
+                }
+                value = reader.next(in);
+            }
+            return value;
+        }
+
+        /** The next command's words joined by blanks, or "end". */
+        String command() throws IOException, ProtocolException {
+            RespValue value = read();
+            if (value == null) {
+                return "end";
+            }
+            return String.join(" ", ((RespValue.Array) value).items().stream()
+                .map(item -> ((RespValue.Bulk) item).bytes().toString()).toList());
+        }
+
+        /** The next answer's bytes without the last line end, or "end". */
+        String answer() throws IOException, ProtocolException {
+            RespValue value = read();
+            return value == null ? "end" : value.frame().toString().trim();
+        }
+
+        /** The lines of an HTTP request's head, or an empty text at the end of the stream. */
+        String httpHead() throws IOException {
+            StringBuilder head = new StringBuilder();
+            while (head.indexOf("\r\n\r\n") < 0) {
+                int c = socket.getInputStream().read();
+                if (c < 0) {
+                    return "";
+                }
+                head.append((char) c);
+            }
+            return head.toString();
+        }
+
+        void http(int status, String body) throws IOException {
+            write("HTTP/1.1 " + status + " x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        }
+
+        /** Ends the connection as a process that dies does: the peer sees a reset. */
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        void hangUp() {
+            Sockets.close(socket);
+        }
+
+        @Override
+        public void close() {
+            hangUp();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/net/RouterConfigTest.java
@@ -0,0 +1,98 @@
+package beaconturn.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.decision.Routing;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class RouterConfigTest {
+    private static final String SOUND = """
+        {"name":"n3","listen":"127.0.0.1:6379","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+         "limits":{"cores":1.0,"memory_mb":192,"sockets":512},
+         "known":{"seq":41,"whole":true,"hosts":[
+           {"host":"s-5be2a07c","dial":"10.1.0.18:6379","site":"west","class":"large","block":3,
+            "health":"ready","share":1.5,"born_ms":1700000000123},
+           {"host":"s-5be2a07d","dial":"10.1.0.19:6379","site":"east","class":"small","block":0,
+            "health":"draining","share":1.0,"born_ms":0}]},
+         "settings":{"replicas_of_me":2,"dcs":["east","west"],"flavors":["small","large"],"tenants":[],
+           "load_report":{"how":"none","names":[]},"rules":{"answer_slack":20000000},
+           "classes":[{"name":"read","effect":"read_like","target":600000000,"hard_limit":1500000000}]}}
+        """;
+
+    @TempDir
+    private Path folder;
+
+    private RouterConfig read(String text, Map<String, String> variables) throws ConfigException {
+        Path file = folder.resolve("config.json");
+        try {
+            Files.writeString(file, text);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+        return RouterConfig.read(file, variables);
+    }
+
+    @Test
+    void readsAllThatARouterIsTold() throws ConfigException {
+        RouterConfig config = read(SOUND, Map.of());
+        assertEquals("n3", config.name());
+        assertEquals(6379, config.listen().getPort());
+        assertEquals(0x8c1f30d27a5be964L, config.seed());
+        assertEquals(512, config.sockets());
+        assertEquals(41, config.known().version());
+        assertEquals(Routing.ListKind.CACHED, config.known().kind());
+        Routing.ServerEntry first = config.known().members().get(0).entry();
+        assertEquals(1, first.zone());
+        assertEquals(1, first.kind());
+        assertEquals(3, first.cell());
+        assertEquals(1700000000123L * 1_000_000, first.bootTime());
+        assertEquals(Routing.Health.DRAINING, config.known().members().get(1).entry().health());
+        assertEquals(2, config.settings().routing().routers());
+        assertEquals(1_500_000_000L, config.settings().routing().classes().get(0).deadline());
+        assertTrue(config.settings().routing().reportNames().isEmpty());
+    }
+
+    /** Every router must place the same keys alike, whatever address it reaches a cache server at. */
+    @Test
+    void theNumberOfACacheServerComesFromItsNameAlone() throws ConfigException {
+        long here = read(SOUND, Map.of()).known().members().get(0).entry().server();
+        RouterConfig there = read(SOUND.replace("10.1.0.18", "127.9.1.4"), Map.of());
+        assertEquals(here, there.known().members().get(0).entry().server());
+        assertEquals("127.9.1.4:6379", there.known().members().get(0).dial());
+        assertNotEquals(here, there.known().members().get(1).entry().server());
+    }
+
+    @Test
+    void variablesOverruleTheFile() throws ConfigException {
+        RouterConfig config = read(SOUND, Map.of("PROXY_LISTEN", "127.0.0.9:7000", "PROXY_NAME", "n9"));
+        assertEquals("n9", config.name());
+        assertEquals(7000, config.listen().getPort());
+    }
+
+    @Test
+    void whatIsWrongIsSaidInOneLine() {
+        refused("", "ends too early");
+        refused(SOUND.replace("127.0.0.1:6379", "nowhere"), "listen");
+        refused(SOUND.replace("127.0.0.1:8500", ""), "discovery");
+        refused(SOUND.replace("8c1f", "seed"), "seed");
+        refused(SOUND.replace("\"known\"", "\"other\""), "hosts");
+        refused(SOUND.replace("read_like", "odd"), "classes.0.effect");
+        refused(SOUND.replace("\"sockets\":512", "\"sockets\":10"), "sockets");
+        refused(SOUND.replace("\"ready\"", "\"odd\""), "health");
+    }
+
+    private void refused(String text, String reason) {
+        String message = assertThrows(ConfigException.class, () -> read(text, Map.of())).getMessage();
+        assertTrue(message.contains(reason), message);
+        assertFalse(message.contains("\n"), message);
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/net/RouterServerTest.java
@@ -0,0 +1,227 @@
+package beaconturn.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.core.Lifecycle;
+import beaconturn.core.ListNews;
+import beaconturn.core.Samples;
+import beaconturn.core.Settings;
+import beaconturn.protocol.JsonReader;
+import beaconturn.protocol.ProtocolException;
+import beaconturn.protocol.RespWriter;
+import beaconturn.protocol.Slice;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** A whole router between a client, a cache server and discovery of the test's own. */
+class RouterServerTest {
+    private static final String VALUE = "*3\r\n$2\r\nva\r\n$3\r\nhit\r\n$-1\r\n";
+    private static final String GET = "*4\r\n$5\r\nC.GET\r\n$16\r\n00000000000000a1\r\n$2\r\nid\r\n$13\r\n"
+        + "c=read,d=1500\r\n";
+    private final CountDownLatch over = new CountDownLatch(1);
+    private final Lifecycle lifecycle = new Lifecycle();
+    private final Peer silentRegistry = new Peer(line -> {
+        line.httpHead();
+        over.await();
+    });
+    private RouterServer router;
+
+    @AfterEach
+    void end() {
+        over.countDown();
+        silentRegistry.close();
+    }
+
+    private static String list(int version, boolean whole, Peer cache, String health) {
+        return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":[{\"host\":\"s-1\",\"dial\":\""
+            + cache.dial() + "\",\"site\":\"east\",\"class\":\"small\",\"block\":0,\"health\":\"" + health
+            + "\",\"share\":1.0,\"born_ms\":0}]}";
+    }
+
+    private Peer.Line start(Peer cache, Peer registry) throws IOException, ProtocolException {
+        Settings settings = Samples.read();
+        ListNews known = new ListReader(settings).known(
+            JsonReader.read(Slice.of(list(4, true, cache, "ready"))));
+        RouterConfig config = new RouterConfig("r1", new InetSocketAddress("127.0.0.1", 0),
+            registry.address(), 1, 256, known, settings);
+        router = new RouterServer(config, lifecycle);
+        router.start();
+        return Peer.Line.to(router.address());
+    }
+
+    private static Peer answering() {
+        return new Peer(line -> {
+            for (String c = line.command(); !c.equals("end"); c = line.command()) {
+                line.note(c);
+                line.write(VALUE);
+            }
+            line.note("end");
+        });
+    }
+
+    @Test
+    void aRequestGoesToTheCacheServerAndItsAnswerToTheClient() throws Exception {
+        try (Peer cache = answering(); Peer.Line client = start(cache, silentRegistry)) {
+            client.write("*1\r\n$4\r\nPING\r\n");
+            assertEquals("+PONG", client.answer());
+            client.write("*5\r\n$5\r\nC.SET\r\n$16\r\n00000000000000a1\r\n$2\r\nid\r\n$17\r\n"
+                + "c=put,d=1500,k=k7\r\n$1\r\nx\r\n");
+            assertEquals("$2\r\nva", client.answer());
+            String[] words = cache.note().split(" ");
+            assertEquals("C.SET 00000000000000a1 id", String.join(" ", words[0], words[1], words[2]));
+            assertTrue(words[3].matches("c=put,d=[0-9]{1,4},k=k7"), words[3]);
+            assertTrue(Integer.parseInt(words[3].replaceAll(".*d=([0-9]+).*", "$1")) <= 1500, words[3]);
+            assertEquals("x", words[4]);
+        }
+    }
+
+    @Test
+    void answersComeInTheOrderOfTheCommands() throws Exception {
+        CountDownLatch slow = new CountDownLatch(1);
+        try (Peer cache = new Peer(line -> {
+            line.command();
+            line.note("begun");
+            slow.await();
+            line.write(VALUE);
+            line.command();
+        }); Peer.Line client = start(cache, silentRegistry)) {
+            client.write(GET + "*1\r\n$4\r\nPING\r\n*1\r\n$5\r\nHELLO\r\n*2\r\n$6\r\nSELECT\r\n$1\r\n0\r\n");
+            cache.note();
+            slow.countDown();
+            assertEquals("$2\r\nva", client.answer());
+            assertEquals("+PONG", client.answer());
+            assertEquals("-ERR unknown command", client.answer());
+            assertEquals("+OK", client.answer());
+        }
+    }
+
+    @Test
+    void aClientThatLeavesCallsItsRequestOff() throws Exception {
+        try (Peer cache = new Peer(line -> {
+            line.command();
+            line.note("begun");
+            line.note(line.command());
+        }); Peer.Line client = start(cache, silentRegistry)) {
+            client.write(GET);
+            assertEquals("begun", cache.note());
+            client.hangUp();
+            assertEquals("end", cache.note());
+        }
+    }
+
+    @Test
+    void malformedInputGetsOneErrorAfterWhatCameBeforeItAndEnds() throws Exception {
+        try (Peer cache = answering(); Peer.Line client = start(cache, silentRegistry)) {
+            client.write(GET + "GET / HTTP/1.1\r\nHost: x\r\n\r\n" + GET);
+            assertEquals("$2\r\nva", client.answer());
+            assertTrue(client.answer().startsWith("-ERR "));
+            assertEquals("end", client.answer());
+        }
+    }
+
+    @Test
+    void requestsThatLackWhatTheyNeedAreMalformed() throws Exception {
+        try (Peer cache = answering(); Peer.Line first = start(cache, silentRegistry)) {
+            first.hangUp();
+            for (String wrong : new String[] {"c=none,d=100", "c=read", "c=read,d=x", "c=read,d=0", "c"}) {
+                try (Peer.Line client = Peer.Line.to(router.address())) {
+                    client.write("*4\r\n$5\r\nC.GET\r\n$1\r\na\r\n$2\r\nid\r\n"
+                        + RespWriter.bulk(wrong));
+                    assertTrue(client.answer().startsWith("-ERR "), wrong);
+                    assertEquals("end", client.answer(), wrong);
+                }
+            }
+        }
+    }
+
+    @Test
+    void whenNothingAnswersTheClientIsToldInItsTime() throws Exception {
+        try (Peer cache = new Peer(line -> {
+            line.command();
+            over.await();
+        }); Peer.Line client = start(cache, silentRegistry)) {
+            client.write(GET.replace("d=1500", "d=0150"));
+            assertTrue(client.answer().startsWith("-BUSY"));
+        }
+    }
+
+    /** Discovery counts a watch as broken if the next call comes late, and the version must go on. */
+    @Test
+    void aWatchGoesOnFromTheVersionItHasHeardOf() throws Exception {
+        Peer[] cache = {answering()};
+        try (Peer registry = new Peer(line -> {
+            line.note(line.httpHead().split(" ")[1]);
+            line.http(200, list(5, false, cache[0], "draining"));
+            line.note(line.httpHead().split(" ")[1]);
+            over.await();
+        }); Peer.Line client = start(cache[0], registry)) {
+            assertTrue(registry.note().startsWith("/registry/instances?after=4&wait_ms="));
+            assertTrue(registry.note().startsWith("/registry/instances?after=5&wait_ms="));
+            client.write(GET);
+            assertTrue(client.answer().startsWith("-BUSY"), "the only cache server is draining");
+            assertEquals(1, registry.connections());
+        } finally {
+            cache[0].close();
+        }
+    }
+
+    @Test
+    void aWatchThatFailsIsBegunAgainAndTheListStaysInForce() throws Exception {
+        try (Peer cache = answering(); Peer registry = new Peer(line -> {
+            line.note(line.httpHead().split(" ")[1]);
+            line.http(503, "");
+        }); Peer.Line client = start(cache, registry)) {
+            String first = registry.note();
+            assertEquals(first, registry.note());
+            assertEquals(first, registry.note());
+            client.write(GET);
+            assertEquals("$2\r\nva", client.answer());
+        }
+    }
+
+    /** A planned stop: what was taken is answered, connections end between requests, then nobody listens. */
+    @Test
+    void aDrainAnswersWhatItHasTakenAndClosesBetweenRequests() throws Exception {
+        CountDownLatch slow = new CountDownLatch(1);
+        try (Peer cache = new Peer(line -> {
+            line.command();
+            line.note("begun");
+            slow.await();
+            line.write(VALUE);
+            line.command();
+        }); Peer.Line client = start(cache, silentRegistry);
+                Peer.Line idle = Peer.Line.to(router.address())) {
+            idle.write("*1\r\n$4\r\nPING\r\n");
+            assertEquals("+PONG", idle.answer());
+            client.write(GET);
+            cache.note();
+            Thread drain = Threads.start("test-drain", () -> {
+                try {
+                    router.drain();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+            lifecycle.await(Lifecycle.Phase.DRAINING);
+            try (Peer.Line late = Peer.Line.to(router.address())) {
+                late.write("*1\r\n$4\r\nPING\r\n");
+                assertEquals("+PONG", late.answer(), "new connections still come after the announcement");
+                assertEquals("end", late.answer());
+            }
+            assertEquals("end", idle.answer());
+            slow.countDown();
+            assertEquals("$2\r\nva", client.answer());
+            assertEquals("end", client.answer());
+            idle.hangUp();
+            client.hangUp();
+            drain.join();
+            assertEquals(Lifecycle.Phase.STOPPED, lifecycle.phase());
+            assertThrows(IOException.class, () -> Peer.Line.to(router.address()));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/protocol/Bytes.java
@@ -0,0 +1,23 @@
+package beaconturn.protocol;
+
+import java.nio.charset.StandardCharsets;
+
+/** Feeds text into a buffer as a socket would, a few bytes at a time. */
+final class Bytes {
+    private Bytes() {
+    }
+
+    static void feed(InputBuffer in, String text) {
+        for (byte b : text.getBytes(StandardCharsets.ISO_8859_1)) {
+            in.room();
+            in.array()[in.end()] = b;
+            in.filled(1);
+        }
+    }
+
+    static InputBuffer buffer(String text) {
+        InputBuffer in = new InputBuffer();
+        feed(in, text);
+        return in;
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/protocol/RespReaderTest.java
@@ -0,0 +1,66 @@
+package beaconturn.protocol;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class RespReaderTest {
+    private static final int LONGEST = 32;
+    private final RespReader reader = new RespReader(LONGEST);
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "+OK\r\n", "-BUSY 20\r\n", ":-12\r\n", "$5\r\na\r\nbc\r\n", "$0\r\n\r\n", "$-1\r\n", "*-1\r\n",
+        "*0\r\n", "*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n", "*2\r\n*1\r\n:1\r\n+x\r\n"})
+    void aValueIsReadOnceItsLastByteIsThereAndNotBefore(String text) throws ProtocolException {
+        InputBuffer in = new InputBuffer();
+        for (int i = 0; i < text.length() - 1; i++) {
+            Bytes.feed(in, text.substring(i, i + 1));
+            assertNull(reader.next(in), "whole after " + (i + 1) + " bytes");
+        }
+        Bytes.feed(in, text.substring(text.length() - 1));
+        assertEquals(text, reader.next(in).frame().toString());
+        assertEquals(0, in.size());
+    }
+
+    @Test
+    void valuesBehindEachOtherAreReadOneByOne() throws ProtocolException {
+        InputBuffer in = Bytes.buffer("+a\r\n:7\r\n$1\r\nb\r\n+c");
+        assertEquals("a", assertInstanceOf(RespValue.Simple.class, reader.next(in)).text().toString());
+        assertEquals(7, assertInstanceOf(RespValue.Whole.class, reader.next(in)).value());
+        assertEquals("b", assertInstanceOf(RespValue.Bulk.class, reader.next(in)).bytes().toString());
+        assertNull(reader.next(in));
+        assertEquals(2, in.size());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "GET / HTTP/1.1\r\n", "\r\n", "+no return\n", "$x\r\n", "$\r\n", "$-2\r\n", "$33\r\n",
+        "*65\r\n", "*-2\r\n", "$1\r\nabc",
+        "*1\r\n*1\r\n*1\r\n*1\r\n*1\r\n", "$9999999999999999999\r\n", ":1-\r\n"})
+    void malformedInputAndInputBeyondTheLimitsIsRefused(String text) {
+        assertThrows(ProtocolException.class, () -> reader.next(Bytes.buffer(text)));
+    }
+
+    @Test
+    void aLineWithoutEndIsRefusedBeforeItFillsTheMemory() {
+        InputBuffer in = Bytes.buffer("+" + "x".repeat(2000));
+        assertThrows(ProtocolException.class, () -> reader.next(in));
+    }
+
+    @Test
+    void slicesStayAsTheyWereWhileMoreIsRead() throws ProtocolException {
+        InputBuffer in = Bytes.buffer("$5\r\nfirst\r\n");
+        Slice first = ((RespValue.Bulk) reader.next(in)).bytes();
+        for (int i = 0; i < 2000; i++) {
+            Bytes.feed(in, "$5\r\nother\r\n");
+            reader.next(in);
+        }
+        assertEquals("first", first.toString());
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/protocol/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the readers, byte by byte, and of their limits. */
+package beaconturn.protocol;
