--- a/src/main/java/beaconturn/cli/Logs.java
+++ b/src/main/java/beaconturn/cli/Logs.java
@@ -9,21 +9,16 @@
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
-/**
- * The log: a line a record on standard error. java.util.logging takes its handlers away as soon as a stop
- * begins, while the router still drains; this log manager keeps them until {@link #finish}.
- */
-public final class Logs extends LogManager {
-    private volatile boolean finished;
+/** The log: a line a record on standard error, to the very end of a planned stop. */
+final class Logs {
+    private static final String MANAGER = "beaconturn.cli.LastingLogManager";
 
-    /** Made by java.util.logging itself. */
-    public Logs() {
-        super();
+    private Logs() {
     }
 
     /** Installs the log; called before the first logger is made. */
     static void start() {
-        System.setProperty("java.util.logging.manager", Logs.class.getName());
+        System.setProperty("java.util.logging.manager", MANAGER);
         Logger root = LogManager.getLogManager().getLogger("");
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
@@ -33,16 +28,8 @@
 
     /** Lets the log manager end; nothing is logged after it. */
     static void finish() {
-        if (LogManager.getLogManager() instanceof Logs logs) {
-            logs.finished = true;
-            logs.reset();
-        }
-    }
-
-    @Override
-    public void reset() {
-        if (finished) {
-            super.reset();
+        if (LogManager.getLogManager() instanceof LastingLogManager manager) {
+            manager.finish();
         }
     }
 
--- a/src/main/java/beaconturn/cli/ServeCommand.java
+++ b/src/main/java/beaconturn/cli/ServeCommand.java
@@ -39,6 +39,8 @@
             Thread.currentThread().interrupt();
         } finally {
             Logs.finish();
+            // Ends the JVM here: after a signal it would report one, though the stop went as planned.
+            Runtime.getRuntime().halt(0);
         }
     }
 }
--- a/src/main/java/beaconturn/net/CacheServer.java
+++ b/src/main/java/beaconturn/net/CacheServer.java
@@ -11,6 +11,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.Semaphore;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -21,7 +22,7 @@
     private static final int MOST_MESSAGES = 4096;
 
     /** What the actor needs of the router round it. */
-    record Site(Clock clock, Consumer<Message> module, ConnectionBudget budget, ReplyReader replies,
+    record Site(Clock clock, Consumer<Message> module, Semaphore places, ReplyReader replies,
             long connectTimeout, long idleTime) { }
 
     private sealed interface Task {
@@ -124,7 +125,7 @@
         } else if (task instanceof Task.Closed closed) {
             idle.removeIf(i -> i.connection() == closed.connection());
             connections--;
-            site.budget().release();
+            site.places().release();
         } else if (task instanceof Task.Dial changed) {
             if (!changed.address().equals(dial)) {
                 LOG.info(host + ": address changes from " + dial + " to " + changed.address());
@@ -154,7 +155,7 @@
             }
             out.remove(attempt);
         }
-        if (!site.budget().take()) {
+        if (!site.places().tryAcquire()) {
             unreachable(attempt);
             return;
         }
@@ -168,7 +169,7 @@
             // No thread could be had for it: nothing was written, and the place is free again.
             LOG.warning(host + ": no thread for a new connection");
             out.remove(attempt);
-            site.budget().release();
+            site.places().release();
             unreachable(attempt);
         }
     }
--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.Semaphore;
 import java.util.function.Consumer;
 import java.util.logging.Logger;
 
@@ -28,13 +29,14 @@
     private static final int MOST_PIPELINED = 64;
     private static final int LONGEST_VALUE = 1 << 16;
     private static final int LINGER_MILLIS = 250;
+    private static final long WRITER_IDLE = 2_000_000_000;
     private static final long NEVER = Long.MAX_VALUE;
     /** In the place of an answer: nothing more is written. */
     private static final Slice END = Slice.of("");
 
     /** What a connection needs of the router round it. */
     record Site(RequestParser parser, Clock clock, Lifecycle lifecycle, Consumer<Message> module,
-            Consumer<ClientConnection> whenClosed) { }
+            Semaphore largeRequests, Consumer<ClientConnection> whenClosed) { }
 
     private final Socket socket;
     private final Site site;
@@ -42,7 +44,10 @@
     private final List<ClientCall> calls = new ArrayList<>();
     private volatile long writingSince = NEVER;
     private volatile boolean halfRead;
+    private volatile boolean largeInHand;
     // Guarded by this:
+    private boolean writer;
+    private int large;
     private int unanswered;
     private long quietSince;
     private long closingSince = NEVER;
@@ -55,7 +60,6 @@
 
     void start() {
         try {
-            Threads.start("client-write", this::write);
             Threads.start("client-read", this::read);
         } catch (OutOfMemoryError e) {
             LOG.warning("no thread for a new client connection, which is closed");
@@ -89,7 +93,11 @@
             }
             closingSince = site.clock().now();
         }
-        end();
+        try {
+            socket.shutdownOutput();
+        } catch (IOException e) {
+            close();
+        }
     }
 
     /** Closes at once, whatever is out. */
@@ -107,6 +115,9 @@
                     command(v);
                 }
                 halfRead = in.size() > 0;
+                if (in.large() && !largeInHand) {
+                    takeLarge();
+                }
             }
         } catch (ProtocolException e) {
             malformed(e.getMessage());
@@ -131,6 +142,7 @@
             return;
         }
         ClientCall call = site.parser().parse(array.items(), site.clock().now());
+        largeInHand = false;
         if (inOrder(call)) {
             calls.removeIf(Reply::isFilled);
             calls.add(call);
@@ -138,6 +150,20 @@
         }
     }
 
+    /** Large requests are held in memory till they are answered: so many at once, the others wait unread. */
+    private void takeLarge() throws InterruptedException {
+        site.largeRequests().acquire();
+        largeInHand = true;
+        synchronized (this) {
+            large++;
+        }
+    }
+
+    private synchronized void giveBackLarge() {
+        site.largeRequests().release(large);
+        large = 0;
+    }
+
     private Slice other(String name) {
         return switch (name) {
             case "PING" -> site.lifecycle().ready() ? RespWriter.simple("PONG")
@@ -156,9 +182,18 @@
             unanswered++;
         }
         replies.put(reply);
+        ensureWriter();
         return true;
     }
 
+    /** The writer's thread lives while there is something to write and a little longer. */
+    private synchronized void ensureWriter() {
+        if (!writer) {
+            Threads.start("client-write", this::write);
+            writer = true;
+        }
+    }
+
     /** Malformed input: what came before it is answered, then one error, then the connection ends. */
     private void malformed(String reason) {
         try {
@@ -213,21 +248,22 @@
             }
         }
         end();
+        giveBackLarge();
         site.whenClosed().accept(this);
     }
 
     private void write() {
         try {
-            for (Slice next = replies.take().await(); next != END; next = replies.take().await()) {
+            for (Slice next = nextAnswer(); next != null; next = nextAnswer()) {
+                if (next == END) {
+                    endOutput();
+                    return;
+                }
                 writingSince = site.clock().now();
                 Sockets.write(socket.getOutputStream(), List.of(next));
                 writingSince = NEVER;
                 answered();
             }
-            synchronized (this) {
-                closingSince = Math.min(closingSince, site.clock().now());
-            }
-            socket.shutdownOutput();
         } catch (IOException e) {
             // The reader sees the same end and tells the module; nothing can be said to this client.
             close();
@@ -239,8 +275,34 @@
         }
     }
 
+    /** The next answer in order, waiting for it; null if the writer may go, as nothing is out. */
+    private Slice nextAnswer() throws InterruptedException {
+        while (true) {
+            Reply next = replies.poll(WRITER_IDLE);
+            if (next != null) {
+                return next.await();
+            }
+            synchronized (this) {
+                if (replies.isEmpty()) {
+                    writer = false;
+                    return null;
+                }
+            }
+        }
+    }
+
+    private void endOutput() throws IOException {
+        synchronized (this) {
+            closingSince = Math.min(closingSince, site.clock().now());
+        }
+        socket.shutdownOutput();
+    }
+
     private synchronized void answered() {
         unanswered--;
         quietSince = site.clock().now();
+        if (unanswered == 0 && !largeInHand) {
+            giveBackLarge();
+        }
     }
 }
--- a/src/main/java/beaconturn/net/ClientConnections.java
+++ b/src/main/java/beaconturn/net/ClientConnections.java
@@ -30,6 +30,10 @@
         open.remove(connection);
     }
 
+    int most() {
+        return most;
+    }
+
     int count() {
         return open.size();
     }
--- a/src/main/java/beaconturn/net/RouterConfig.java
+++ b/src/main/java/beaconturn/net/RouterConfig.java
@@ -18,9 +18,10 @@
 
 /** What one real router is told before it starts. */
 public record RouterConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-        int sockets, ListNews known, Settings settings) {
+        int sockets, int memoryMb, ListNews known, Settings settings) {
     private static final int FEWEST_SOCKETS = 64;
     private static final int USUAL_SOCKETS = 1024;
+    private static final int USUAL_MEMORY = 192;
     private static final int HEX = 16;
 
     /** Reads the file; the variables PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY overrule it. */
@@ -38,8 +39,7 @@
     private static RouterConfig of(Json json, Map<String, String> variables)
             throws ProtocolException, SettingsException {
         Settings settings = SettingsReader.read(flat(json.get("settings")));
-        int sockets = Integer.parseInt(json.get("limits").get("sockets")
-            .word(Integer.toString(USUAL_SOCKETS)));
+        int sockets = limit(json, "sockets", USUAL_SOCKETS);
         if (sockets < FEWEST_SOCKETS) {
             throw new IllegalArgumentException("limits.sockets: at least " + FEWEST_SOCKETS + " are needed");
         }
@@ -47,8 +47,16 @@
             variables.getOrDefault("PROXY_NAME", json.get("name").word("router")),
             address("listen", variables.getOrDefault("PROXY_LISTEN", json.get("listen").word(""))),
             address("discovery", variables.getOrDefault("PROXY_DISCOVERY", json.get("discovery").word(""))),
-            seed(json.get("seed").word("0")), sockets, new ListReader(settings).known(json.get("known")),
-            settings);
+            seed(json.get("seed").word("0")), sockets, limit(json, "memory_mb", USUAL_MEMORY),
+            new ListReader(settings).known(json.get("known")), settings);
+    }
+
+    private static int limit(Json json, String name, int usual) {
+        String digits = json.get("limits").get(name).word(Integer.toString(usual));
+        if (!digits.matches("[0-9]{1,9}")) {
+            throw new IllegalArgumentException("limits." + name + ": not a whole number: '" + digits + "'");
+        }
+        return Integer.parseInt(digits);
     }
 
     private static InetSocketAddress address(String name, String text) {
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -10,6 +10,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.concurrent.Semaphore;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -17,8 +18,6 @@
 public final class RouterServer {
     private static final Logger LOG = Logger.getLogger(RouterServer.class.getName());
     private static final long MILLI = 1_000_000;
-    /** Descriptors for everything but connections: the jar, the log, discovery, the listener, JVM files. */
-    private static final int SPARE_SOCKETS = 48;
     /** After a planned stop is announced, new connections still come for up to 0.4 s. */
     private static final long ACCEPT_ON = 550 * MILLI;
     private static final long STEP_MILLIS = 5;
@@ -32,20 +31,21 @@
     private final ClientConnection.Site site;
     private final Listener listener;
     private final Discovery discovery;
+    private boolean crowded;
 
     /** Binds the address; nothing is served before {@link #start}. */
     public RouterServer(RouterConfig config, Lifecycle lifecycle) throws IOException {
         this.config = config;
         this.lifecycle = lifecycle;
-        int forPeers = config.sockets() - SPARE_SOCKETS;
-        this.clients = new ClientConnections(forPeers / 2);
+        Capacity capacity = Capacity.of(config.sockets(), config.memoryMb());
+        this.clients = new ClientConnections(capacity.clients());
         this.site = new ClientConnection.Site(new RequestParser(config.settings()), clock, lifecycle,
-            module::post, clients::remove);
+            module::post, new Semaphore(capacity.largeRequests()), clients::remove);
         this.discovery = new Discovery(config.discovery(), new ListReader(config.settings()),
             config.known().version(), module::post);
         Routing.Settings routing = config.settings().routing();
         CacheFleet fleet = new CacheFleet(new CacheServer.Site(clock, module::post,
-            new ConnectionBudget(forPeers - forPeers / 2), new ReplyReader(routing),
+            new Semaphore(capacity.cacheConnections()), new ReplyReader(routing),
             routing.permissions().connectTimeout(), config.settings().idleTime() / 2));
         module.host(new ModuleHost(routing, config.seed(), clock, fleet, discovery));
         this.listener = new Listener(config.listen(), this::accepted);
@@ -104,12 +104,7 @@
 
     private void accepted(Socket socket) {
         try {
-            if (!clients.makeRoom(clock.now())) {
-                LOG.warning("all " + clients.count() + " client connections are at work, new ones wait");
-                while (!clients.makeRoom(clock.now())) {
-                    Thread.sleep(STEP_MILLIS);
-                }
-            }
+            awaitRoom();
             ClientConnection connection = new ClientConnection(socket, site);
             clients.add(connection);
             connection.start();
@@ -118,6 +113,21 @@
         }
     }
 
+    private void awaitRoom() throws InterruptedException {
+        boolean room = clients.makeRoom(clock.now());
+        if (!room && !crowded) {
+            LOG.warning("all " + clients.count() + " client connections are at work, new ones wait");
+        } else if (room && crowded && clients.count() < clients.most() / 2) {
+            LOG.info("client connections are below half of the most again");
+            crowded = false;
+        }
+        crowded = crowded || !room;
+        while (!room) {
+            Thread.sleep(STEP_MILLIS);
+            room = clients.makeRoom(clock.now());
+        }
+    }
+
     private void sweep() {
         try {
             while (lifecycle.phase() != Lifecycle.Phase.STOPPED) {
--- a/src/main/java/beaconturn/net/Sockets.java
+++ b/src/main/java/beaconturn/net/Sockets.java
@@ -15,7 +15,7 @@
 final class Sockets {
     private static final int COALESCED = 2048;
     /** Each thread keeps a buffer outside the heap as large as its largest read or write. */
-    private static final int LARGEST_STEP = 16 * 1024;
+    private static final int LARGEST_STEP = 8 * 1024;
 
     private Sockets() {
     }
--- a/src/main/java/beaconturn/protocol/InputBuffer.java
+++ b/src/main/java/beaconturn/protocol/InputBuffer.java
@@ -7,15 +7,18 @@
 public final class InputBuffer {
     private static final int CHUNK = 4096;
     private static final int LEAST_ROOM = 512;
-    private byte[] bytes = new byte[CHUNK];
+    private static final byte[] NONE = {};
+    private byte[] bytes = NONE;
     private int start;
     private int end;
+    private int expected;
 
     /** Makes room for at least some bytes and returns how many fit behind {@link #end}. */
     public int room() {
-        if (bytes.length - end < LEAST_ROOM) {
-            int unparsed = end - start;
-            byte[] next = new byte[Math.max(CHUNK, 2 * unparsed)];
+        int unparsed = end - start;
+        boolean known = expected > unparsed;
+        if (bytes.length - start < (known ? expected : unparsed + LEAST_ROOM)) {
+            byte[] next = new byte[Math.max(CHUNK, known ? expected : 2 * unparsed)];
             System.arraycopy(bytes, start, next, 0, unparsed);
             bytes = next;
             start = 0;
@@ -24,6 +27,16 @@
         return bytes.length - end;
     }
 
+    /** Notes that the message at hand has at least so many bytes, so that its array is made once. */
+    public void expect(int size) {
+        expected = size;
+    }
+
+    /** Whether the message at hand is known to need an array beyond the usual. */
+    public boolean large() {
+        return expected > CHUNK;
+    }
+
     /** The array to read into, from {@link #end} on, after {@link #room}. */
     public byte[] array() {
         return bytes;
@@ -54,8 +67,14 @@
         return new Slice(bytes, start + from, length);
     }
 
-    /** Notes that so many bytes are parsed. */
+    /** Notes that so many bytes are parsed; the array of a large message is let go with it. */
     public void consume(int count) {
         start += count;
+        expected = 0;
+        if (start == end && bytes.length > CHUNK) {
+            bytes = NONE;
+            start = 0;
+            end = 0;
+        }
     }
 }
--- a/src/main/java/beaconturn/protocol/RespReader.java
+++ b/src/main/java/beaconturn/protocol/RespReader.java
@@ -60,6 +60,7 @@
         int from = at;
         int end = from + (int) length;
         if (in.size() < end + 2) {
+            in.expect(end + 2);
             return null;
         }
         if (in.at(end) != '\r' || in.at(end + 1) != '\n') {
--- a/src/test/java/beaconturn/core/Samples.java
+++ b/src/test/java/beaconturn/core/Samples.java
@@ -26,7 +26,7 @@
         values.put("dcs", "east,west");
         values.put("flavors", "small,large");
         values.put("rules.answer_slack", "20000000");
-        values.put("rules.ask_within", "10000000000");
+        values.put("rules.ask_within", "1000000000");
         values.put("permissions.cancel", "true");
         values.put("permissions.second_copies", "true");
         values.put("permissions.retry_after", "true");
--- a/src/test/java/beaconturn/net/CacheServerTest.java
+++ b/src/test/java/beaconturn/net/CacheServerTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 
@@ -32,7 +33,7 @@
 
     private CacheServer server(InetSocketAddress dial, int connections, long idleTime) {
         CacheServer server = new CacheServer(new CacheServer.Site(clock, module::add,
-            new ConnectionBudget(connections), new ReplyReader(Samples.read().routing()), SECOND, idleTime),
+            new Semaphore(connections), new ReplyReader(Samples.read().routing()), SECOND, idleTime),
             "s-1", dial);
         server.start();
         return server;
--- /dev/null
+++ b/src/test/java/beaconturn/net/CapacityTest.java
@@ -0,0 +1,19 @@
+package beaconturn.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CapacityTest {
+    /** With all connections in use neither the descriptors nor the memory of a thread each may run out. */
+    @ParameterizedTest
+    @CsvSource({"1024, 192", "1024, 128", "256, 192", "64, 64", "4096, 2048"})
+    void allConnectionsTogetherStayWithinTheLimits(int sockets, int memoryMb) {
+        Capacity capacity = Capacity.of(sockets, memoryMb);
+        assertTrue(capacity.clients() > 0 && capacity.cacheConnections() > 0);
+        assertTrue(capacity.clients() + capacity.cacheConnections() < sockets - 20);
+        int threads = 2 * capacity.clients() + capacity.cacheConnections();
+        assertTrue(threads <= Math.max(256, (memoryMb - 100) * 1024 / 45), "threads " + threads);
+    }
+}
--- a/src/test/java/beaconturn/net/RouterServerTest.java
+++ b/src/test/java/beaconturn/net/RouterServerTest.java
@@ -14,6 +14,8 @@
 import beaconturn.protocol.Slice;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -23,6 +25,8 @@
     private static final String VALUE = "*3\r\n$2\r\nva\r\n$3\r\nhit\r\n$-1\r\n";
     private static final String GET = "*4\r\n$5\r\nC.GET\r\n$16\r\n00000000000000a1\r\n$2\r\nid\r\n$13\r\n"
         + "c=read,d=1500\r\n";
+    private static final int SOCKETS = 100;
+    private static final int MEMORY_MB = 192;
     private final CountDownLatch over = new CountDownLatch(1);
     private final Lifecycle lifecycle = new Lifecycle();
     private final Peer silentRegistry = new Peer(line -> {
@@ -48,7 +52,7 @@
         ListNews known = new ListReader(settings).known(
             JsonReader.read(Slice.of(list(4, true, cache, "ready"))));
         RouterConfig config = new RouterConfig("r1", new InetSocketAddress("127.0.0.1", 0),
-            registry.address(), 1, 256, known, settings);
+            registry.address(), 1, SOCKETS, MEMORY_MB, known, settings);
         router = new RouterServer(config, lifecycle);
         router.start();
         return Peer.Line.to(router.address());
@@ -224,4 +228,41 @@
             assertThrows(IOException.class, () -> Peer.Line.to(router.address()));
         }
     }
+
+    /** At the most connections a new client takes the place of one that is between requests. */
+    @Test
+    void quietConnectionsMakeRoomForNewOnes() throws Exception {
+        try (Peer cache = answering(); Peer.Line first = start(cache, silentRegistry)) {
+            first.write(GET);
+            assertEquals("$2\r\nva", first.answer());
+            List<Peer.Line> more = new ArrayList<>();
+            for (int i = 0; i < Capacity.of(SOCKETS, MEMORY_MB).clients() + 5; i++) {
+                Peer.Line line = Peer.Line.to(router.address());
+                more.add(line);
+                line.write("*1\r\n$4\r\nPING\r\n");
+                assertEquals("+PONG", line.answer());
+            }
+            assertEquals("end", first.answer());
+            more.forEach(Peer.Line::hangUp);
+        }
+    }
+
+    @Test
+    void largeValuesGoThroughWholeInBothDirections() throws Exception {
+        String value = "v".repeat(1 << 16);
+        try (Peer cache = new Peer(line -> {
+            for (String c = line.command(); !c.equals("end"); c = line.command()) {
+                line.note(c.endsWith(" " + value) ? "whole" : "cut");
+                line.write("*3\r\n$65536\r\n" + value + "\r\n$3\r\nhit\r\n$-1\r\n");
+            }
+        }); Peer.Line client = start(cache, silentRegistry)) {
+            for (int i = 0; i < 3; i++) {
+                client.write("*5\r\n$5\r\nC.SET\r\n$1\r\na\r\n$2\r\nid\r\n"
+                    + RespWriter.bulk("c=put,d=1900,k=" + i)
+                    + RespWriter.bulk(value));
+                assertEquals("$65536\r\n" + value, client.answer());
+                assertEquals("whole", cache.note());
+            }
+        }
+    }
 }
--- a/src/test/java/beaconturn/protocol/RespReaderTest.java
+++ b/src/test/java/beaconturn/protocol/RespReaderTest.java
@@ -1,9 +1,11 @@
 package beaconturn.protocol;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -63,4 +65,18 @@
         }
         assertEquals("first", first.toString());
     }
+
+    /** Doubling would take twice the memory of a large value, and hundreds of them are held at once. */
+    @Test
+    void aLargeValueGetsAnArrayOfItsOwnSizeWhichIsLetGoWithIt() throws ProtocolException {
+        RespReader large = new RespReader(60_000);
+        InputBuffer in = Bytes.buffer("$60000\r\n" + "v".repeat(1000));
+        assertNull(large.next(in));
+        assertTrue(in.large());
+        Bytes.feed(in, "v".repeat(59_000) + "\r\n");
+        assertEquals(60_000 + 10, in.array().length);
+        assertEquals(60_000, ((RespValue.Bulk) large.next(in)).bytes().length());
+        assertFalse(in.large());
+        assertEquals(0, in.array().length);
+    }
 }
