--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -20,6 +20,8 @@
     private final Clock clock;
     private final Fleet fleet;
     private final ListSource list;
+    private final Spell refusals = new Spell(LOG, "requests are refused", 10);
+    private final Spell failures = new Spell(LOG, "requests fail", 3);
     private final RequestTable table = new RequestTable();
     private final Timers timers = new Timers();
     private final Queue<Routing.Event> pending = new ArrayDeque<>();
@@ -59,6 +61,8 @@
         for (Runnable due = timers.takeDue(clock.now()); due != null; due = timers.takeDue(clock.now())) {
             due.run();
         }
+        refusals.check(clock.now());
+        failures.check(clock.now());
     }
 
     /** How long until the next timer, at most the given time. */
@@ -193,6 +197,7 @@
             if (r != null && !r.closed()) {
                 table.close(r);
                 r.call().refused(retryAfter);
+                refusals.note(clock.now());
             }
         }
 
@@ -202,6 +207,7 @@
             if (r != null && !r.closed()) {
                 table.close(r);
                 r.call().failed();
+                failures.note(clock.now());
             }
         }
 
--- a/src/main/java/beaconturn/net/CacheServer.java
+++ b/src/main/java/beaconturn/net/CacheServer.java
@@ -5,6 +5,7 @@
 import beaconturn.core.Mailbox;
 import beaconturn.core.Message;
 import beaconturn.core.Outcome;
+import beaconturn.core.Spell;
 import beaconturn.decision.Routing;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -30,7 +31,8 @@
 
         record Abort(Attempt attempt) implements Task { }
 
-        record Ended(CacheConnection connection, Attempt attempt, boolean reusable) implements Task { }
+        record Ended(CacheConnection connection, Attempt attempt, Routing.Ending ending, boolean reusable)
+            implements Task { }
 
         record Closed(CacheConnection connection) implements Task { }
 
@@ -49,6 +51,7 @@
     private final Map<Attempt, CacheConnection> out = new HashMap<>();
     private final Deque<Idle> idle = new ArrayDeque<>();
     private final CacheConnection.Owner owner = new Reports();
+    private final Spell unanswered;
     private InetSocketAddress dial;
     private volatile int connections;
     private boolean retired;
@@ -57,6 +60,7 @@
         this.site = site;
         this.host = host;
         this.dial = dial;
+        this.unanswered = new Spell(LOG, "cache server " + host + " leaves attempts unanswered", 3);
     }
 
     void start() {
@@ -103,6 +107,7 @@
                 try {
                     handle(task);
                     dropOld();
+                    unanswered.check(site.clock().now());
                 } catch (RuntimeException | Error e) {
                     LOG.log(Level.SEVERE, host + ": actor failed on a message and goes on", e);
                 }
@@ -120,6 +125,9 @@
             if (used != null) {
                 used.close();
             }
+            if (site.clock().now() >= abort.attempt().until()) {
+                unanswered.note(site.clock().now());
+            }
         } else if (task instanceof Task.Ended ended) {
             settle(ended);
         } else if (task instanceof Task.Closed closed) {
@@ -176,6 +184,13 @@
 
     private void settle(Task.Ended ended) {
         boolean wanted = out.remove(ended.attempt()) != null;
+        boolean broke = ended.ending() == Routing.Ending.CONNECT_FAILED
+            || ended.ending() == Routing.Ending.RESET;
+        if (wanted && broke) {
+            unanswered.note(site.clock().now());
+        } else if (!broke) {
+            unanswered.end();
+        }
         CacheConnection used = ended.connection();
         if (ended.reusable() && wanted && !retired && used.address().equals(dial)) {
             idle.push(new Idle(used, site.clock().now()));
@@ -206,7 +221,7 @@
         @Override
         public void ended(CacheConnection connection, Attempt attempt, Outcome outcome, boolean reusable) {
             // The pool first: what the module sends next finds the connection idle.
-            post(new Task.Ended(connection, attempt, reusable));
+            post(new Task.Ended(connection, attempt, outcome.ending(), reusable));
             site.module().accept(new Message.Ended(attempt, outcome));
         }
 
--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -26,7 +26,7 @@
  */
 final class ClientConnection {
     private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
-    private static final int MOST_PIPELINED = 64;
+    private static final int MOST_PIPELINED = 256;
     private static final int LONGEST_VALUE = 1 << 16;
     private static final int LINGER_MILLIS = 250;
     private static final long WRITER_IDLE = 2_000_000_000;
@@ -44,6 +44,7 @@
     private final List<ClientCall> calls = new ArrayList<>();
     private volatile long writingSince = NEVER;
     private volatile boolean halfRead;
+    private volatile long lastRead = NEVER;
     private volatile boolean largeInHand;
     // Guarded by this:
     private boolean writer;
@@ -77,6 +78,11 @@
         return writingSince;
     }
 
+    /** Since when half a command waits for the rest, or {@code Long.MAX_VALUE} if none does. */
+    long halfReadSince() {
+        return halfRead ? lastRead : NEVER;
+    }
+
     /** Since when the client is awaited to close its end, or {@code Long.MAX_VALUE} if it is not. */
     synchronized long closingSince() {
         return closingSince;
@@ -111,6 +117,7 @@
             RespReader reader = new RespReader(LONGEST_VALUE);
             while (Sockets.read(socket.getInputStream(), in)) {
                 halfRead = true;
+                lastRead = site.clock().now();
                 for (RespValue v = reader.next(in); v != null; v = reader.next(in)) {
                     command(v);
                 }
--- a/src/main/java/beaconturn/net/ClientConnections.java
+++ b/src/main/java/beaconturn/net/ClientConnections.java
@@ -10,6 +10,8 @@
     private static final long MILLI = 1_000_000;
     /** A client that takes no byte for so long is not coming back for its answer. */
     private static final long LONGEST_WRITE = 10_000 * MILLI;
+    /** A command whose rest does not come for so long holds a place that others want. */
+    private static final long LONGEST_HALF = 10_000 * MILLI;
     /** An answer just written should reach its client before the connection is closed for room. */
     private static final long SETTLED = 30 * MILLI;
     /** How long a client may take to close its end of a connection that the router has ended. */
@@ -57,9 +59,10 @@
         open.forEach(ClientConnection::finishIfQuiet);
     }
 
-    /** Closes the connections whose clients have stopped reading, or do not close their end. */
+    /** Closes the connections whose clients have stopped reading or writing, or do not close their end. */
     void sweep(long now) {
         open.stream().filter(c -> c.writingSince() < now - LONGEST_WRITE
+            || c.halfReadSince() < now - LONGEST_HALF
             || c.closingSince() < now - LONGEST_LINGER).forEach(ClientConnection::close);
     }
 }
--- a/src/main/java/beaconturn/net/ListReader.java
+++ b/src/main/java/beaconturn/net/ListReader.java
@@ -9,9 +9,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.logging.Logger;
 
 /** Turns discovery's form of the list into news for the module. */
 final class ListReader {
+    private static final Logger LOG = Logger.getLogger(ListReader.class.getName());
     private static final long MILLI = 1_000_000;
     private final Settings settings;
 
@@ -36,7 +38,12 @@
         }
         List<ListNews.Member> members = new ArrayList<>();
         for (Json line : answer.get("hosts").items()) {
-            members.add(member(line));
+            try {
+                members.add(member(line));
+            } catch (ProtocolException e) {
+                // One unreadable line must not keep the others from being followed.
+                LOG.warning("list: line left out: " + e.getMessage());
+            }
         }
         return new ListNews((long) number(answer, "seq", 0), kind, List.copyOf(members));
     }
--- a/src/main/java/beaconturn/net/WarmUp.java
+++ b/src/main/java/beaconturn/net/WarmUp.java
@@ -20,7 +20,7 @@
  * writers are then compiled when the first client comes. All in memory, nothing is sent to anybody.
  */
 final class WarmUp {
-    private static final int ROUNDS = 3000;
+    private static final int ROUNDS = 1000;
     private static final long STEP = 5_000_000;
     private static final int KEYS = 500;
     private static final String ANSWER = "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n";
