A timeout at a cache that said nothing since is not blamed on the origin

A trace of the gates shows the fetch gate shrinking from the timeouts of that cache: fetchClosed took them for a slow origin.

A cache that has answered nothing since the attempt was sent is silent itself; one that answers others while the fetch is out still tells of the origin.

--- a/src/main/java/beaconturn/decision/Attempt.java
+++ b/src/main/java/beaconturn/decision/Attempt.java
@@ -16,4 +16,9 @@
         this.onRing = onRing;
         this.fetches = fetches;
     }
+
+    /** Whether its server has said nothing, on any attempt, since this one was sent. */
+    boolean unheard() {
+        return server.heardAt < sentAt;
+    }
 }
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -176,6 +176,7 @@
         Attempt a = r.attempts.get(e.attempt());
         a.open = false;
         a.neverRan = e.ending().neverRan();
+        a.server.heardAt = e.ending().spoke() ? now : a.server.heardAt;
         a.server.load(-1, now, smoothing());
         forgetIfGone(a.server);
         if (a.onRing) {
@@ -652,7 +653,7 @@
         origin.inFlight--;
         Routing.Ending ending = e.ending();
         // What a cache did before it fetched says nothing of the origin: blaming that would lock the gate.
-        boolean cacheOnly = a.onRing && (ending.neverRan() || ending == Routing.Ending.RESET);
+        boolean cacheOnly = a.onRing && (ending.neverRan() || ending == Routing.Ending.RESET || a.unheard());
         if (ending.ownDoing() || a.server.ejected || cacheOnly) {
             return;
         }
--- a/src/main/java/beaconturn/decision/Routing.java
+++ b/src/main/java/beaconturn/decision/Routing.java
@@ -26,6 +26,11 @@
             return this == FULL || this == CONNECT_FAILED || this == MOOT || this == MISS;
         }
 
+        /** True where the server itself has said something. */
+        public boolean spoke() {
+            return this == OK || this == ERROR || this == FULL || this == MISS;
+        }
+
         /** True where the router's own doing ended the attempt, which says nothing of the server. */
         public boolean ownDoing() {
             return this == CANCELLED || this == MOOT;
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -13,6 +13,8 @@
     int inFlight;
     double smoothLoad;
     long settledAt;
+    /** When the server last said anything on any attempt. */
+    long heardAt;
     double reported;
     long reportedAt;
     double sick;
