A late fetch is hedged only if its cache is silent; tests of who is blamed

At fault: late(), which hedged a fetch whatever made it late.

A cache that has answered others since the fetch was sent is not the one that is late. In aside mode nothing changes, as caches there do not fetch.

--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -492,7 +492,7 @@
         return times.any ? (long) (times.mean + LATE_DEVIATIONS * times.deviation) : r.type.aim();
     }
 
-    /** An attempt is out longer than answers take: it counts against the cache, and may be hedged. */
+    /** Out longer than answers take: counts against the cache; hedged unless the origin is what is late. */
     private void late(Request r, Attempt a) {
         if (!a.open) {
             return;
@@ -500,7 +500,7 @@
         a.judged = true;
         judge(a.server, true);
         if (furtherAttemptEarned() && may.secondCopies() && !r.streaming && r.openCount() == 1
-                && r.type.effect() != Routing.Effect.UNSAFE) {
+                && r.type.effect() != Routing.Effect.UNSAFE && (!a.fetches || a.unheard())) {
             Server s = pick(r);
             if (s != null) {
                 retryBudget--;
--- /dev/null
+++ b/src/test/java/beaconturn/decision/OriginBlameTest.java
@@ -0,0 +1,93 @@
+package beaconturn.decision;
+
+import static beaconturn.decision.Harness.MS;
+import static beaconturn.decision.Harness.READ;
+import static beaconturn.decision.Harness.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import beaconturn.decision.Routing.Ending;
+import org.junit.jupiter.api.Test;
+
+/** Where caches fetch for themselves, a late answer is the cache's or the origin's; which, decides. */
+class OriginBlameTest {
+    private static final int CACHES = 12;
+    private final Harness h = new Harness(Harness.settings(false));
+    private long request;
+
+    OriginBlameTest() {
+        h.caches(CACHES);
+        for (int i = 0; i < 60; i++) {
+            fetch();
+            h.close(h.last(), 0, Ending.OK, true);
+            h.pass(20 * MS);
+        }
+    }
+
+    /** A read of a key that no cache is known to hold. */
+    private Harness.Send fetch() {
+        request++;
+        h.arrive(request, READ, request);
+        return h.last();
+    }
+
+    private int sendsSince(Runnable events) {
+        int before = h.sends.size();
+        events.run();
+        return h.sends.size() - before;
+    }
+
+    @Test
+    void aLateFetchAtACacheThatIsSilentIsHedged() {
+        fetch();
+        assertEquals(1, sendsSince(() -> h.pass(SECOND / 2)));
+    }
+
+    /** Hedges of fetches that the origin holds up only add to it, and past any limit in flight. */
+    @Test
+    void aLateFetchAtACacheThatAnswersOthersIsNotHedged() {
+        Harness.Send late = fetch();
+        Harness.Send other = fetch();
+        while (other.server() != late.server()) {
+            h.close(other, 0, Ending.OK, true);
+            other = fetch();
+        }
+        h.pass(MS);
+        h.close(other, 0, Ending.OK, true);
+        assertEquals(0, sendsSince(() -> h.pass(SECOND / 2)));
+    }
+
+    /** Timeouts of silent caches must not shrink the fetches that all others may have out. */
+    @Test
+    void silentCachesDoNotShrinkTheFetchGate() {
+        for (int i = 0; i < 2 * CACHES; i++) {
+            Harness.Send silent = fetch();
+            h.now += SECOND;
+            h.close(silent, 0, Ending.TIMEOUT, true);
+        }
+        assertEquals(CACHES, sendsSince(() -> {
+            for (int i = 0; i < CACHES; i++) {
+                fetch();
+            }
+        }));
+    }
+
+    /** The same timeouts at caches that answer others are the origin's, and the gate does shrink. */
+    @Test
+    void timeoutsAtCachesThatAnswerOthersShrinkTheFetchGate() {
+        for (int i = 0; i < 2 * CACHES; i++) {
+            Harness.Send slow = fetch();
+            h.now += SECOND;
+            Harness.Send other = fetch();
+            for (int k = 0; k < CACHES && other.server() != slow.server(); k++) {
+                other = fetch();
+            }
+            h.close(other, 0, Ending.FULL, true);
+            h.close(slow, 0, Ending.TIMEOUT, true);
+        }
+        assertEquals(0, sendsSince(() -> {
+            for (int i = 0; i < CACHES; i++) {
+                fetch();
+            }
+        }));
+    }
+}
