Answers of a cache are counted to tell whether it was heard since; two tests mended

A count of the answers, kept by the cache and noted at the sending, has neither fault. aSilentPeerHoldsUpNothing gave up attempts before their connections were up, which is another case; it now waits for all of them first.

--- a/src/main/java/beaconturn/decision/Attempt.java
+++ b/src/main/java/beaconturn/decision/Attempt.java
@@ -6,6 +6,7 @@
     final long sentAt;
     final boolean onRing;
     final boolean fetches;
+    private final long heardBefore;
     boolean open = true;
     boolean neverRan;
     boolean judged;
@@ -15,10 +16,11 @@
         this.sentAt = sentAt;
         this.onRing = onRing;
         this.fetches = fetches;
+        this.heardBefore = server.heard;
     }
 
     /** Whether its server has said nothing, on any attempt, since this one was sent. */
     boolean unheard() {
-        return server.heardAt < sentAt;
+        return server.heard == heardBefore;
     }
 }
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -176,7 +176,7 @@
         Attempt a = r.attempts.get(e.attempt());
         a.open = false;
         a.neverRan = e.ending().neverRan();
-        a.server.heardAt = e.ending().spoke() ? now : a.server.heardAt;
+        a.server.heard += e.ending().spoke() ? 1 : 0;
         a.server.load(-1, now, smoothing());
         forgetIfGone(a.server);
         if (a.onRing) {
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -13,8 +13,8 @@
     int inFlight;
     double smoothLoad;
     long settledAt;
-    /** When the server last said anything on any attempt. */
-    long heardAt;
+    /** How many attempts the server has said something on. */
+    long heard;
     double reported;
     long reportedAt;
     double sick;
--- a/src/test/java/beaconturn/net/CacheServerTest.java
+++ b/src/test/java/beaconturn/net/CacheServerTest.java
@@ -272,8 +272,10 @@
                 attempts[i] = attempt(value);
                 assertTrue(server.send(attempts[i]));
             }
-            for (Attempt attempt : attempts) {
+            for (int i = 0; i < attempts.length; i++) {
                 peer.note();
+            }
+            for (Attempt attempt : attempts) {
                 server.abort(attempt);
             }
             awaitQuiet(server);
