An attempt given up is closed on the wire before the module's next send

Seen by reading: giving up posted to the actor of one cache server while the copy went to another, so the second could be written before the first connection was closed, which counts as a second copy. Closing now happens before abort() returns, as it does not wait for anybody; an attempt that is over before it was begun is never written (that test fails without the check).

--- a/src/main/java/beaconturn/core/Attempt.java
+++ b/src/main/java/beaconturn/core/Attempt.java
@@ -8,7 +8,7 @@
     private final Call call;
     private final long sentAt;
     private final long allowFor;
-    private boolean over;
+    private volatile boolean over;
 
     /** The attempt of that number of a request; it may be out for {@code allowFor} from {@code sentAt} on. */
     public Attempt(long request, int number, long server, Call call, long sentAt, long allowFor) {
@@ -48,13 +48,14 @@
     }
 
     /** Notes the attempt's end; false if it had ended before. For the module's thread. */
-    boolean end() {
+    public boolean end() {
         boolean first = !over;
         over = true;
         return first;
     }
 
-    boolean over() {
+    /** Whether it has ended or was given up; what is over is not written any more. */
+    public boolean over() {
         return over;
     }
 }
--- a/src/main/java/beaconturn/core/Fleet.java
+++ b/src/main/java/beaconturn/core/Fleet.java
@@ -5,7 +5,7 @@
     /** Starts an attempt, whose outcome comes back as a message; false if nothing was or will be sent. */
     boolean send(Attempt attempt);
 
-    /** Stops waiting for an attempt and ends it on the wire; nothing comes back. */
+    /** Ends an attempt that is over on the wire, before it returns; nothing comes back. */
     void abort(Attempt attempt);
 
     /** Closes idle connections to a cache server. */
--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -109,6 +109,10 @@
         if (!a.end()) {
             return;
         }
+        // On the wire first: what the module sends next must not meet an attempt that is still out.
+        if (outcome.ending() == Routing.Ending.TIMEOUT) {
+            fleet.abort(a);
+        }
         RequestTable.Entry r = table.get(a.request());
         if (outcome.ending() == Routing.Ending.OK && !r.closed()) {
             table.close(r);
@@ -122,7 +126,6 @@
 
     private void timedOut(Attempt a) {
         if (!a.over()) {
-            fleet.abort(a);
             ended(a, Outcome.of(Routing.Ending.TIMEOUT, clock.now()));
         }
     }
@@ -178,8 +181,8 @@
             }
             Attempt a = r.attempts().get(attempt);
             if (!a.over()) {
-                fleet.abort(a);
                 over(a, r, Routing.Ending.CANCELLED);
+                fleet.abort(a);
             }
         }
 
--- a/src/main/java/beaconturn/net/CacheConnection.java
+++ b/src/main/java/beaconturn/net/CacheConnection.java
@@ -104,6 +104,11 @@
     private void transmit(Attempt a) {
         synchronized (this) {
             long wait = Math.max(1, (a.until() - clock.now()) / MILLI);
+            if (a.over()) {
+                // Given up while it was on its way here: what is over must not reach the cache server.
+                close();
+                return;
+            }
             try {
                 Sockets.write(socket.getOutputStream(), a.call().forwarded(wait));
                 written = true;
--- a/src/main/java/beaconturn/net/CacheServer.java
+++ b/src/main/java/beaconturn/net/CacheServer.java
@@ -10,8 +10,8 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
 import java.util.function.Consumer;
 import java.util.logging.Level;
@@ -48,7 +48,7 @@
     private final Site site;
     private final String host;
     private final Mailbox<Task> mailbox = new Mailbox<>(MOST_MESSAGES);
-    private final Map<Attempt, CacheConnection> out = new HashMap<>();
+    private final Map<Attempt, CacheConnection> out = new ConcurrentHashMap<>();
     private final Deque<Idle> idle = new ArrayDeque<>();
     private final CacheConnection.Owner owner = new Reports();
     private final Spell unanswered;
@@ -72,7 +72,15 @@
         return mailbox.offerLeaving(MOST_MESSAGES / 2, new Task.Send(attempt));
     }
 
+    /**
+     * Ends the attempt's connection before it returns, so that a copy sent elsewhere next never meets it;
+     * closing a socket does not wait. An attempt that is not begun yet will not be, as it is over.
+     */
     void abort(Attempt attempt) {
+        CacheConnection used = out.get(attempt);
+        if (used != null) {
+            used.close();
+        }
         tell(new Task.Abort(attempt));
     }
 
@@ -121,10 +129,7 @@
         if (task instanceof Task.Send send) {
             begin(send.attempt());
         } else if (task instanceof Task.Abort abort) {
-            CacheConnection used = out.remove(abort.attempt());
-            if (used != null) {
-                used.close();
-            }
+            out.remove(abort.attempt());
             if (site.clock().now() >= abort.attempt().until()) {
                 unanswered.note(site.clock().now());
             }
@@ -150,8 +155,7 @@
 
     /** The connection used last is taken first, so that those too many grow old and are closed. */
     private void begin(Attempt attempt) {
-        if (attempt.until() <= site.clock().now()) {
-            unreachable(attempt);
+        if (attempt.over()) {
             return;
         }
         dropOld();
--- a/src/test/java/beaconturn/net/CacheServerTest.java
+++ b/src/test/java/beaconturn/net/CacheServerTest.java
@@ -15,6 +15,7 @@
 import beaconturn.protocol.RespWriter;
 import beaconturn.protocol.Slice;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -201,6 +202,28 @@
         }
     }
 
+    /** What was given up on its way must not run: a copy of it may already be out elsewhere. */
+    @Test
+    void anAttemptGivenUpBeforeItWasBegunIsNotWritten() throws InterruptedException {
+        try (Peer peer = new Peer(line -> {
+            for (String c = line.command(); !c.equals("end"); c = line.command()) {
+                line.note(c.split(" ")[1]);
+                line.write(VALUE);
+            }
+        })) {
+            CacheServer server = server(peer);
+            outcome(send(server));
+            Attempt givenUp = attempt(null);
+            givenUp.end();
+            assertTrue(server.send(givenUp));
+            server.abort(givenUp);
+            outcome(send(server));
+            assertEquals("key-0", peer.note());
+            assertEquals("key-2", peer.note());
+            assertEquals(List.of(), peer.notesLeft());
+        }
+    }
+
     @Test
     void aConnectionThatThePeerHasClosedIsNotWrittenTo() throws InterruptedException {
         try (Peer peer = new Peer(line -> {
