--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -2,7 +2,6 @@
 
 import beaconturn.core.Clock;
 import beaconturn.core.Lifecycle;
-import beaconturn.core.Mailbox;
 import beaconturn.core.Message;
 import beaconturn.protocol.InputBuffer;
 import beaconturn.protocol.ProtocolException;
@@ -21,18 +20,14 @@
 import java.util.logging.Logger;
 
 /**
- * One client: a thread that reads commands, and an actor that writes the answers in their order. Reading
- * goes on while requests are out, so that a client's close is seen at once.
+ * One client: a thread that reads commands and hands the requests to the module. Reading goes on while
+ * requests are out, so that a client's close is seen at once.
  */
 final class ClientConnection {
     private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
-    private static final int MOST_PIPELINED = 256;
     private static final int LONGEST_VALUE = 1 << 16;
     private static final int LINGER_MILLIS = 250;
-    private static final long WRITER_IDLE = 2_000_000_000;
     private static final long NEVER = Long.MAX_VALUE;
-    /** In the place of an answer: nothing more is written. */
-    private static final Slice END = Slice.of("");
 
     /** What a connection needs of the router round it. */
     record Site(RequestParser parser, Clock clock, Lifecycle lifecycle, Consumer<Message> module,
@@ -40,23 +35,17 @@
 
     private final Socket socket;
     private final Site site;
-    private final Mailbox<Reply> replies = new Mailbox<>(MOST_PIPELINED);
+    private final ClientWriter writer;
     private final List<ClientCall> calls = new ArrayList<>();
-    private volatile long writingSince = NEVER;
     private volatile boolean halfRead;
-    private volatile long lastRead = NEVER;
     private volatile boolean largeInHand;
-    // Guarded by this:
-    private boolean writer;
+    private volatile long lastRead = NEVER;
     private int large;
-    private int unanswered;
-    private long quietSince;
-    private long closingSince = NEVER;
 
     ClientConnection(Socket socket, Site site) {
         this.socket = socket;
         this.site = site;
-        this.quietSince = site.clock().now();
+        this.writer = new ClientWriter(socket, site.clock(), this::quiet);
     }
 
     void start() {
@@ -69,13 +58,8 @@
     }
 
     /** Since when no request is out and none half read, or {@code Long.MAX_VALUE} if one is. */
-    synchronized long quietSince() {
-        return unanswered == 0 && !halfRead && closingSince == NEVER ? quietSince : NEVER;
-    }
-
-    /** Since when an answer is being written, or {@code Long.MAX_VALUE} if none is. */
-    long writingSince() {
-        return writingSince;
+    long quietSince() {
+        return halfRead ? NEVER : writer.quietSince();
     }
 
     /** Since when half a command waits for the rest, or {@code Long.MAX_VALUE} if none does. */
@@ -83,26 +67,20 @@
         return halfRead ? lastRead : NEVER;
     }
 
+    /** Since when an answer is being written, or {@code Long.MAX_VALUE} if none is. */
+    long writingSince() {
+        return writer.writingSince();
+    }
+
     /** Since when the client is awaited to close its end, or {@code Long.MAX_VALUE} if it is not. */
-    synchronized long closingSince() {
-        return closingSince;
+    long closingSince() {
+        return writer.closingSince();
     }
 
-    /**
-     * Ends the connection if no request is out. Only its sending: closing all of it would reset it under a
-     * request that crosses, and with it the last answer on its way.
-     */
+    /** Ends the connection if it is between requests. */
     void finishIfQuiet() {
-        synchronized (this) {
-            if (quietSince() == NEVER) {
-                return;
-            }
-            closingSince = site.clock().now();
-        }
-        try {
-            socket.shutdownOutput();
-        } catch (IOException e) {
-            close();
+        if (!halfRead) {
+            writer.finishIfQuiet();
         }
     }
 
@@ -145,18 +123,27 @@
         if (!RequestParser.isRequest(name.bytes())) {
             Reply reply = new Reply();
             reply.fill(other(name.bytes().toString().toUpperCase(Locale.ROOT)));
-            inOrder(reply);
+            writer.take(reply);
             return;
         }
         ClientCall call = site.parser().parse(array.items(), site.clock().now());
         largeInHand = false;
-        if (inOrder(call)) {
+        if (writer.take(call)) {
             calls.removeIf(Reply::isFilled);
             calls.add(call);
             site.module().accept(new Message.Arrived(call));
         }
     }
 
+    private Slice other(String name) {
+        return switch (name) {
+            case "PING" -> site.lifecycle().ready() ? RespWriter.simple("PONG")
+                : RespWriter.failure("ERR starting");
+            case "CLIENT", "SELECT" -> RespWriter.simple("OK");
+            default -> RespWriter.failure("ERR unknown command");
+        };
+    }
+
     /** Large requests are held in memory till they are answered: so many at once, the others wait unread. */
     private void takeLarge() throws InterruptedException {
         site.largeRequests().acquire();
@@ -171,33 +158,9 @@
         large = 0;
     }
 
-    private Slice other(String name) {
-        return switch (name) {
-            case "PING" -> site.lifecycle().ready() ? RespWriter.simple("PONG")
-                : RespWriter.failure("ERR starting");
-            case "CLIENT", "SELECT" -> RespWriter.simple("OK");
-            default -> RespWriter.failure("ERR unknown command");
-        };
-    }
-
-    /** Takes the next place in the order of answers; false if the connection takes no more requests. */
-    private boolean inOrder(Reply reply) throws InterruptedException {
-        synchronized (this) {
-            if (closingSince != NEVER) {
-                return false;
-            }
-            unanswered++;
-        }
-        replies.put(reply);
-        ensureWriter();
-        return true;
-    }
-
-    /** The writer's thread lives while there is something to write and a little longer. */
-    private synchronized void ensureWriter() {
-        if (!writer) {
-            Threads.start("client-write", this::write);
-            writer = true;
+    private void quiet() {
+        if (!largeInHand) {
+            giveBackLarge();
         }
     }
 
@@ -206,10 +169,8 @@
         try {
             Reply error = new Reply();
             error.fill(RespWriter.failure("ERR " + reason));
-            if (inOrder(error)) {
-                Reply last = new Reply();
-                last.fill(END);
-                replies.put(last);
+            if (writer.take(error)) {
+                writer.finish();
             }
             discard();
         } catch (IOException e) {
@@ -224,7 +185,7 @@
         socket.setSoTimeout(LINGER_MILLIS);
         byte[] ignored = new byte[1024];
         boolean more = true;
-        while (more && site.clock().now() < longestLinger()) {
+        while (more && !lingeredLong()) {
             try {
                 more = socket.getInputStream().read(ignored) >= 0;
             } catch (SocketTimeoutException e) {
@@ -233,16 +194,8 @@
         }
     }
 
-    private synchronized long longestLinger() {
-        return closingSince == NEVER ? NEVER : closingSince + LINGER_MILLIS * 1_000_000L;
-    }
-
-    private void end() {
-        Reply last = new Reply();
-        last.fill(END);
-        if (!replies.offer(last)) {
-            LOG.finer("the writer of a closed connection ends at its next answer");
-        }
+    private boolean lingeredLong() {
+        return site.clock().now() - LINGER_MILLIS * 1_000_000L > writer.closingSince();
     }
 
     /** The connection is over: nobody waits for what it still had out. */
@@ -251,65 +204,11 @@
         for (ClientCall call : calls) {
             if (!call.isFilled()) {
                 site.module().accept(new Message.Left(call));
-                call.fill(END);
+                call.fill(ClientWriter.END);
             }
         }
-        end();
+        writer.abandon();
         giveBackLarge();
         site.whenClosed().accept(this);
     }
-
-    private void write() {
-        try {
-            for (Slice next = nextAnswer(); next != null; next = nextAnswer()) {
-                if (next == END) {
-                    endOutput();
-                    return;
-                }
-                writingSince = site.clock().now();
-                Sockets.write(socket.getOutputStream(), List.of(next));
-                writingSince = NEVER;
-                answered();
-            }
-        } catch (IOException e) {
-            // The reader sees the same end and tells the module; nothing can be said to this client.
-            close();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            close();
-        } finally {
-            writingSince = NEVER;
-        }
-    }
-
-    /** The next answer in order, waiting for it; null if the writer may go, as nothing is out. */
-    private Slice nextAnswer() throws InterruptedException {
-        while (true) {
-            Reply next = replies.poll(WRITER_IDLE);
-            if (next != null) {
-                return next.await();
-            }
-            synchronized (this) {
-                if (replies.isEmpty()) {
-                    writer = false;
-                    return null;
-                }
-            }
-        }
-    }
-
-    private void endOutput() throws IOException {
-        synchronized (this) {
-            closingSince = Math.min(closingSince, site.clock().now());
-        }
-        socket.shutdownOutput();
-    }
-
-    private synchronized void answered() {
-        unanswered--;
-        quietSince = site.clock().now();
-        if (unanswered == 0 && !largeInHand) {
-            giveBackLarge();
-        }
-    }
 }
