What is answered is let go at once; a client that reads nothing is not read either

Seen: a probe with 64 KB answers at 2,500 requests a second brought heap errors. The heap histogram showed 3,500 requests held where 46 were open. Two holders: timers kept each request, with its values, until its deadline; and clients that asked on without reading had up to 256 answers each in their mailbox. Ruled out: the pools and the parsers' buffers (49 connections, 72 buffers).

A timer that is no longer needed lets go of what it holds; an idle connection keeps no request. At most 32 requests of a connection are taken ahead, and behind a write that is stuck no more than three.

--- a/src/main/java/beaconturn/core/Attempt.java
+++ b/src/main/java/beaconturn/core/Attempt.java
@@ -9,6 +9,7 @@
     private final long sentAt;
     private final long allowFor;
     private volatile boolean over;
+    private Timers.Timer timeOut;
 
     /** The attempt of that number of a request; it may be out for {@code allowFor} from {@code sentAt} on. */
     public Attempt(long request, int number, long server, Call call, long sentAt, long allowFor) {
@@ -35,6 +36,11 @@
         return sentAt + allowFor;
     }
 
+    /** Says what ends the attempt if nothing else does; it is called off at the end. */
+    void timeOut(Timers.Timer timer) {
+        timeOut = timer;
+    }
+
     long request() {
         return request;
     }
@@ -51,6 +57,9 @@
     public boolean end() {
         boolean first = !over;
         over = true;
+        if (timeOut != null) {
+            timeOut.cancel();
+        }
         return first;
     }
 
--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -78,9 +78,9 @@
 
     private void arrived(Call call) {
         long now = clock.now();
-        RequestTable.Entry r = table.add(call);
+        long last = call.deadline() + settings.rules().answerSlack();
+        RequestTable.Entry r = table.add(call, entry -> timers.at(last, () -> overdue(entry)));
         Call.Ask ask = call.ask();
-        timers.at(call.deadline() + settings.rules().answerSlack(), () -> overdue(r));
         deliver(new Routing.Arrival(r.id(), ask.tenant(), ask.hint(), ask.key(), ask.requestClass(),
             call.deadline() - now, ask.clientRetry(), ask.write(), ask.size()));
         if (r.broken()) {
@@ -167,7 +167,7 @@
             long left = Math.max(0, r.call().deadline() - now);
             long allowed = allowFor == 0 ? left : Math.min(left, allowFor);
             Attempt a = table.attempt(r, server, now, allowed);
-            timers.at(a.until(), () -> timedOut(a));
+            a.timeOut(timers.at(a.until(), () -> timedOut(a)));
             if (!fleet.send(a)) {
                 over(a, r, Routing.Ending.CONNECT_FAILED);
             }
--- a/src/main/java/beaconturn/core/RequestTable.java
+++ b/src/main/java/beaconturn/core/RequestTable.java
@@ -5,6 +5,7 @@
 import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 
 /** The requests that are not over yet: unanswered, or with an attempt still out. For one thread. */
 final class RequestTable {
@@ -17,6 +18,7 @@
         private final long id;
         private final Call call;
         private final List<Attempt> attempts = new ArrayList<>(2);
+        private Timers.Timer overdue;
         private boolean closed;
         private boolean broken;
         private int out;
@@ -49,8 +51,10 @@
         }
     }
 
-    Entry add(Call call) {
+    /** Adds a request; {@code timer} makes the one that ends it if nothing else does. */
+    Entry add(Call call, Function<Entry, Timers.Timer> timer) {
         Entry r = new Entry(++lastId, call);
+        r.overdue = timer.apply(r);
         entries.put(r.id, r);
         byCall.put(call, r);
         return r;
@@ -79,6 +83,7 @@
 
     void close(Entry r) {
         r.closed = true;
+        r.overdue.cancel();
         byCall.remove(r.call);
         forget(r);
     }
--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -129,8 +129,10 @@
         ClientCall call = site.parser().parse(array.items(), site.clock().now());
         largeInHand = false;
         if (writer.take(call)) {
-            calls.removeIf(Reply::isFilled);
-            calls.add(call);
+            synchronized (calls) {
+                calls.removeIf(Reply::isFilled);
+                calls.add(call);
+            }
             site.module().accept(new Message.Arrived(call));
         }
     }
@@ -158,7 +160,11 @@
         large = 0;
     }
 
+    /** All is answered: nothing of it is kept while the connection is idle. */
     private void quiet() {
+        synchronized (calls) {
+            calls.removeIf(Reply::isFilled);
+        }
         if (!largeInHand) {
             giveBackLarge();
         }
@@ -201,7 +207,11 @@
     /** The connection is over: nobody waits for what it still had out. */
     private void leave() {
         close();
-        for (ClientCall call : calls) {
+        List<ClientCall> left;
+        synchronized (calls) {
+            left = List.copyOf(calls);
+        }
+        for (ClientCall call : left) {
             if (!call.isFilled()) {
                 site.module().accept(new Message.Left(call));
                 call.fill(ClientWriter.END);
--- a/src/main/java/beaconturn/net/ClientWriter.java
+++ b/src/main/java/beaconturn/net/ClientWriter.java
@@ -14,7 +14,9 @@
 final class ClientWriter {
     /** In the place of an answer: nothing more is written. */
     static final Slice END = Slice.of("");
-    private static final int MOST_PIPELINED = 256;
+    private static final int MOST_PIPELINED = 32;
+    /** Answers may be this many behind one that its client is slow to take; else they would fill the heap. */
+    private static final int MOST_BEHIND = 2;
     private static final long IDLE = 2_000_000_000;
     private static final long NEVER = Long.MAX_VALUE;
 
@@ -55,6 +57,9 @@
     /** Gives the reply the next place; false if the connection is ending and takes no more. */
     boolean take(Reply reply) throws InterruptedException {
         synchronized (this) {
+            while (writingSince != NEVER && unanswered > MOST_BEHIND) {
+                wait();
+            }
             if (closingSince != NEVER) {
                 return false;
             }
@@ -114,7 +119,7 @@
                 }
                 writingSince = clock.now();
                 Sockets.write(socket.getOutputStream(), List.of(next));
-                writingSince = NEVER;
+                writeEnded();
                 answered();
             }
         } catch (IOException e) {
@@ -124,7 +129,7 @@
             Thread.currentThread().interrupt();
             Sockets.close(socket);
         } finally {
-            writingSince = NEVER;
+            writeEnded();
         }
     }
 
@@ -151,6 +156,11 @@
         socket.shutdownOutput();
     }
 
+    private synchronized void writeEnded() {
+        writingSince = NEVER;
+        notifyAll();
+    }
+
     private void answered() {
         boolean quiet;
         synchronized (this) {
--- a/src/test/java/beaconturn/core/ModuleHostTest.java
+++ b/src/test/java/beaconturn/core/ModuleHostTest.java
@@ -5,10 +5,12 @@
 
 import beaconturn.decision.Routing;
 import beaconturn.protocol.Slice;
+import java.lang.ref.WeakReference;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** The host between module and sockets, with a module that does what the test says. */
 class ModuleHostTest {
@@ -186,6 +188,19 @@
             .map(e -> ((Routing.Timer) e).token()).toList());
     }
 
+    /** At a high rate of large values, what is kept until each deadline fills the heap. */
+    @Test
+    @Timeout(60)
+    void aRequestThatIsOverIsLetGoBeforeItsDeadline() {
+        sending(0);
+        WeakReference<Call> call = new WeakReference<>(arrive());
+        host.handle(new Message.Ended(fleet.sent.remove(0), ok("value")));
+        while (call.get() != null) {
+            System.gc();
+        }
+        assertEquals(0, host.open());
+    }
+
     private static final class FakeCall implements Call {
         private final long deadline;
         private final List<String> answers = new ArrayList<>();
