An actor is not dropped while a send to it waits to be begun

Found by reading: a cache server that left the list counted as quiet with no connection open, though a send could still lie in its mailbox; dropped then, it could not be told that the attempt is given up. It is quiet only once every send posted has been begun.

--- a/src/main/java/beaconturn/net/CacheServer.java
+++ b/src/main/java/beaconturn/net/CacheServer.java
@@ -54,6 +54,8 @@
     private final Spell unanswered;
     private InetSocketAddress dial;
     private volatile int connections;
+    private volatile int begun;
+    private int posted;
     private boolean retired;
 
     CacheServer(Site site, String host, InetSocketAddress dial) {
@@ -69,7 +71,9 @@
 
     /** Never waits: the module's thread calls it. Half of the mailbox is kept for what must not be lost. */
     boolean send(Attempt attempt) {
-        return mailbox.offerLeaving(MOST_MESSAGES / 2, new Task.Send(attempt));
+        boolean taken = mailbox.offerLeaving(MOST_MESSAGES / 2, new Task.Send(attempt));
+        posted += taken ? 1 : 0;
+        return taken;
     }
 
     /**
@@ -92,9 +96,12 @@
         tell(new Task.Dial(address));
     }
 
-    /** Whether no connection is open. */
+    /**
+     * Whether no connection is open and no send waits to be begun: an actor dropped before that could not be
+     * told any more that the attempt is given up. Asked by the thread that sends.
+     */
     boolean quiet() {
-        return connections == 0;
+        return begun == posted && connections == 0;
     }
 
     /** Ends the actor once nothing is out any more. */
@@ -127,7 +134,11 @@
 
     private void handle(Task task) {
         if (task instanceof Task.Send send) {
-            begin(send.attempt());
+            try {
+                begin(send.attempt());
+            } finally {
+                begun = begun + 1;
+            }
         } else if (task instanceof Task.Abort abort) {
             out.remove(abort.attempt());
             if (site.clock().now() >= abort.attempt().until()) {
