Tidy after a read-through: less state in the host, one place for what stood in several

A request on whose arrival the module failed is ended where that is seen, so the table keeps no flag for it; overdue and withdrawn requests end in one way; an attempt's time-out is an ending like the others. One limit of a value, one empty report, one way to make a reply that is there from the start, one linger time, one kind of queue in mailboxes, one cache server of the tests that answers when it may.

The few bytes behind a large value no longer double its array: 131 KB were made for each answer of 64 KB. That test fails without the change.

--- a/src/main/java/beaconturn/core/Mailbox.java
+++ b/src/main/java/beaconturn/core/Mailbox.java
@@ -1,18 +1,16 @@
 package beaconturn.core;
 
-import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
 /** The bounded queue in front of an actor: many threads post, one takes. */
 public final class Mailbox<T> {
-    private static final int SMALL = 64;
     private final BlockingQueue<T> queue;
 
-    /** A mailbox for at most this many messages; only a small one takes its memory ahead. */
+    /** A mailbox for at most this many messages. */
     public Mailbox(int capacity) {
-        queue = capacity <= SMALL ? new ArrayBlockingQueue<>(capacity) : new LinkedBlockingQueue<>(capacity);
+        queue = new LinkedBlockingQueue<>(capacity);
     }
 
     /** Posts without waiting; false if the mailbox is full. */
--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -14,7 +14,6 @@
  */
 public final class ModuleHost {
     private static final Logger LOG = Logger.getLogger(ModuleHost.class.getName());
-    private static final float[] NO_REPORT = {};
 
     private final Routing.Settings settings;
     private final Clock clock;
@@ -83,18 +82,14 @@
         Call.Ask ask = call.ask();
         deliver(new Routing.Arrival(r.id(), ask.tenant(), ask.hint(), ask.key(), ask.requestClass(),
             call.deadline() - now, ask.clientRetry(), ask.write(), ask.size()));
-        if (r.broken()) {
-            overdue(r);
-        }
     }
 
     /** A request must not go without an answer, even if the module fails: its client is told so. */
     private void overdue(RequestTable.Entry r) {
-        if (!r.closed()) {
+        if (r != null && !r.closed()) {
             LOG.warning("request " + r.id() + " had no answer from the module; failed");
-            table.close(r);
             r.call().failed();
-            deliver(new Routing.Withdrawn(r.id()));
+            withdraw(r);
         }
     }
 
@@ -124,12 +119,6 @@
             a.server(), outcome.ending(), outcome.note(), a.number(), outcome.report()));
     }
 
-    private void timedOut(Attempt a) {
-        if (!a.over()) {
-            ended(a, Outcome.of(Routing.Ending.TIMEOUT, clock.now()));
-        }
-    }
-
     /** Hands the event to the module, then the events that its own actions caused. */
     private void deliver(Routing.Event event) {
         pending.add(event);
@@ -144,7 +133,7 @@
                 // One event that the module fails on must not end the router, nor strand its request.
                 LOG.log(Level.SEVERE, "decision module failed on " + next.getClass().getSimpleName(), e);
                 if (next instanceof Routing.Arrival arrival) {
-                    table.breakOff(arrival.request());
+                    overdue(table.get(arrival.request()));
                 }
             }
             pending.remove();
@@ -160,14 +149,15 @@
                 LOG.warning("send for request " + request + ", which may not have it: not sent");
                 int number = r == null ? 0 : r.attempts().size();
                 pending.add(new Routing.AttemptClosed(request, 0, r == null || r.closed(), server,
-                    Routing.Ending.MOOT, Routing.Note.NONE, number, NO_REPORT));
+                    Routing.Ending.MOOT, Routing.Note.NONE, number, Outcome.NO_REPORT));
                 return;
             }
             long now = clock.now();
             long left = Math.max(0, r.call().deadline() - now);
             long allowed = allowFor == 0 ? left : Math.min(left, allowFor);
             Attempt a = table.attempt(r, server, now, allowed);
-            a.timeOut(timers.at(a.until(), () -> timedOut(a)));
+            a.timeOut(timers.at(a.until(),
+                () -> ended(a, Outcome.of(Routing.Ending.TIMEOUT, clock.now()))));
             if (!fleet.send(a)) {
                 over(a, r, Routing.Ending.CONNECT_FAILED);
             }
@@ -191,7 +181,7 @@
             a.end();
             table.ended(r);
             pending.add(new Routing.AttemptClosed(a.request(), clock.now() - a.sentAt(), r.closed(),
-                a.server(), ending, Routing.Note.NONE, a.number(), NO_REPORT));
+                a.server(), ending, Routing.Note.NONE, a.number(), Outcome.NO_REPORT));
         }
 
         @Override
--- a/src/main/java/beaconturn/core/RequestTable.java
+++ b/src/main/java/beaconturn/core/RequestTable.java
@@ -20,7 +20,6 @@
         private final List<Attempt> attempts = new ArrayList<>(2);
         private Timers.Timer overdue;
         private boolean closed;
-        private boolean broken;
         private int out;
 
         private Entry(long id, Call call) {
@@ -44,11 +43,6 @@
         boolean closed() {
             return closed;
         }
-
-        /** Whether the module failed on its arrival. */
-        boolean broken() {
-            return broken;
-        }
     }
 
     /** Adds a request; {@code timer} makes the one that ends it if nothing else does. */
@@ -93,14 +87,6 @@
         forget(r);
     }
 
-    /** Notes that the module failed on the request's arrival. */
-    void breakOff(long id) {
-        Entry r = entries.get(id);
-        if (r != null) {
-            r.broken = true;
-        }
-    }
-
     private void forget(Entry r) {
         if (r.closed && r.out == 0) {
             entries.remove(r.id);
--- a/src/main/java/beaconturn/net/CacheConnection.java
+++ b/src/main/java/beaconturn/net/CacheConnection.java
@@ -23,7 +23,6 @@
     private static final long MILLI = 1_000_000;
     /** A whole request fits into the kernel's buffer, so that writing one to a silent peer never blocks. */
     private static final int SEND_BUFFER = 128 * 1024;
-    private static final int LONGEST_VALUE = 1 << 16;
 
     /** What a connection tells the actor that owns it; called on the connection's thread. */
     interface Owner {
@@ -120,7 +119,7 @@
 
     private void read() throws IOException, ProtocolException {
         InputBuffer in = new InputBuffer();
-        RespReader reader = new RespReader(LONGEST_VALUE);
+        RespReader reader = new RespReader(RespReader.LONGEST_VALUE);
         while (Sockets.read(socket.getInputStream(), in)) {
             for (RespValue v = reader.next(in); v != null; v = reader.next(in)) {
                 answered(replies.read(v, clock.now()), in.size() == 0);
--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -25,8 +25,8 @@
  */
 final class ClientConnection {
     private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
-    private static final int LONGEST_VALUE = 1 << 16;
-    private static final int LINGER_MILLIS = 250;
+    /** How long a client may take to close its end of a connection that the router has ended. */
+    static final int LINGER_MILLIS = 250;
     private static final long NEVER = Long.MAX_VALUE;
 
     /** What a connection needs of the router round it. */
@@ -92,7 +92,7 @@
     private void read() {
         try {
             InputBuffer in = new InputBuffer();
-            RespReader reader = new RespReader(LONGEST_VALUE);
+            RespReader reader = new RespReader(RespReader.LONGEST_VALUE);
             while (Sockets.read(socket.getInputStream(), in)) {
                 halfRead = true;
                 lastRead = site.clock().now();
@@ -121,9 +121,7 @@
             throw new ProtocolException("expected a command");
         }
         if (!RequestParser.isRequest(name.bytes())) {
-            Reply reply = new Reply();
-            reply.fill(other(name.bytes().toString().toUpperCase(Locale.ROOT)));
-            writer.take(reply);
+            writer.take(Reply.of(other(name.bytes().toString().toUpperCase(Locale.ROOT))));
             return;
         }
         ClientCall call = site.parser().parse(array.items(), site.clock().now());
@@ -173,9 +171,7 @@
     /** Malformed input: what came before it is answered, then one error, then the connection ends. */
     private void malformed(String reason) {
         try {
-            Reply error = new Reply();
-            error.fill(RespWriter.failure("ERR " + reason));
-            if (writer.take(error)) {
+            if (writer.take(Reply.of(RespWriter.failure("ERR " + reason)))) {
                 writer.finish();
             }
             discard();
--- a/src/main/java/beaconturn/net/ClientConnections.java
+++ b/src/main/java/beaconturn/net/ClientConnections.java
@@ -14,8 +14,6 @@
     private static final long LONGEST_HALF = 10_000 * MILLI;
     /** An answer just written should reach its client before the connection is closed for room. */
     private static final long SETTLED = 30 * MILLI;
-    /** How long a client may take to close its end of a connection that the router has ended. */
-    private static final long LONGEST_LINGER = 250 * MILLI;
 
     private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
     private final int most;
@@ -63,6 +61,7 @@
     void sweep(long now) {
         open.stream().filter(c -> c.writingSince() < now - LONGEST_WRITE
             || c.halfReadSince() < now - LONGEST_HALF
-            || c.closingSince() < now - LONGEST_LINGER).forEach(ClientConnection::close);
+            || c.closingSince() < now - ClientConnection.LINGER_MILLIS * MILLI)
+            .forEach(ClientConnection::close);
     }
 }
--- a/src/main/java/beaconturn/net/ClientWriter.java
+++ b/src/main/java/beaconturn/net/ClientWriter.java
@@ -90,17 +90,13 @@
 
     /** Ends the sending after what is owed. */
     void finish() throws InterruptedException {
-        Reply last = new Reply();
-        last.fill(END);
-        replies.put(last);
+        replies.put(Reply.of(END));
         ensureRunning();
     }
 
     /** Ends the thread of a connection that is closed; a full mailbox ends it at its next answer. */
     void abandon() {
-        Reply last = new Reply();
-        last.fill(END);
-        replies.offer(last);
+        replies.offer(Reply.of(END));
     }
 
     private synchronized void ensureRunning() {
--- a/src/main/java/beaconturn/net/Reply.java
+++ b/src/main/java/beaconturn/net/Reply.java
@@ -8,6 +8,13 @@
     private final CountDownLatch filled = new CountDownLatch(1);
     private volatile Slice bytes;
 
+    /** A place whose answer is there from the start. */
+    static Reply of(Slice answer) {
+        Reply reply = new Reply();
+        reply.fill(answer);
+        return reply;
+    }
+
     /** Fills in the answer; one that comes second is dropped. */
     final synchronized void fill(Slice answer) {
         if (bytes == null) {
--- a/src/main/java/beaconturn/net/ReplyReader.java
+++ b/src/main/java/beaconturn/net/ReplyReader.java
@@ -10,7 +10,6 @@
 /** Turns what a cache server answers into an outcome. */
 final class ReplyReader {
     private static final Logger LOG = Logger.getLogger(ReplyReader.class.getName());
-    private static final float[] NO_REPORT = {};
     private final List<String> reportNames;
     private final boolean aside;
 
@@ -34,7 +33,7 @@
 
     private Outcome served(List<RespValue> items, long now) {
         Routing.Note note = items.size() > 1 ? note(items.get(1)) : Routing.Note.NONE;
-        float[] report = items.size() > 2 ? report(items.get(2)) : NO_REPORT;
+        float[] report = items.size() > 2 ? report(items.get(2)) : Outcome.NO_REPORT;
         if (items.get(0) instanceof RespValue.Bulk bulk && bulk.bytes() != null) {
             return new Outcome(Routing.Ending.OK, now, note, report, bulk.frame());
         }
@@ -54,7 +53,7 @@
     private float[] report(RespValue value) {
         String text = word(value);
         if (text.isEmpty() || reportNames.isEmpty()) {
-            return NO_REPORT;
+            return Outcome.NO_REPORT;
         }
         float[] figures = new float[reportNames.size()];
         int found = 0;
@@ -66,7 +65,7 @@
                 found++;
             }
         }
-        return found == figures.length ? figures : NO_REPORT;
+        return found == figures.length ? figures : Outcome.NO_REPORT;
     }
 
     private static String word(RespValue value) {
--- a/src/main/java/beaconturn/net/WarmUp.java
+++ b/src/main/java/beaconturn/net/WarmUp.java
@@ -28,7 +28,7 @@
     private final Settings settings;
     private final RequestParser requests;
     private final ReplyReader replies;
-    private final RespReader resp = new RespReader(1 << 16);
+    private final RespReader resp = new RespReader(RespReader.LONGEST_VALUE);
     private final Queue<Attempt> sent = new ArrayDeque<>();
     private final ModuleHost host;
     private long now = 1;
--- a/src/main/java/beaconturn/protocol/InputBuffer.java
+++ b/src/main/java/beaconturn/protocol/InputBuffer.java
@@ -18,7 +18,9 @@
         int unparsed = end - start;
         boolean known = expected > unparsed;
         if (bytes.length - start < (known ? expected : unparsed + LEAST_ROOM)) {
-            byte[] next = new byte[Math.max(CHUNK, known ? expected : 2 * unparsed)];
+            // Behind a value whose size was known little is left to come: doubling wastes its size again.
+            int more = expected > 0 ? unparsed + CHUNK : 2 * unparsed;
+            byte[] next = new byte[Math.max(CHUNK, known ? expected : more)];
             System.arraycopy(bytes, start, next, 0, unparsed);
             bytes = next;
             start = 0;
--- a/src/main/java/beaconturn/protocol/RespReader.java
+++ b/src/main/java/beaconturn/protocol/RespReader.java
@@ -5,6 +5,8 @@
 
 /** Reads RESP2 values out of a buffer as they become whole. */
 public final class RespReader {
+    /** The protocol's limit of a value. */
+    public static final int LONGEST_VALUE = 1 << 16;
     private static final int LONGEST_LINE = 1024;
     private static final int MOST_ITEMS = 64;
     private static final int DEEPEST = 4;
--- a/src/test/java/beaconturn/net/ClientWriterTest.java
+++ b/src/test/java/beaconturn/net/ClientWriterTest.java
@@ -13,12 +13,6 @@
 class ClientWriterTest {
     private static final int LARGE = 32 << 20;
 
-    private static Reply filled(Slice answer) {
-        Reply reply = new Reply();
-        reply.fill(answer);
-        return reply;
-    }
-
     /** A client that asks on and reads nothing must not have its answers pile up in the router's memory. */
     @Test
     @Timeout(60)
@@ -27,15 +21,15 @@
                 Socket client = new Socket(server.getInetAddress(), server.getLocalPort());
                 Socket socket = server.accept()) {
             ClientWriter writer = new ClientWriter(socket, Clock.system(), () -> { });
-            writer.take(filled(new Slice(new byte[LARGE], 0, LARGE)));
+            writer.take(Reply.of(new Slice(new byte[LARGE], 0, LARGE)));
             while (writer.writingSince() == Long.MAX_VALUE) {
                 Thread.onSpinWait();
             }
-            writer.take(filled(Slice.of("+b\r\n")));
-            writer.take(filled(Slice.of("+c\r\n")));
+            writer.take(Reply.of(Slice.of("+b\r\n")));
+            writer.take(Reply.of(Slice.of("+c\r\n")));
             Thread asker = Threads.start("test-asker", () -> {
                 try {
-                    writer.take(filled(Slice.of("+d\r\n")));
+                    writer.take(Reply.of(Slice.of("+d\r\n")));
                 } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                 }
--- a/src/test/java/beaconturn/net/RouterServerTest.java
+++ b/src/test/java/beaconturn/net/RouterServerTest.java
@@ -68,6 +68,16 @@
         });
     }
 
+    private static Peer answeringAfter(CountDownLatch slow) {
+        return new Peer(line -> {
+            line.command();
+            line.note("begun");
+            slow.await();
+            line.write(VALUE);
+            line.command();
+        });
+    }
+
     @Test
     void aRequestGoesToTheCacheServerAndItsAnswerToTheClient() throws Exception {
         try (Peer cache = answering(); Peer.Line client = start(cache, silentRegistry)) {
@@ -87,13 +97,7 @@
     @Test
     void answersComeInTheOrderOfTheCommands() throws Exception {
         CountDownLatch slow = new CountDownLatch(1);
-        try (Peer cache = new Peer(line -> {
-            line.command();
-            line.note("begun");
-            slow.await();
-            line.write(VALUE);
-            line.command();
-        }); Peer.Line client = start(cache, silentRegistry)) {
+        try (Peer cache = answeringAfter(slow); Peer.Line client = start(cache, silentRegistry)) {
             client.write(GET + "*1\r\n$4\r\nPING\r\n*1\r\n$5\r\nHELLO\r\n*2\r\n$6\r\nSELECT\r\n$1\r\n0\r\n");
             cache.note();
             slow.countDown();
@@ -192,13 +196,7 @@
     @Test
     void aDrainAnswersWhatItHasTakenAndClosesBetweenRequests() throws Exception {
         CountDownLatch slow = new CountDownLatch(1);
-        try (Peer cache = new Peer(line -> {
-            line.command();
-            line.note("begun");
-            slow.await();
-            line.write(VALUE);
-            line.command();
-        }); Peer.Line client = start(cache, silentRegistry);
+        try (Peer cache = answeringAfter(slow); Peer.Line client = start(cache, silentRegistry);
                 Peer.Line idle = Peer.Line.to(router.address())) {
             idle.write("*1\r\n$4\r\nPING\r\n");
             assertEquals("+PONG", idle.answer());
--- a/src/test/java/beaconturn/protocol/RespReaderTest.java
+++ b/src/test/java/beaconturn/protocol/RespReaderTest.java
@@ -66,6 +66,18 @@
         assertEquals("first", first.toString());
     }
 
+    @Test
+    void whatFollowsALargeValueDoesNotDoubleItsArray() throws ProtocolException {
+        InputBuffer in = Bytes.buffer("*2\r\n$60000\r\n");
+        RespReader large = new RespReader(60_000);
+        assertNull(large.next(in));
+        Bytes.feed(in, "v".repeat(60_000) + "\r\n$3\r\nhi");
+        assertNull(large.next(in));
+        assertTrue(in.array().length < 70_000, "array of " + in.array().length);
+        Bytes.feed(in, "t\r\n");
+        assertEquals(2, ((RespValue.Array) large.next(in)).items().size());
+    }
+
     /** Doubling would take twice the memory of a large value, and hundreds of them are held at once. */
     @Test
     void aLargeValueGetsAnArrayOfItsOwnSizeWhichIsLetGoWithIt() throws ProtocolException {
