SIGHUP reads the configuration anew and moves the watch to the new discovery

The JVM's default for SIGHUP is to shut down, which ran the drain hook; nothing in cli/ServeCommand caught it, and Discovery's address was final. Now one small class catches the signal, an actor reads the file, and Discovery drops its open calls and asks the new address for the whole list at once.

--- a/src/main/java/beaconturn/cli/ConfigFile.java
+++ b/src/main/java/beaconturn/cli/ConfigFile.java
@@ -12,8 +12,16 @@
     private String file;
 
     RouterConfig read() throws ConfigException {
-        Map<String, String> variables = System.getenv();
-        String path = file != null ? file : variables.get("PROXY_CONFIG");
+        return read(System.getenv());
+    }
+
+    /** Reads the file alone: the variables are as old as the start, and the file has been replaced since. */
+    RouterConfig readAnew() throws ConfigException {
+        return read(Map.of());
+    }
+
+    private RouterConfig read(Map<String, String> variables) throws ConfigException {
+        String path = file != null ? file : System.getenv("PROXY_CONFIG");
         if (path == null) {
             throw new ConfigException("no configuration: neither --config nor PROXY_CONFIG is given");
         }
--- a/src/main/java/beaconturn/cli/ServeCommand.java
+++ b/src/main/java/beaconturn/cli/ServeCommand.java
@@ -18,8 +18,9 @@
         Logs.start();
         Lifecycle lifecycle = new Lifecycle();
         try {
-            RouterServer server = new RouterServer(config.read(), lifecycle);
+            RouterServer server = new RouterServer(config.read(), config::readAnew, lifecycle);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(server), "drain"));
+            HangUpSignal.handle(server::reload);
             server.start();
             lifecycle.await(Lifecycle.Phase.STOPPED);
             return 0;
--- a/src/main/java/beaconturn/net/Discovery.java
+++ b/src/main/java/beaconturn/net/Discovery.java
@@ -4,6 +4,7 @@
 import beaconturn.core.ListSource;
 import beaconturn.core.Mailbox;
 import beaconturn.core.Message;
+import beaconturn.decision.Routing;
 import beaconturn.protocol.JsonReader;
 import beaconturn.protocol.ProtocolException;
 import java.io.IOException;
@@ -22,15 +23,22 @@
     private static final int FETCH_MILLIS = 6_000;
     private static final String PATH = "/registry/instances";
 
-    private final InetSocketAddress address;
+    private static final long NO_VERSION = -1;
+
     private final ListReader reader;
     private final Consumer<Message> module;
     private final Mailbox<Boolean> watches = new Mailbox<>(MOST_MESSAGES);
     private final Mailbox<Boolean> fetches = new Mailbox<>(MOST_MESSAGES);
-    private volatile long version;
+    // Guarded by this:
+    private InetSocketAddress address;
+    private RegistryClient watcher;
+    private RegistryClient fetcher;
+    private long version;
 
     Discovery(InetSocketAddress address, ListReader reader, long version, Consumer<Message> module) {
         this.address = address;
+        this.watcher = new RegistryClient(address);
+        this.fetcher = new RegistryClient(address);
         this.reader = reader;
         this.version = version;
         this.module = module;
@@ -41,6 +49,26 @@
         Threads.start("list-fetch", this::fetchLoop);
     }
 
+    /**
+     * Discovery is at another address from now on: open calls end, and their answers are not heard any more.
+     * The versions there may be others, so the watch begins with the whole list, and at once: a router that
+     * waits is taken to know what it was not told.
+     */
+    synchronized void move(InetSocketAddress to) {
+        if (to.equals(address)) {
+            LOG.info("list: discovery stays at " + to);
+            return;
+        }
+        LOG.info("list: discovery moves from " + address + " to " + to);
+        watcher.abandon();
+        fetcher.abandon();
+        address = to;
+        watcher = new RegistryClient(to);
+        fetcher = new RegistryClient(to);
+        version = NO_VERSION;
+        watch(true);
+    }
+
     @Override
     public void watch(boolean on) {
         if (!watches.offer(on)) {
@@ -57,7 +85,6 @@
 
     /** A watch goes on, call after call, until one fails; then the module decides when to begin anew. */
     private void watchLoop() {
-        RegistryClient client = new RegistryClient(address);
         boolean on = false;
         boolean healthy = true;
         try {
@@ -65,10 +92,8 @@
                 Boolean asked = on ? watches.poll(0) : watches.take();
                 on = asked == null ? on : asked;
                 if (on) {
-                    boolean told = call(client, PATH + "?after=" + version + "&wait_ms=" + WAIT_MILLIS,
-                        WAIT_MILLIS + SLACK_MILLIS, healthy);
-                    on = told;
-                    healthy = told;
+                    on = watchOnce(healthy);
+                    healthy = on;
                 }
             }
         } catch (InterruptedException e) {
@@ -76,11 +101,26 @@
         }
     }
 
+    private boolean watchOnce(boolean healthy) {
+        RegistryClient client;
+        long after;
+        synchronized (this) {
+            client = watcher;
+            after = version;
+        }
+        return after == NO_VERSION ? call(client, PATH, FETCH_MILLIS, healthy)
+            : call(client, PATH + "?after=" + after + "&wait_ms=" + WAIT_MILLIS,
+                WAIT_MILLIS + SLACK_MILLIS, healthy);
+    }
+
     private void fetchLoop() {
-        RegistryClient client = new RegistryClient(address);
         boolean healthy = true;
         try {
             while (fetches.take()) {
+                RegistryClient client;
+                synchronized (this) {
+                    client = fetcher;
+                }
                 healthy = call(client, PATH, FETCH_MILLIS, healthy);
             }
         } catch (InterruptedException e) {
@@ -90,20 +130,27 @@
 
     /** One call, whose news or failure the module is told; logs where it fails first and works again. */
     private boolean call(RegistryClient client, String path, int timeoutMillis, boolean healthy) {
-        ListNews news;
         try {
-            news = reader.read(JsonReader.read(client.get(path, timeoutMillis)));
+            ListNews news = reader.read(JsonReader.read(client.get(path, timeoutMillis)));
+            if (tell(client, news) && !healthy) {
+                LOG.info("list: calls succeed again, version " + news.version());
+            }
+            return true;
         } catch (IOException | ProtocolException e) {
-            if (healthy) {
+            boolean moved = !tell(client, ListNews.failed());
+            if (!moved && healthy) {
                 LOG.warning("list: call failed, the list at hand stays in force: " + e.getMessage());
             }
-            module.accept(new Message.News(ListNews.failed()));
-            return false;
+            return moved;
         }
-        if (!healthy) {
-            LOG.info("list: calls succeed again, version " + news.version());
+    }
+
+    /** Tells the module; false, and it hears nothing, if discovery has moved since the call began. */
+    private synchronized boolean tell(RegistryClient client, ListNews news) {
+        if (client != watcher && client != fetcher) {
+            return false;
         }
-        version = news.version();
+        version = news.kind() == Routing.ListKind.FAILED ? version : news.version();
         module.accept(new Message.News(news));
         return true;
     }
--- a/src/main/java/beaconturn/net/RegistryClient.java
+++ b/src/main/java/beaconturn/net/RegistryClient.java
@@ -11,14 +11,16 @@
 import java.net.Socket;
 import java.util.List;
 
-/** Calls discovery over one kept connection; for one thread. */
+/** Calls discovery at one address over one kept connection; for one thread, but for {@link #abandon}. */
 final class RegistryClient {
     private static final int LONGEST_BODY = 1 << 22;
     private static final int CONNECT_MILLIS = 1000;
     private static final int OK = 200;
     private final InetSocketAddress address;
-    private Socket socket;
     private InputBuffer in;
+    // Guarded by this:
+    private Socket socket;
+    private boolean abandoned;
 
     RegistryClient(InetSocketAddress address) {
         this.address = address;
@@ -28,13 +30,10 @@
     Slice get(String path, int timeoutMillis) throws IOException, ProtocolException {
         boolean keep = false;
         try {
-            if (socket == null) {
-                socket = Sockets.connect(address, CONNECT_MILLIS);
-                in = new InputBuffer();
-            }
+            Socket open = connected();
             String host = address.getHostString() + ":" + address.getPort();
-            Sockets.write(socket.getOutputStream(), List.of(HttpWriter.get(path, host)));
-            HttpResponse response = answer(System.nanoTime() + timeoutMillis * 1_000_000L);
+            Sockets.write(open.getOutputStream(), List.of(HttpWriter.get(path, host)));
+            HttpResponse response = answer(open, System.nanoTime() + timeoutMillis * 1_000_000L);
             keep = response.keepAlive() && in.size() == 0;
             if (response.status() != OK) {
                 throw new IOException("status " + response.status());
@@ -47,7 +46,31 @@
         }
     }
 
-    private HttpResponse answer(long until) throws IOException, ProtocolException {
+    /** Ends the open call and fails all later ones; for any thread. */
+    synchronized void abandon() {
+        abandoned = true;
+        close();
+    }
+
+    private Socket connected() throws IOException {
+        Socket fresh = new Socket();
+        synchronized (this) {
+            if (socket != null) {
+                return socket;
+            }
+            if (abandoned) {
+                throw new IOException("this address is not asked any more");
+            }
+            socket = fresh;
+        }
+        // Outside the lock: whoever abandons this client must not wait for a connection to come up.
+        in = new InputBuffer();
+        fresh.setTcpNoDelay(true);
+        fresh.connect(address, CONNECT_MILLIS);
+        return fresh;
+    }
+
+    private HttpResponse answer(Socket from, long until) throws IOException, ProtocolException {
         HttpReader reader = new HttpReader(LONGEST_BODY);
         HttpResponse response = null;
         boolean more = true;
@@ -56,8 +79,8 @@
             if (left <= 0) {
                 throw new IOException("no answer in time");
             }
-            socket.setSoTimeout((int) left);
-            more = Sockets.read(socket.getInputStream(), in);
+            from.setSoTimeout((int) left);
+            more = Sockets.read(from.getInputStream(), in);
             response = reader.next(in, !more);
         }
         if (response == null) {
@@ -66,7 +89,7 @@
         return response;
     }
 
-    private void close() {
+    private synchronized void close() {
         if (socket != null) {
             Sockets.close(socket);
             socket = null;
--- a/src/main/java/beaconturn/net/RouterConfig.java
+++ b/src/main/java/beaconturn/net/RouterConfig.java
@@ -24,6 +24,12 @@
     private static final int USUAL_MEMORY = 192;
     private static final int HEX = 16;
 
+    /** Where a configuration can be read again and again. */
+    public interface Source {
+        /** The configuration as it is now. */
+        RouterConfig read() throws ConfigException;
+    }
+
     /** Reads the file; the variables PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY overrule it. */
     public static RouterConfig read(Path file, Map<String, String> variables) throws ConfigException {
         try {
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -31,10 +31,12 @@
     private final ClientConnection.Site site;
     private final Listener listener;
     private final Discovery discovery;
+    private final Reloads reloads;
     private boolean crowded;
 
-    /** Binds the address; nothing is served before {@link #start}. */
-    public RouterServer(RouterConfig config, Lifecycle lifecycle) throws IOException {
+    /** Binds the address; nothing is served before {@link #start}. A reload reads from the source. */
+    public RouterServer(RouterConfig config, RouterConfig.Source source, Lifecycle lifecycle)
+            throws IOException {
         this.config = config;
         this.lifecycle = lifecycle;
         Capacity capacity = Capacity.of(config.sockets(), config.memoryMb());
@@ -43,6 +45,7 @@
             module::post, new Semaphore(capacity.largeRequests()), clients::remove);
         this.discovery = new Discovery(config.discovery(), new ListReader(config.settings()),
             config.known().version(), module::post);
+        this.reloads = new Reloads(source, discovery);
         Routing.Settings routing = config.settings().routing();
         CacheFleet fleet = new CacheFleet(new CacheServer.Site(clock, module::post,
             new Semaphore(capacity.cacheConnections()), new ReplyReader(routing),
@@ -57,12 +60,18 @@
         Threads.start("module", module);
         module.post(new Message.News(config.known()));
         discovery.start();
+        reloads.start();
         listener.start();
         Threads.start("sweeper", this::sweep);
         lifecycle.advance(Lifecycle.Phase.SERVING);
         LOG.info(config.name() + " serves on " + listener.address());
     }
 
+    /** Asks for a new reading of the configuration; never waits, and may come in any phase. */
+    public void reload() {
+        reloads.ask();
+    }
+
     /** Where clients connect. */
     public InetSocketAddress address() {
         return listener.address();
--- a/src/test/java/beaconturn/net/RouterServerTest.java
+++ b/src/test/java/beaconturn/net/RouterServerTest.java
@@ -16,7 +16,9 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -33,6 +35,7 @@
         line.httpHead();
         over.await();
     });
+    private final BlockingQueue<RouterConfig> newConfigs = new LinkedBlockingQueue<>();
     private RouterServer router;
 
     @AfterEach
@@ -47,13 +50,27 @@
             + "\",\"share\":1.0,\"born_ms\":0}]}";
     }
 
-    private Peer.Line start(Peer cache, Peer registry) throws IOException, ProtocolException {
+    private static RouterConfig config(Peer cache, Peer registry) throws ProtocolException {
         Settings settings = Samples.read();
         ListNews known = new ListReader(settings).known(
             JsonReader.read(Slice.of(list(4, true, cache, "ready"))));
-        RouterConfig config = new RouterConfig("r1", new InetSocketAddress("127.0.0.1", 0),
-            registry.address(), 1, SOCKETS, MEMORY_MB, known, settings);
-        router = new RouterServer(config, lifecycle);
+        return new RouterConfig("r1", new InetSocketAddress("127.0.0.1", 0), registry.address(), 1, SOCKETS,
+            MEMORY_MB, known, settings);
+    }
+
+    /** What a reload finds: the next configuration that the test has laid ready, or none that is readable. */
+    private RouterConfig reread() throws ConfigException {
+        RouterConfig next = newConfigs.poll();
+        if (next == null) {
+            over.countDown();
+            throw new ConfigException("nothing there");
+        }
+        return next;
+    }
+
+    private Peer.Line start(Peer cache, Peer registry) throws IOException, ProtocolException {
+        RouterConfig config = config(cache, registry);
+        router = new RouterServer(config, this::reread, lifecycle);
         router.start();
         return Peer.Line.to(router.address());
     }
@@ -192,6 +209,62 @@
         }
     }
 
+    /**
+     * A new configuration names another discovery: the open watch on the old one ends, though it never
+     * answered, and the new one is asked for the whole list at once, as its versions are its own.
+     */
+    @Test
+    void aReloadMovesTheWatchToTheNewAddressAgainAndAgain() throws Exception {
+        Peer[] cache = {answering()};
+        Peer.Script serving = line -> {
+            line.note(line.httpHead().split(" ")[1]);
+            line.http(200, list(1, true, cache[0], "draining"));
+            line.note(line.httpHead().split(" ")[1]);
+            line.note(line.httpHead().isEmpty() ? "dropped" : "asked again");
+        };
+        try (Peer old = new Peer(line -> {
+            line.note(line.httpHead().split(" ")[1]);
+            line.note(line.httpHead().isEmpty() ? "dropped" : "asked again");
+            line.http(200, list(9, true, cache[0], "ready"));
+        }); Peer second = new Peer(serving); Peer third = new Peer(serving);
+                Peer.Line client = start(cache[0], old)) {
+            assertTrue(old.note().startsWith("/registry/instances?after=4&wait_ms="));
+            for (Peer next : List.of(second, third)) {
+                newConfigs.add(config(cache[0], next));
+                router.reload();
+                assertEquals("/registry/instances", next.note());
+                assertTrue(next.note().startsWith("/registry/instances?after=1&wait_ms="));
+            }
+            assertEquals("dropped", old.note());
+            assertEquals("dropped", second.note());
+            client.write(GET);
+            assertTrue(client.answer().startsWith("-BUSY"), "the new list counts: the cache server drains");
+            assertEquals(List.of(), third.notesLeft());
+        } finally {
+            cache[0].close();
+        }
+    }
+
+    /** A file that cannot be read must neither stop the router nor end the watch that it has. */
+    @Test
+    void aReloadThatFindsNothingReadableLeavesEverythingAsItIs() throws Exception {
+        Peer[] caches = {answering()};
+        try (Peer cache = caches[0]; Peer registry = new Peer(line -> {
+            line.note(line.httpHead().split(" ")[1]);
+            over.await();
+            line.http(200, list(5, false, caches[0], "ready"));
+            line.note(line.httpHead().split(" ")[1]);
+        }); Peer.Line client = start(cache, registry)) {
+            assertTrue(registry.note().startsWith("/registry/instances?after=4&wait_ms="));
+            router.reload();
+            over.await();
+            assertTrue(registry.note().startsWith("/registry/instances?after=5&wait_ms="));
+            assertEquals(1, registry.connections());
+            client.write(GET);
+            assertEquals("$2\r\nva", client.answer());
+        }
+    }
+
     /** A planned stop: what was taken is answered, connections end between requests, then nobody listens. */
     @Test
     void aDrainAnswersWhatItHasTakenAndClosesBetweenRequests() throws Exception {
