The gate of caches doubles back while answers are far from crowded

Reasons logged for each refusal: 400 to 700 a second were turned away at admission, with answers at 0.15 of their aim; ruled out: the fetch gate, the queue before it and lack of retries, a handful a second together. One spell of 0.4 s over half the aim took the limit of caches from open to 11 in flight where 20 to 40 are usual, and Gate.next gave it back by one in as many answers as it holds: 6 s. Below the busy mark it now grows by one an answer.

--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -350,10 +350,8 @@
                 > Math.max(1, ring.size() * MOST_EJECTED)) {
             return;
         }
-        if (sick != s.ejected) {
-            s.ejected = sick;
-            s.trialGap = TRIAL_AFTER;
-        }
+        s.trialGap = sick == s.ejected ? s.trialGap : TRIAL_AFTER;
+        s.ejected = sick;
         s.trialAt = now + (long) (s.trialGap * answerTime.mean);
     }
 
@@ -775,16 +773,17 @@
             slowness.add(partOfAim);
             boolean due = now - shrunkAt > answerTime;
             boolean busy = slowness.now > BUSY;
-            spare = next(spare, busy, due, 1.0 / settings.routers());
-            limit = next(limit, slowness.now > CROWDED, due, least);
+            spare = next(spare, busy, due, 1.0 / settings.routers(), 1 / spare);
+            // Far from crowded it doubles a round: a short spell must not refuse for many times its length.
+            limit = next(limit, slowness.now > CROWDED, due, least, busy ? 1 / limit : 1);
             shrunkAt = due && busy ? now : shrunkAt;
         }
 
-        private double next(double old, boolean crowded, boolean due, double least) {
+        private double next(double old, boolean crowded, boolean due, double least, double step) {
             if (crowded) {
                 return due ? Math.max(least, Math.min(old, inFlight + 1) * SHRINK) : old;
             }
-            return old + (old < 1 ? NEWEST * old : 1 / old);
+            return old + (old < 1 ? NEWEST * old : step);
         }
     }
 }
--- a/src/test/java/beaconturn/decision/RingRouterTest.java
+++ b/src/test/java/beaconturn/decision/RingRouterTest.java
@@ -1,7 +1,7 @@
 package beaconturn.decision;
 
 import static beaconturn.decision.Harness.MS;
-import static beaconturn.decision.Harness.READ;
+import static beaconturn.decision.READ;
 import static beaconturn.decision.Harness.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -349,4 +349,28 @@
         }
         assertEquals(a.actions, b.actions);
     }
+
+    /**
+     * Guards against a short spell of slow answers that shuts requests out long after it: the limit in flight
+     * falls to one a cache, and by one in as many answers it would take seconds to come back.
+     */
+    @Test
+    void theGateOfCachesOpensAgainSoonAfterASpellOfSlowAnswers() {
+        Harness h = Harness.aside(8);
+        for (int i = 1; i <= 40; i++) {
+            h.arrive(i, READ, i);
+            h.pass(900 * MS);
+            h.hit(900 * MS);
+        }
+        for (int i = 101; i <= 160; i++) {
+            h.arrive(i, READ, i);
+            h.pass(20 * MS);
+            h.hit(20 * MS);
+        }
+        h.refused.clear();
+        for (int i = 201; i <= 230; i++) {
+            h.arrive(i, READ, i);
+        }
+        assertEquals(List.of(), h.refused);
+    }
 }
