Bad clients cost little and wait for nobody; spoilt answers close their connection

Causes: ClientConnection.discard read on at full speed for 250 ms behind each malformed command; RouterServer.awaitRoom held the one accepting thread while connections with half a command counted as at work; RequestParser let empty ids, 5d and the like pass. Ruled out: decisions, which refused under 25 %; discovery and memory, both calm. Now: what follows an error is read up to 32 KB; errors and PING are written by the thread that reads; nobody waits in accept, connections without a whole command make room first and are closed 2 s after connecting, half a command 2 s after its first byte; keys, ids, numbers and attributes are checked; an open id is turned away. Answers are taken only in the protocol's form, all else is a reset that may have run; more behind an answer closes its connection, also when it comes later on an idle one.

--- a/src/main/java/beaconturn/net/CacheConnection.java
+++ b/src/main/java/beaconturn/net/CacheConnection.java
@@ -28,6 +28,9 @@
     interface Owner {
         void ended(CacheConnection connection, Attempt attempt, Outcome outcome, boolean reusable);
 
+        /** What came is no answer, or came with none asked for. */
+        void spoilt();
+
         void closed(CacheConnection connection);
     }
 
@@ -60,11 +63,14 @@
         Threads.start("cache-" + address.getPort(), () -> run(first));
     }
 
-    /** Sends the next attempt on the idle connection; false if it is dead, and nothing was written then. */
+    /**
+     * Sends the next attempt on the idle connection; false if it is dead, and nothing was written then. So it
+     * is if bytes wait unread: what came behind an answer would be taken for the next one.
+     */
     boolean reuse(Attempt next) {
         // One step with the writing: else a break seen in between would pass for a request never written.
         synchronized (this) {
-            if (closed) {
+            if (closed || unread()) {
                 return false;
             }
             attempt = next;
@@ -74,6 +80,14 @@
         }
     }
 
+    private boolean unread() {
+        try {
+            return socket.getInputStream().available() > 0;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     /** Ends the connection, and with it whatever is out on it; takes no lock that a writer holds. */
     void close() {
         closed = true;
@@ -90,7 +104,8 @@
             transmit(first);
             read();
         } catch (ProtocolException e) {
-            LOG.warning("cache server at " + address + " broke its protocol: " + e.getMessage());
+            LOG.finer("cache server at " + address + ": " + e.getMessage());
+            owner.spoilt();
         } catch (IOException e) {
             LOG.finer("connection to " + address + " ended: " + e.getMessage());
         } finally {
@@ -121,22 +136,30 @@
         InputBuffer in = new InputBuffer();
         RespReader reader = new RespReader(RespReader.LONGEST_VALUE);
         while (Sockets.read(socket.getInputStream(), in)) {
+            expected();
             for (RespValue v = reader.next(in); v != null; v = reader.next(in)) {
                 answered(replies.read(v, clock.now()), in.size() == 0);
+                if (in.size() > 0) {
+                    throw new ProtocolException("more behind an answer");
+                }
             }
         }
     }
 
-    private void answered(Outcome outcome, boolean clean) throws ProtocolException {
+    /** Half an answer on an idle connection must not stay there as the beginning of the next one. */
+    private synchronized void expected() throws ProtocolException {
+        if (attempt == null) {
+            throw new ProtocolException("bytes that answer no request");
+        }
+    }
+
+    private void answered(Outcome outcome, boolean clean) {
         Attempt done;
         synchronized (this) {
             done = attempt;
             attempt = null;
             closed = closed || !clean;
         }
-        if (done == null) {
-            throw new ProtocolException("answer without a request");
-        }
         owner.ended(this, done, outcome, clean);
     }
 
--- a/src/main/java/beaconturn/net/CacheServer.java
+++ b/src/main/java/beaconturn/net/CacheServer.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Semaphore;
@@ -21,6 +22,8 @@
 final class CacheServer {
     private static final Logger LOG = Logger.getLogger(CacheServer.class.getName());
     private static final int MOST_MESSAGES = 4096;
+    /** What an answer brings behind itself has come by then: a connection is not used again sooner. */
+    private static final long SETTLED = 5_000_000;
 
     /** What the actor needs of the router round it. */
     record Site(Clock clock, Consumer<Message> module, Semaphore places, ReplyReader replies,
@@ -31,9 +34,11 @@
 
         record Abort(Attempt attempt) implements Task { }
 
-        record Ended(CacheConnection connection, Attempt attempt, Routing.Ending ending, boolean reusable)
+        record Ended(CacheConnection connection, Attempt attempt, Outcome outcome, boolean reusable)
             implements Task { }
 
+        record Spoilt() implements Task { }
+
         record Closed(CacheConnection connection) implements Task { }
 
         record Dial(InetSocketAddress address) implements Task { }
@@ -52,6 +57,7 @@
     private final Deque<Idle> idle = new ArrayDeque<>();
     private final CacheConnection.Owner owner = new Reports();
     private final Spell unanswered;
+    private final Spell spoilt;
     private InetSocketAddress dial;
     private volatile int connections;
     private volatile int begun;
@@ -63,6 +69,7 @@
         this.host = host;
         this.dial = dial;
         this.unanswered = new Spell(LOG, "cache server " + host + " leaves attempts unanswered", 3);
+        this.spoilt = new Spell(LOG, "cache server " + host + " sends what cannot be read", 1);
     }
 
     void start() {
@@ -123,6 +130,7 @@
                     handle(task);
                     dropOld();
                     unanswered.check(site.clock().now());
+                    spoilt.check(site.clock().now());
                 } catch (RuntimeException | Error e) {
                     LOG.log(Level.SEVERE, host + ": actor failed on a message and goes on", e);
                 }
@@ -146,6 +154,8 @@
             }
         } else if (task instanceof Task.Ended ended) {
             settle(ended);
+        } else if (task instanceof Task.Spoilt) {
+            spoilt.note(site.clock().now());
         } else if (task instanceof Task.Closed closed) {
             idle.removeIf(i -> i.connection() == closed.connection());
             connections--;
@@ -164,19 +174,25 @@
         }
     }
 
-    /** The connection used last is taken first, so that those too many grow old and are closed. */
+    /** Of the settled connections the one used last goes first, so that those too many grow old and close. */
     private void begin(Attempt attempt) {
         if (attempt.over()) {
             return;
         }
         dropOld();
-        while (!idle.isEmpty()) {
-            CacheConnection next = idle.pop().connection();
-            out.put(attempt, next);
-            if (next.reuse(attempt)) {
+        long settled = site.clock().now() - SETTLED;
+        for (Iterator<Idle> all = idle.iterator(); all.hasNext();) {
+            Idle next = all.next();
+            if (next.since() > settled) {
+                continue;
+            }
+            all.remove();
+            out.put(attempt, next.connection());
+            if (next.connection().reuse(attempt)) {
                 return;
             }
             out.remove(attempt);
+            next.connection().close();
         }
         if (!site.places().tryAcquire()) {
             unreachable(attempt);
@@ -199,8 +215,8 @@
 
     private void settle(Task.Ended ended) {
         boolean wanted = out.remove(ended.attempt()) != null;
-        boolean broke = ended.ending() == Routing.Ending.CONNECT_FAILED
-            || ended.ending() == Routing.Ending.RESET;
+        Routing.Ending ending = ended.outcome().ending();
+        boolean broke = ending == Routing.Ending.CONNECT_FAILED || ending == Routing.Ending.RESET;
         if (wanted && broke) {
             unanswered.note(site.clock().now());
         } else if (!broke) {
@@ -208,7 +224,7 @@
         }
         CacheConnection used = ended.connection();
         if (ended.reusable() && wanted && !retired && used.address().equals(dial)) {
-            idle.push(new Idle(used, site.clock().now()));
+            idle.push(new Idle(used, ended.outcome().at()));
         } else {
             used.close();
         }
@@ -236,10 +252,15 @@
         @Override
         public void ended(CacheConnection connection, Attempt attempt, Outcome outcome, boolean reusable) {
             // The pool first: what the module sends next finds the connection idle.
-            post(new Task.Ended(connection, attempt, outcome.ending(), reusable));
+            post(new Task.Ended(connection, attempt, outcome, reusable));
             site.module().accept(new Message.Ended(attempt, outcome));
         }
 
+        @Override
+        public void spoilt() {
+            post(new Task.Spoilt());
+        }
+
         @Override
         public void closed(CacheConnection connection) {
             post(new Task.Closed(connection));
--- a/src/main/java/beaconturn/net/ClientCall.java
+++ b/src/main/java/beaconturn/net/ClientCall.java
@@ -12,11 +12,19 @@
     private final Call.Ask ask;
     private final long deadline;
     private final RequestParser.Parts parts;
+    private final Runnable whenOver;
 
-    ClientCall(Call.Ask ask, long deadline, RequestParser.Parts parts) {
+    /** A call that says when it has its answer, or nobody waits for one. */
+    ClientCall(Call.Ask ask, long deadline, RequestParser.Parts parts, Runnable whenOver) {
         this.ask = ask;
         this.deadline = deadline;
         this.parts = parts;
+        this.whenOver = whenOver;
+    }
+
+    @Override
+    void over() {
+        whenOver.run();
     }
 
     @Override
--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -27,24 +27,28 @@
     private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
     /** How long a client may take to close its end of a connection that the router has ended. */
     static final int LINGER_MILLIS = 250;
+    /** How much of what follows malformed input is read, so that the error before it can arrive. */
+    private static final int MOST_DISCARDED = 32 * 1024;
     private static final long NEVER = Long.MAX_VALUE;
 
     /** What a connection needs of the router round it. */
     record Site(RequestParser parser, Clock clock, Lifecycle lifecycle, Consumer<Message> module,
-            Semaphore largeRequests, Consumer<ClientConnection> whenClosed) { }
+            OpenIds ids, Semaphore largeRequests, Consumer<ClientConnection> whenClosed) { }
 
     private final Socket socket;
     private final Site site;
     private final ClientWriter writer;
     private final List<ClientCall> calls = new ArrayList<>();
-    private volatile boolean halfRead;
+    private final long since;
+    private volatile boolean spoke;
+    private volatile long halfReadSince = NEVER;
     private volatile boolean largeInHand;
-    private volatile long lastRead = NEVER;
     private int large;
 
     ClientConnection(Socket socket, Site site) {
         this.socket = socket;
         this.site = site;
+        this.since = site.clock().now();
         this.writer = new ClientWriter(socket, site.clock(), this::quiet);
     }
 
@@ -59,12 +63,20 @@
 
     /** Since when no request is out and none half read, or {@code Long.MAX_VALUE} if one is. */
     long quietSince() {
-        return halfRead ? NEVER : writer.quietSince();
+        return halfReadSince == NEVER ? writer.quietSince() : NEVER;
     }
 
-    /** Since when half a command waits for the rest, or {@code Long.MAX_VALUE} if none does. */
+    /**
+     * Since when half a command waits for the rest, or {@code Long.MAX_VALUE} if none does. It counts from
+     * the first byte: a client that sends one now and then would else hold its place for ever.
+     */
     long halfReadSince() {
-        return halfRead ? lastRead : NEVER;
+        return halfReadSince;
+    }
+
+    /** Since when the client has not sent a single command, or {@code Long.MAX_VALUE} if it has. */
+    long silentSince() {
+        return spoke || closingSince() != NEVER ? NEVER : since;
     }
 
     /** Since when an answer is being written, or {@code Long.MAX_VALUE} if none is. */
@@ -79,11 +91,21 @@
 
     /** Ends the connection if it is between requests. */
     void finishIfQuiet() {
-        if (!halfRead) {
+        if (halfReadSince == NEVER) {
             writer.finishIfQuiet();
         }
     }
 
+    /** Closes the connection if no answer is owed on it, half a command or not; false if one is. */
+    boolean closeIfQuiet() {
+        boolean quiet = writer.finishIfQuiet();
+        if (quiet) {
+            close();
+            site.whenClosed().accept(this);
+        }
+        return quiet;
+    }
+
     /** Closes at once, whatever is out. */
     void close() {
         Sockets.close(socket);
@@ -94,12 +116,11 @@
             InputBuffer in = new InputBuffer();
             RespReader reader = new RespReader(RespReader.LONGEST_VALUE);
             while (Sockets.read(socket.getInputStream(), in)) {
-                halfRead = true;
-                lastRead = site.clock().now();
+                halfReadSince = Math.min(halfReadSince, site.clock().now());
                 for (RespValue v = reader.next(in); v != null; v = reader.next(in)) {
                     command(v);
+                    halfReadSince = in.size() > 0 ? site.clock().now() : NEVER;
                 }
-                halfRead = in.size() > 0;
                 if (in.large() && !largeInHand) {
                     takeLarge();
                 }
@@ -115,23 +136,27 @@
         }
     }
 
-    private void command(RespValue value) throws ProtocolException, InterruptedException {
+    private void command(RespValue value) throws ProtocolException, InterruptedException, IOException {
         if (!(value instanceof RespValue.Array array) || array.items() == null || array.items().isEmpty()
                 || !(array.items().get(0) instanceof RespValue.Bulk name) || name.bytes() == null) {
             throw new ProtocolException("expected a command");
         }
         if (!RequestParser.isRequest(name.bytes())) {
-            writer.take(Reply.of(other(name.bytes().toString().toUpperCase(Locale.ROOT))));
+            writer.answer(other(name.bytes().toString().toUpperCase(Locale.ROOT)));
+            spoke = true;
             return;
         }
-        ClientCall call = site.parser().parse(array.items(), site.clock().now());
+        ClientCall call = site.parser().parse(array.items(), site.clock().now(), site.ids());
         largeInHand = false;
         if (writer.take(call)) {
+            spoke = true;
             synchronized (calls) {
                 calls.removeIf(Reply::isFilled);
                 calls.add(call);
             }
             site.module().accept(new Message.Arrived(call));
+        } else {
+            call.fill(ClientWriter.END);
         }
     }
 
@@ -171,9 +196,8 @@
     /** Malformed input: what came before it is answered, then one error, then the connection ends. */
     private void malformed(String reason) {
         try {
-            if (writer.take(Reply.of(RespWriter.failure("ERR " + reason)))) {
-                writer.finish();
-            }
+            writer.answer(RespWriter.failure("ERR " + reason));
+            writer.finish();
             discard();
         } catch (IOException e) {
             LOG.finer("client connection ended: " + e.getMessage());
@@ -182,24 +206,23 @@
         }
     }
 
-    /** Reads on without looking, until the client closes: unread bytes would reset the error on its way. */
+    /**
+     * Reads on a little without looking: unread bytes would reset the error on its way. Not to the end, which
+     * clients that send without end or 60 MB don't reach: they would have the processor to themselves.
+     */
     private void discard() throws IOException {
         socket.setSoTimeout(LINGER_MILLIS);
-        byte[] ignored = new byte[1024];
-        boolean more = true;
-        while (more && !lingeredLong()) {
+        byte[] ignored = new byte[MOST_DISCARDED / 4];
+        int got = 0;
+        for (int all = 0; got >= 0 && all < MOST_DISCARDED; all += got) {
             try {
-                more = socket.getInputStream().read(ignored) >= 0;
+                got = socket.getInputStream().read(ignored);
             } catch (SocketTimeoutException e) {
-                more = true;
+                return;
             }
         }
     }
 
-    private boolean lingeredLong() {
-        return site.clock().now() - LINGER_MILLIS * 1_000_000L > writer.closingSince();
-    }
-
     /** The connection is over: nobody waits for what it still had out. */
     private void leave() {
         close();
--- a/src/main/java/beaconturn/net/ClientConnections.java
+++ b/src/main/java/beaconturn/net/ClientConnections.java
@@ -4,15 +4,18 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.ToLongFunction;
 
 /** The open connections of clients: how many there may be, and which are closed when. */
 final class ClientConnections {
     private static final long MILLI = 1_000_000;
     /** A client that takes no byte for so long is not coming back for its answer. */
     private static final long LONGEST_WRITE = 10_000 * MILLI;
-    /** A command whose rest does not come for so long holds a place that others want. */
-    private static final long LONGEST_HALF = 10_000 * MILLI;
-    /** An answer just written should reach its client before the connection is closed for room. */
+    /** How long a command may take from its first byte, and a new client to its first whole command. */
+    private static final long LONGEST_COMMAND = 2_000 * MILLI;
+    /** A connection with nothing open is let go after so long, where others may want its place. */
+    private static final long LONGEST_QUIET = 2_500 * MILLI;
+    /** The first request of a client that has just connected should arrive before it makes room. */
     private static final long SETTLED = 30 * MILLI;
 
     private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
@@ -38,18 +41,23 @@
         return open.size();
     }
 
-    /** Makes room for one more by closing the one that has been quiet longest; false if all are at work. */
+    /**
+     * Makes room for one more, never waiting; false if all are at work. Those that have not sent one whole
+     * command go first, the oldest before others: many that connect and say nothing must not cost the usual
+     * clients theirs. Then the one that has been quiet longest.
+     */
     boolean makeRoom(long now) {
         if (open.size() < most) {
             return true;
         }
-        Optional<ClientConnection> oldest = open.stream().filter(c -> c.quietSince() < now - SETTLED)
-            .min(Comparator.comparingLong(ClientConnection::quietSince));
-        oldest.ifPresent(c -> {
-            c.finishIfQuiet();
-            c.close();
-        });
-        return open.size() < most;
+        return oldest(ClientConnection::silentSince, now - SETTLED)
+            .or(() -> oldest(ClientConnection::quietSince, now))
+            .filter(ClientConnection::closeIfQuiet).isPresent() || open.size() < most;
+    }
+
+    private Optional<ClientConnection> oldest(ToLongFunction<ClientConnection> since, long before) {
+        return open.stream().filter(c -> since.applyAsLong(c) < before)
+            .min(Comparator.comparingLong(since));
     }
 
     /** Ends the connections between requests. */
@@ -60,8 +68,15 @@
     /** Closes the connections whose clients have stopped reading or writing, or do not close their end. */
     void sweep(long now) {
         open.stream().filter(c -> c.writingSince() < now - LONGEST_WRITE
-            || c.halfReadSince() < now - LONGEST_HALF
             || c.closingSince() < now - ClientConnection.LINGER_MILLIS * MILLI)
             .forEach(ClientConnection::close);
+        // Not while a request is out: the others on its connection are owed their answers first.
+        open.stream().filter(c -> c.silentSince() < now - LONGEST_COMMAND
+            || c.halfReadSince() < now - LONGEST_COMMAND)
+            .forEach(ClientConnection::closeIfQuiet);
+        if (open.size() > most / 2) {
+            open.stream().filter(c -> c.quietSince() < now - LONGEST_QUIET)
+                .forEach(ClientConnection::finishIfQuiet);
+        }
     }
 }
--- a/src/main/java/beaconturn/net/ClientWriter.java
+++ b/src/main/java/beaconturn/net/ClientWriter.java
@@ -2,10 +2,12 @@
 
 import beaconturn.core.Clock;
 import beaconturn.core.Mailbox;
+import beaconturn.protocol.RespWriter;
 import beaconturn.protocol.Slice;
 import java.io.IOException;
 import java.net.Socket;
 import java.util.List;
+import java.util.logging.Logger;
 
 /**
  * The actor that writes a client's answers in the order of the commands. Its thread lives while there is
@@ -14,6 +16,8 @@
 final class ClientWriter {
     /** In the place of an answer: nothing more is written. */
     static final Slice END = Slice.of("");
+    private static final Logger LOG = Logger.getLogger(ClientWriter.class.getName());
+    private static final Slice NO_THREAD = RespWriter.failure("ERR no room for this request");
     private static final int MOST_PIPELINED = 32;
     /** Answers may be this many behind one that its client is slow to take; else they would fill the heap. */
     private static final int MOST_BEHIND = 2;
@@ -54,44 +58,94 @@
         return closingSince;
     }
 
-    /** Gives the reply the next place; false if the connection is ending and takes no more. */
-    boolean take(Reply reply) throws InterruptedException {
-        synchronized (this) {
-            while (writingSince != NEVER && unanswered > MOST_BEHIND) {
-                wait();
-            }
-            if (closingSince != NEVER) {
-                return false;
-            }
-            unanswered++;
+    /**
+     * Gives the reply the next place; false if the connection takes no more, as it is ending or the machine
+     * has no thread to write with. For the thread that reads.
+     */
+    boolean take(Reply reply) throws InterruptedException, IOException {
+        if (!begin()) {
+            return false;
         }
         replies.put(reply);
-        ensureRunning();
+        try {
+            ensureRunning();
+            return true;
+        } catch (OutOfMemoryError e) {
+            // No thread runs, so no other answer waits: this client is told at once, and nothing is sent on.
+            LOG.warning("no thread to write an answer, its request is turned away");
+            replies.poll(0);
+            reply.fill(NO_THREAD);
+            writeHere(NO_THREAD);
+            return false;
+        }
+    }
+
+    /** Answers at once what needs no waiting, by the thread that reads if no other answer is owed. */
+    void answer(Slice bytes) throws InterruptedException, IOException {
+        boolean alone;
+        synchronized (this) {
+            alone = unanswered == 0;
+        }
+        if (!alone) {
+            take(Reply.of(bytes));
+        } else if (begin()) {
+            writeHere(bytes);
+        }
+    }
+
+    private synchronized boolean begin() throws InterruptedException {
+        while (writingSince != NEVER && unanswered > MOST_BEHIND) {
+            wait();
+        }
+        if (closingSince != NEVER) {
+            return false;
+        }
+        unanswered++;
         return true;
     }
 
+    private void writeHere(Slice bytes) throws IOException {
+        writingSince = clock.now();
+        try {
+            Sockets.write(socket.getOutputStream(), List.of(bytes));
+        } finally {
+            writeEnded();
+        }
+        answered();
+    }
+
     /**
-     * Ends the connection if no answer is owed. Only its sending: closing all of it would reset it under a
-     * request that crosses, and with it the last answer on its way.
+     * Ends the connection if no answer is owed; false if one is. Only its sending: closing all of it would
+     * reset it under a request that crosses, and with it the last answer on its way.
      */
-    void finishIfQuiet() {
+    boolean finishIfQuiet() {
         synchronized (this) {
             if (quietSince() == NEVER) {
-                return;
+                return false;
             }
             closingSince = clock.now();
+            notifyAll();
         }
         try {
             socket.shutdownOutput();
         } catch (IOException e) {
             Sockets.close(socket);
         }
+        return true;
     }
 
-    /** Ends the sending after what is owed. */
+    /** Ends the sending after what is owed, and waits for that. */
     void finish() throws InterruptedException {
+        if (finishIfQuiet()) {
+            return;
+        }
         replies.put(Reply.of(END));
         ensureRunning();
+        synchronized (this) {
+            while (closingSince == NEVER) {
+                wait();
+            }
+        }
     }
 
     /** Ends the thread of a connection that is closed; a full mailbox ends it at its next answer. */
@@ -120,15 +174,22 @@
             }
         } catch (IOException e) {
             // The reader sees the same end and tells the module; nothing can be said to this client.
-            Sockets.close(socket);
+            broken();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
-            Sockets.close(socket);
+            broken();
         } finally {
             writeEnded();
         }
     }
 
+    private void broken() {
+        Sockets.close(socket);
+        synchronized (this) {
+            closingSince = Math.min(closingSince, clock.now());
+        }
+    }
+
     /** The next answer in order, waiting for it; null if the thread may end, as nothing is owed. */
     private Slice nextAnswer() throws InterruptedException {
         while (true) {
@@ -148,6 +209,7 @@
     private void endOutput() throws IOException {
         synchronized (this) {
             closingSince = Math.min(closingSince, clock.now());
+            notifyAll();
         }
         socket.shutdownOutput();
     }
--- a/src/main/java/beaconturn/net/Reply.java
+++ b/src/main/java/beaconturn/net/Reply.java
@@ -18,11 +18,16 @@
     /** Fills in the answer; one that comes second is dropped. */
     final synchronized void fill(Slice answer) {
         if (bytes == null) {
+            over();
             bytes = answer;
             filled.countDown();
         }
     }
 
+    /** Called once, before the answer can be seen. */
+    void over() {
+    }
+
     final boolean isFilled() {
         return bytes != null;
     }
--- a/src/main/java/beaconturn/net/ReplyReader.java
+++ b/src/main/java/beaconturn/net/ReplyReader.java
@@ -2,14 +2,15 @@
 
 import beaconturn.core.Outcome;
 import beaconturn.decision.Routing;
+import beaconturn.protocol.ProtocolException;
 import beaconturn.protocol.RespValue;
-import beaconturn.protocol.Slice;
+import java.util.Arrays;
 import java.util.List;
-import java.util.logging.Logger;
 
 /** Turns what a cache server answers into an outcome. */
 final class ReplyReader {
-    private static final Logger LOG = Logger.getLogger(ReplyReader.class.getName());
+    private static final int PARTS = 3;
+    private static final int MOST_DIGITS = 32;
     private final List<String> reportNames;
     private final boolean aside;
 
@@ -18,24 +19,33 @@
         this.aside = settings.origin().aside();
     }
 
-    Outcome read(RespValue value, long now) {
-        if (value instanceof RespValue.Array array && array.items() != null && !array.items().isEmpty()) {
+    /** The outcome that the answer stands for; what stands for none is spoilt, and so is its connection. */
+    Outcome read(RespValue value, long now) throws ProtocolException {
+        if (value instanceof RespValue.Array array && array.items() != null) {
             return served(array.items(), now);
         }
-        if (value instanceof RespValue.Failure failure && firstWord(failure.text()).equals("BUSY")) {
-            return Outcome.of(Routing.Ending.FULL, now);
-        }
-        if (!(value instanceof RespValue.Failure failure && failure.text().is("ERR failed"))) {
-            LOG.warning("cache server answered unlike its protocol: " + value.frame().toString().trim());
+        if (value instanceof RespValue.Failure failure) {
+            String word = failure.text().toString().split(" ", 2)[0];
+            if (word.equals("BUSY")) {
+                return Outcome.of(Routing.Ending.FULL, now);
+            }
+            if (word.equals("ERR")) {
+                return Outcome.of(Routing.Ending.ERROR, now);
+            }
         }
-        return Outcome.of(Routing.Ending.ERROR, now);
+        throw new ProtocolException("an answer that is no value, error or refusal");
     }
 
-    private Outcome served(List<RespValue> items, long now) {
-        Routing.Note note = items.size() > 1 ? note(items.get(1)) : Routing.Note.NONE;
-        float[] report = items.size() > 2 ? report(items.get(2)) : Outcome.NO_REPORT;
-        if (items.get(0) instanceof RespValue.Bulk bulk && bulk.bytes() != null) {
-            return new Outcome(Routing.Ending.OK, now, note, report, bulk.frame());
+    /** The value or receipt, how it went or null, the load report or null; only the last may be anything. */
+    private Outcome served(List<RespValue> items, long now) throws ProtocolException {
+        if (items.size() != PARTS || !(items.get(0) instanceof RespValue.Bulk value)
+                || !(items.get(1) instanceof RespValue.Bulk how)) {
+            throw new ProtocolException("an answer that is not made of a value, a word and a load report");
+        }
+        Routing.Note note = note(how);
+        float[] report = report(items.get(2));
+        if (value.bytes() != null) {
+            return new Outcome(Routing.Ending.OK, now, note, report, value.frame());
         }
         return new Outcome(aside ? Routing.Ending.MISS : Routing.Ending.ERROR, now, note, report, null);
     }
@@ -56,23 +66,28 @@
             return Outcome.NO_REPORT;
         }
         float[] figures = new float[reportNames.size()];
+        Arrays.fill(figures, -1);
         int found = 0;
         for (String pair : text.split("[,; ]+")) {
             int equals = pair.indexOf('=');
             int at = equals < 0 ? -1 : reportNames.indexOf(pair.substring(0, equals));
-            if (at >= 0 && pair.substring(equals + 1).matches("-?[0-9]+(\\.[0-9]+)?([eE]-?[0-9]+)?")) {
-                figures[at] = Float.parseFloat(pair.substring(equals + 1));
-                found++;
+            if (at >= 0 && figures[at] < 0) {
+                figures[at] = figure(pair.substring(equals + 1));
+                found += figures[at] >= 0 ? 1 : 0;
             }
         }
         return found == figures.length ? figures : Outcome.NO_REPORT;
     }
 
-    private static String word(RespValue value) {
-        return value instanceof RespValue.Bulk bulk && bulk.bytes() != null ? bulk.bytes().toString() : "";
+    /** A figure of a load report; below 0 if it is none: not a number, negative, or beyond all bounds. */
+    private static float figure(String digits) {
+        boolean readable = digits.length() <= MOST_DIGITS
+            && digits.matches("[0-9]+(\\.[0-9]+)?([eE][-+]?[0-9]+)?");
+        float value = readable ? Float.parseFloat(digits) : -1;
+        return Float.isInfinite(value) ? -1 : value;
     }
 
-    private static String firstWord(Slice text) {
-        return text.toString().split(" ", 2)[0];
+    private static String word(RespValue value) {
+        return value instanceof RespValue.Bulk bulk && bulk.bytes() != null ? bulk.bytes().toString() : "";
     }
 }
--- a/src/main/java/beaconturn/net/RequestParser.java
+++ b/src/main/java/beaconturn/net/RequestParser.java
@@ -2,6 +2,7 @@
 
 import beaconturn.core.Call;
 import beaconturn.core.Settings;
+import beaconturn.decision.Routing;
 import beaconturn.protocol.ProtocolException;
 import beaconturn.protocol.RespValue;
 import beaconturn.protocol.Slice;
@@ -9,12 +10,19 @@
 import java.util.Map;
 import java.util.LinkedHashMap;
 import java.util.StringJoiner;
+import java.util.regex.Pattern;
 
 /** Turns commands of clients into requests: key, id and a list of names and values. */
 final class RequestParser {
     private static final long MILLI = 1_000_000;
-    private static final double LONGEST_WAIT = 3_600_000;
     private static final int KEY_DIGITS = 16;
+    private static final int LONGEST_NAME = 128;
+    private static final int MOST_ATTRIBUTES = 16;
+    /** Plain decimals only: what Java takes besides, such as 5d, 0x1p3 or NaN, no cache server can read. */
+    private static final Pattern DECIMAL = Pattern.compile("[0-9]{1,12}(\\.[0-9]{1,9})?");
+    private static final Pattern ATTRIBUTE = Pattern.compile("[A-Za-z0-9_]{1,32}=[!-+\\--~]{1,256}");
+    /** A wait of more than so many times its class's deadline is a mistake of the client's. */
+    private static final double LONGEST_WAIT = 2;
     private final Settings settings;
 
     RequestParser(Settings settings) {
@@ -35,28 +43,54 @@
         return command.is("C.GET") || command.is("C.SET");
     }
 
-    /** The request that a command makes; {@code readAt} is when its last byte was read. */
-    ClientCall parse(List<RespValue> items, long readAt) throws ProtocolException {
+    /**
+     * The request that a command makes; {@code readAt} is when its last byte was read. Nothing that a cache
+     * server could not use gets past here, and its id is open from here on until it has its answer.
+     */
+    ClientCall parse(List<RespValue> items, long readAt, OpenIds ids) throws ProtocolException {
         boolean write = text(items, 0).is("C.SET");
         if (items.size() != (write ? 5 : 4)) {
             throw new ProtocolException("wrong number of arguments");
         }
         Map<String, String> attributes = attributes(text(items, 3).toString());
-        double wait = number(attributes, "d", -1);
-        if (!(wait > 0 && wait <= LONGEST_WAIT)) {
-            throw new ProtocolException("d is missing or out of range");
-        }
         int requestClass = settings.classNames().indexOf(attributes.get("c"));
         if (requestClass < 0) {
             throw new ProtocolException("c names no class of the settings");
         }
+        Routing.RequestClass type = settings.routing().classes().get(requestClass);
+        double wait = number(attributes, "d", 0) * MILLI;
+        if (wait < 1 || wait > LONGEST_WAIT * type.deadline()) {
+            throw new ProtocolException("d is missing or out of range");
+        }
+        if (write && type.effect() == Routing.Effect.KEYED && !attributes.containsKey("k")) {
+            throw new ProtocolException("k is missing");
+        }
+        Slice key = name(items, 1, "key");
+        Slice id = name(items, 2, "id");
         Slice first = items.get(0).frame();
         Slice last = items.get(2).frame();
         Slice head = new Slice(first.array(), first.from(), last.from() + last.length() - first.from());
         Slice value = write ? items.get(4).frame() : null;
-        Call.Ask ask = new Call.Ask(requestClass, key(text(items, 1)), write,
-            "1".equals(attributes.get("r")), 0, 0, number(attributes, "size", 0));
-        return new ClientCall(ask, readAt + (long) (wait * MILLI), new Parts(head, attributes, value));
+        Call.Ask ask = new Call.Ask(requestClass, key(key), write, "1".equals(attributes.get("r")), 0, 0,
+            number(attributes, "size", 0));
+        if (!ids.open(id)) {
+            throw new ProtocolException("a request of this id is open");
+        }
+        return new ClientCall(ask, readAt + (long) wait, new Parts(head, attributes, value),
+            () -> ids.close(id));
+    }
+
+    /** A key or an id: not empty, not endless, and of bytes that can be seen. */
+    private static Slice name(List<RespValue> items, int index, String what) throws ProtocolException {
+        Slice name = text(items, index);
+        boolean sound = name.length() > 0 && name.length() <= LONGEST_NAME;
+        for (int i = 0; sound && i < name.length(); i++) {
+            sound = name.at(i) > ' ' && name.at(i) <= '~';
+        }
+        if (!sound) {
+            throw new ProtocolException(what + " is empty, too long or of odd bytes");
+        }
+        return name;
     }
 
     private static Slice text(List<RespValue> items, int index) throws ProtocolException {
@@ -68,24 +102,25 @@
 
     private static Map<String, String> attributes(String text) throws ProtocolException {
         Map<String, String> found = new LinkedHashMap<>();
-        for (String pair : text.split(",")) {
+        for (String pair : text.split(",", MOST_ATTRIBUTES + 1)) {
+            if (!ATTRIBUTE.matcher(pair).matches() || found.size() == MOST_ATTRIBUTES) {
+                throw new ProtocolException("attributes that are no list of names and values");
+            }
             int equals = pair.indexOf('=');
-            if (equals <= 0) {
-                throw new ProtocolException("attribute without a value");
+            if (found.put(pair.substring(0, equals), pair.substring(equals + 1)) != null) {
+                throw new ProtocolException("attribute given twice");
             }
-            found.put(pair.substring(0, equals), pair.substring(equals + 1));
         }
         return found;
     }
 
     private static double number(Map<String, String> attributes, String name, double fallback)
             throws ProtocolException {
-        try {
-            String value = attributes.get(name);
-            return value == null ? fallback : Double.parseDouble(value);
-        } catch (NumberFormatException e) {
+        String value = attributes.get(name);
+        if (value != null && !DECIMAL.matcher(value).matches()) {
             throw new ProtocolException(name + " is not a number");
         }
+        return value == null ? fallback : Double.parseDouble(value);
     }
 
     /** Keys are 16 hexadecimal digits; any other is hashed, alike at every router. */
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -5,6 +5,7 @@
 import beaconturn.core.Message;
 import beaconturn.core.ModuleActor;
 import beaconturn.core.ModuleHost;
+import beaconturn.core.Spell;
 import beaconturn.decision.Routing;
 import beaconturn.protocol.ProtocolException;
 import java.io.IOException;
@@ -21,7 +22,7 @@
     /** After a planned stop is announced, new connections still come for up to 0.4 s. */
     private static final long ACCEPT_ON = 550 * MILLI;
     private static final long STEP_MILLIS = 5;
-    private static final long SWEEP_MILLIS = 1000;
+    private static final long SWEEP_MILLIS = 250;
 
     private final RouterConfig config;
     private final Clock clock = Clock.system();
@@ -32,7 +33,7 @@
     private final Listener listener;
     private final Discovery discovery;
     private final Reloads reloads;
-    private boolean crowded;
+    private final Spell turnedAway = new Spell(LOG, "new client connections are turned away", 1);
 
     /** Binds the address; nothing is served before {@link #start}. A reload reads from the source. */
     public RouterServer(RouterConfig config, RouterConfig.Source source, Lifecycle lifecycle)
@@ -42,7 +43,7 @@
         Capacity capacity = Capacity.of(config.sockets(), config.memoryMb());
         this.clients = new ClientConnections(capacity.clients());
         this.site = new ClientConnection.Site(new RequestParser(config.settings()), clock, lifecycle,
-            module::post, new Semaphore(capacity.largeRequests()), clients::remove);
+            module::post, new OpenIds(), new Semaphore(capacity.largeRequests()), clients::remove);
         this.discovery = new Discovery(config.discovery(), new ListReader(config.settings()),
             config.known().version(), module::post);
         this.reloads = new Reloads(source, discovery);
@@ -112,29 +113,16 @@
     }
 
     private void accepted(Socket socket) {
-        try {
-            awaitRoom();
+        // Never waits: the one accepting thread must not be held up by clients that keep others at work.
+        if (clients.makeRoom(clock.now())) {
             ClientConnection connection = new ClientConnection(socket, site);
             clients.add(connection);
             connection.start();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private void awaitRoom() throws InterruptedException {
-        boolean room = clients.makeRoom(clock.now());
-        if (!room && !crowded) {
-            LOG.warning("all " + clients.count() + " client connections are at work, new ones wait");
-        } else if (room && crowded && clients.count() < clients.most() / 2) {
-            LOG.info("client connections are below half of the most again");
-            crowded = false;
-        }
-        crowded = crowded || !room;
-        while (!room) {
-            Thread.sleep(STEP_MILLIS);
-            room = clients.makeRoom(clock.now());
+        } else {
+            Sockets.close(socket);
+            turnedAway.note(clock.now());
         }
+        turnedAway.check(clock.now());
     }
 
     private void sweep() {
--- a/src/main/java/beaconturn/net/WarmUp.java
+++ b/src/main/java/beaconturn/net/WarmUp.java
@@ -7,6 +7,7 @@
 import beaconturn.core.Message;
 import beaconturn.core.ModuleHost;
 import beaconturn.core.Settings;
+import beaconturn.decision.Routing;
 import beaconturn.protocol.InputBuffer;
 import beaconturn.protocol.ProtocolException;
 import beaconturn.protocol.RespReader;
@@ -22,6 +23,7 @@
 final class WarmUp {
     private static final int ROUNDS = 1000;
     private static final long STEP = 5_000_000;
+    private static final long MILLI = 1_000_000;
     private static final int KEYS = 500;
     private static final String ANSWER = "*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n";
 
@@ -31,6 +33,7 @@
     private final RespReader resp = new RespReader(RespReader.LONGEST_VALUE);
     private final Queue<Attempt> sent = new ArrayDeque<>();
     private final ModuleHost host;
+    private final OpenIds ids = new OpenIds();
     private long now = 1;
 
     WarmUp(RouterConfig config) {
@@ -46,7 +49,7 @@
         for (int i = 0; i < ROUNDS; i++) {
             now += STEP;
             host.runDue();
-            host.handle(new Message.Arrived(requests.parse(command(i).items(), now)));
+            host.handle(new Message.Arrived(requests.parse(command(i).items(), now, ids)));
             while (sent.size() > 2) {
                 answer(sent.remove());
             }
@@ -55,7 +58,8 @@
 
     private RespValue.Array command(int round) throws ProtocolException {
         String name = settings.classNames().get(round % settings.classNames().size());
-        String attributes = "c=" + name + ",d=480";
+        Routing.RequestClass type = settings.routing().classes().get(round % settings.classNames().size());
+        String attributes = "c=" + name + ",k=" + round + ",d=" + Math.max(1, type.deadline() / MILLI / 2);
         String text = String.format("*4\r\n$5\r\nC.GET\r\n$16\r\n%016x\r\n$16\r\n%016x\r\n$%d\r\n%s\r\n",
             round % KEYS + 1, round, attributes.length(), attributes);
         return (RespValue.Array) parse(text);
--- /dev/null
+++ b/src/test/java/beaconturn/net/ClientConnectionsTest.java
@@ -0,0 +1,135 @@
+package beaconturn.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.core.Call;
+import beaconturn.core.Lifecycle;
+import beaconturn.core.Message;
+import beaconturn.core.Samples;
+import beaconturn.protocol.Slice;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Which connections of clients are closed when; the clock is the test's. */
+class ClientConnectionsTest {
+    private static final long SECOND = 1_000_000_000;
+    private static final String GET = "*4\r\n$5\r\nC.GET\r\n$1\r\na\r\n$2\r\nid\r\n$13\r\nc=read,d=1500\r\n";
+    private final AtomicLong now = new AtomicLong(SECOND);
+    private final BlockingQueue<Message> module = new LinkedBlockingQueue<>();
+    private final OpenIds ids = new OpenIds();
+    private final ClientConnections connections = new ClientConnections(1);
+    private ServerSocket server;
+    private Peer.Line client;
+    private ClientConnection connection;
+
+    @BeforeEach
+    void connect() throws IOException {
+        server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        Socket from = new Socket(server.getInetAddress(), server.getLocalPort());
+        from.setSoTimeout(20_000);
+        client = new Peer.Line(from, new LinkedBlockingQueue<>());
+        connection = new ClientConnection(server.accept(), new ClientConnection.Site(
+            new RequestParser(Samples.read()), now::get, new Lifecycle(), module::add, ids, new Semaphore(9),
+            connections::remove));
+        connections.add(connection);
+        connection.start();
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        client.close();
+        server.close();
+    }
+
+    private Call arrived() throws InterruptedException {
+        return ((Message.Arrived) module.poll(20, TimeUnit.SECONDS)).call();
+    }
+
+    private void awaitHalfRead() {
+        while (connection.halfReadSince() == Long.MAX_VALUE) {
+            Thread.onSpinWait();
+        }
+    }
+
+    /** Silence for ever, and half a command renewed byte by byte, would hold a place for ever. */
+    @Test
+    void aClientWithoutOneWholeCommandIsClosedHoweverItGoesOn() throws Exception {
+        client.write("*4\r\n$5\r\n");
+        awaitHalfRead();
+        now.addAndGet(SECOND);
+        connections.sweep(now.get());
+        client.write("C.G");
+        assertEquals(1, connections.count());
+        now.addAndGet(SECOND + 1);
+        connections.sweep(now.get());
+        assertEquals("end", client.answer());
+        assertEquals(0, connections.count());
+    }
+
+    /** The same for half a command on a connection that has been of use before. */
+    @Test
+    void halfACommandBehindAWholeOneIsClosedInTheSameTime() throws Exception {
+        client.write(GET);
+        arrived().served(Slice.of("+v\r\n"));
+        assertEquals("+v", client.answer());
+        now.addAndGet(SECOND);
+        client.write("*4\r\n$5\r\n");
+        awaitHalfRead();
+        now.addAndGet(2 * SECOND + 1);
+        connections.sweep(now.get());
+        assertEquals("end", client.answer());
+    }
+
+    /** An answer that is owed is not lost for the half command behind its request. */
+    @Test
+    void aRequestThatIsOutKeepsItsConnectionOpen() throws Exception {
+        client.write(GET + "*4\r\n$5\r\n");
+        Call call = arrived();
+        awaitHalfRead();
+        now.addAndGet(3 * SECOND);
+        connections.sweep(now.get());
+        call.served(Slice.of("+v\r\n"));
+        assertEquals("+v", client.answer());
+    }
+
+    /** Clients that ask once and stay cost descriptors and memory; they are let go where places are short. */
+    @Test
+    void aQuietConnectionIsEndedBetweenRequestsAfterSomeSeconds() throws Exception {
+        client.write(GET);
+        arrived().served(Slice.of("+v\r\n"));
+        assertEquals("+v", client.answer());
+        connections.sweep(now.get() + 2 * SECOND);
+        assertEquals(1, connections.count());
+        now.addAndGet(3 * SECOND);
+        connections.sweep(now.get());
+        assertEquals("end", client.answer());
+    }
+
+    /** What is kept for an id goes with its answer. */
+    @Test
+    void anIdIsForgottenWithItsAnswer() throws Exception {
+        client.write(GET);
+        Call call = arrived();
+        assertEquals(1, ids.count());
+        call.refused(0);
+        assertEquals(0, ids.count());
+        client.write(GET);
+        arrived();
+        client.hangUp();
+        assertTrue(module.poll(20, TimeUnit.SECONDS) instanceof Message.Left);
+        while (ids.count() > 0) {
+            Thread.onSpinWait();
+        }
+    }
+}
