A few shared threads write clients' answers; quiet connections are let go after 2 s

Under its limit a router is stopped and continued as a whole, which costs each thread, idle or not. Ruled out: parsing and decisions, under 10 %. Writers are now actors that run on shared threads while they have something to write.

--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -33,7 +33,7 @@
 
     /** What a connection needs of the router round it. */
     record Site(RequestParser parser, Clock clock, Lifecycle lifecycle, Consumer<Message> module,
-            OpenIds ids, Semaphore largeRequests, Consumer<ClientConnection> whenClosed) { }
+            Writers writers, OpenIds ids, Semaphore largeRequests, Consumer<ClientConnection> whenClosed) { }
 
     private final Socket socket;
     private final Site site;
@@ -49,7 +49,7 @@
         this.socket = socket;
         this.site = site;
         this.since = site.clock().now();
-        this.writer = new ClientWriter(socket, site.clock(), this::quiet);
+        this.writer = new ClientWriter(socket, site.clock(), site.writers(), this::quiet);
     }
 
     void start() {
--- a/src/main/java/beaconturn/net/ClientConnections.java
+++ b/src/main/java/beaconturn/net/ClientConnections.java
@@ -13,8 +13,10 @@
     private static final long LONGEST_WRITE = 10_000 * MILLI;
     /** How long a command may take from its first byte, and a new client to its first whole command. */
     private static final long LONGEST_COMMAND = 2_000 * MILLI;
-    /** A connection with nothing open is let go after so long, where others may want its place. */
-    private static final long LONGEST_QUIET = 2_500 * MILLI;
+    /** How long a new client may take to its first byte. */
+    private static final long LONGEST_SILENCE = 1_000 * MILLI;
+    /** A connection with nothing open is let go after so long: it has a thread and a descriptor. */
+    private static final long LONGEST_QUIET = 2_100 * MILLI;
     /** The first request of a client that has just connected should arrive before it makes room. */
     private static final long SETTLED = 30 * MILLI;
 
@@ -72,11 +74,10 @@
             .forEach(ClientConnection::close);
         // Not while a request is out: the others on its connection are owed their answers first.
         open.stream().filter(c -> c.silentSince() < now - LONGEST_COMMAND
+            || c.silentSince() < now - LONGEST_SILENCE && c.halfReadSince() == Long.MAX_VALUE
             || c.halfReadSince() < now - LONGEST_COMMAND)
             .forEach(ClientConnection::closeIfQuiet);
-        if (open.size() > most / 2) {
-            open.stream().filter(c -> c.quietSince() < now - LONGEST_QUIET)
-                .forEach(ClientConnection::finishIfQuiet);
-        }
+        open.stream().filter(c -> c.quietSince() < now - LONGEST_QUIET)
+            .forEach(ClientConnection::finishIfQuiet);
     }
 }
--- a/src/main/java/beaconturn/net/ClientWriter.java
+++ b/src/main/java/beaconturn/net/ClientWriter.java
@@ -1,44 +1,42 @@
 package beaconturn.net;
 
 import beaconturn.core.Clock;
-import beaconturn.core.Mailbox;
-import beaconturn.protocol.RespWriter;
 import beaconturn.protocol.Slice;
 import java.io.IOException;
 import java.net.Socket;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
-import java.util.logging.Logger;
 
 /**
- * The actor that writes a client's answers in the order of the commands. Its thread lives while there is
- * something to write and a little longer; an idle connection has none.
+ * The actor that writes a client's answers in the order of the commands. It runs on a thread only while there
+ * is something to write.
  */
 final class ClientWriter {
     /** In the place of an answer: nothing more is written. */
     static final Slice END = Slice.of("");
-    private static final Logger LOG = Logger.getLogger(ClientWriter.class.getName());
-    private static final Slice NO_THREAD = RespWriter.failure("ERR no room for this request");
     private static final int MOST_PIPELINED = 32;
     /** Answers may be this many behind one that its client is slow to take; else they would fill the heap. */
     private static final int MOST_BEHIND = 2;
-    private static final long IDLE = 2_000_000_000;
     private static final long NEVER = Long.MAX_VALUE;
 
     private final Socket socket;
     private final Clock clock;
+    private final Writers writers;
     private final Runnable whenQuiet;
-    private final Mailbox<Reply> replies = new Mailbox<>(MOST_PIPELINED);
     private volatile long writingSince = NEVER;
     // Guarded by this:
-    private boolean running;
+    private final Deque<Reply> replies = new ArrayDeque<>(2);
+    private boolean scheduled;
     private int unanswered;
     private long quietSince;
     private long closingSince = NEVER;
 
     /** A writer that says each time that the last answer is written. */
-    ClientWriter(Socket socket, Clock clock, Runnable whenQuiet) {
+    ClientWriter(Socket socket, Clock clock, Writers writers, Runnable whenQuiet) {
         this.socket = socket;
         this.clock = clock;
+        this.writers = writers;
         this.whenQuiet = whenQuiet;
         this.quietSince = clock.now();
     }
@@ -58,26 +56,13 @@
         return closingSince;
     }
 
-    /**
-     * Gives the reply the next place; false if the connection takes no more, as it is ending or the machine
-     * has no thread to write with. For the thread that reads.
-     */
-    boolean take(Reply reply) throws InterruptedException, IOException {
+    /** Gives the reply the next place; false if the connection is ending. For the thread that reads. */
+    boolean take(Reply reply) throws InterruptedException {
         if (!begin()) {
             return false;
         }
-        replies.put(reply);
-        try {
-            ensureRunning();
-            return true;
-        } catch (OutOfMemoryError e) {
-            // No thread runs, so no other answer waits: this client is told at once, and nothing is sent on.
-            LOG.warning("no thread to write an answer, its request is turned away");
-            replies.poll(0);
-            reply.fill(NO_THREAD);
-            writeHere(NO_THREAD);
-            return false;
-        }
+        add(reply);
+        return true;
     }
 
     /** Answers at once what needs no waiting, by the thread that reads if no other answer is owed. */
@@ -89,12 +74,12 @@
         if (!alone) {
             take(Reply.of(bytes));
         } else if (begin()) {
-            writeHere(bytes);
+            send(bytes);
         }
     }
 
     private synchronized boolean begin() throws InterruptedException {
-        while (writingSince != NEVER && unanswered > MOST_BEHIND) {
+        while (unanswered > MOST_PIPELINED || writingSince != NEVER && unanswered > MOST_BEHIND) {
             wait();
         }
         if (closingSince != NEVER) {
@@ -104,14 +89,22 @@
         return true;
     }
 
-    private void writeHere(Slice bytes) throws IOException {
-        writingSince = clock.now();
-        try {
-            Sockets.write(socket.getOutputStream(), List.of(bytes));
-        } finally {
-            writeEnded();
+    private void add(Reply reply) {
+        synchronized (this) {
+            replies.add(reply);
         }
-        answered();
+        reply.whenFilled(this::wake);
+    }
+
+    /** Never waits: the module's thread comes here with each answer. */
+    private void wake() {
+        synchronized (this) {
+            if (scheduled || replies.isEmpty() || !replies.peek().isFilled()) {
+                return;
+            }
+            scheduled = true;
+        }
+        writers.schedule(this);
     }
 
     /**
@@ -123,14 +116,8 @@
             if (quietSince() == NEVER) {
                 return false;
             }
-            closingSince = clock.now();
-            notifyAll();
-        }
-        try {
-            socket.shutdownOutput();
-        } catch (IOException e) {
-            Sockets.close(socket);
         }
+        endOutput();
         return true;
     }
 
@@ -139,8 +126,7 @@
         if (finishIfQuiet()) {
             return;
         }
-        replies.put(Reply.of(END));
-        ensureRunning();
+        add(Reply.of(END));
         synchronized (this) {
             while (closingSince == NEVER) {
                 wait();
@@ -148,78 +134,50 @@
         }
     }
 
-    /** Ends the thread of a connection that is closed; a full mailbox ends it at its next answer. */
+    /** The connection is closed: nothing of what waits will be written. */
     void abandon() {
-        replies.offer(Reply.of(END));
-    }
-
-    private synchronized void ensureRunning() {
-        if (!running) {
-            Threads.start("client-write", this::write);
-            running = true;
+        synchronized (this) {
+            replies.clear();
+            closingSince = Math.min(closingSince, clock.now());
+            notifyAll();
         }
     }
 
-    private void write() {
+    /** Writes the answers that are there, up to the first that is not. */
+    void write() {
         try {
             for (Slice next = nextAnswer(); next != null; next = nextAnswer()) {
                 if (next == END) {
                     endOutput();
                     return;
                 }
-                writingSince = clock.now();
-                Sockets.write(socket.getOutputStream(), List.of(next));
-                writeEnded();
-                answered();
+                send(next);
             }
         } catch (IOException e) {
             // The reader sees the same end and tells the module; nothing can be said to this client.
-            broken();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            broken();
-        } finally {
-            writeEnded();
+            Sockets.close(socket);
+            abandon();
         }
     }
 
-    private void broken() {
-        Sockets.close(socket);
-        synchronized (this) {
-            closingSince = Math.min(closingSince, clock.now());
+    private synchronized Slice nextAnswer() {
+        if (replies.isEmpty() || !replies.peek().isFilled()) {
+            scheduled = false;
+            return null;
         }
+        return replies.poll().bytes();
     }
 
-    /** The next answer in order, waiting for it; null if the thread may end, as nothing is owed. */
-    private Slice nextAnswer() throws InterruptedException {
-        while (true) {
-            Reply next = replies.poll(IDLE);
-            if (next != null) {
-                return next.await();
-            }
+    private void send(Slice bytes) throws IOException {
+        writingSince = clock.now();
+        try {
+            Sockets.write(socket.getOutputStream(), List.of(bytes));
+        } finally {
             synchronized (this) {
-                if (replies.isEmpty()) {
-                    running = false;
-                    return null;
-                }
+                writingSince = NEVER;
+                notifyAll();
             }
         }
-    }
-
-    private void endOutput() throws IOException {
-        synchronized (this) {
-            closingSince = Math.min(closingSince, clock.now());
-            notifyAll();
-        }
-        socket.shutdownOutput();
-    }
-
-    private synchronized void writeEnded() {
-        writingSince = NEVER;
-        notifyAll();
-    }
-
-    private void answered() {
         boolean quiet;
         synchronized (this) {
             unanswered--;
@@ -230,4 +188,16 @@
             whenQuiet.run();
         }
     }
+
+    private void endOutput() {
+        synchronized (this) {
+            closingSince = Math.min(closingSince, clock.now());
+            notifyAll();
+        }
+        try {
+            socket.shutdownOutput();
+        } catch (IOException e) {
+            Sockets.close(socket);
+        }
+    }
 }
--- a/src/main/java/beaconturn/net/Reply.java
+++ b/src/main/java/beaconturn/net/Reply.java
@@ -1,12 +1,11 @@
 package beaconturn.net;
 
 import beaconturn.protocol.Slice;
-import java.util.concurrent.CountDownLatch;
 
 /** The place of one answer in the order of a client's connection: filled once, by any thread. */
 class Reply {
-    private final CountDownLatch filled = new CountDownLatch(1);
     private volatile Slice bytes;
+    private Runnable next = () -> { };
 
     /** A place whose answer is there from the start. */
     static Reply of(Slice answer) {
@@ -16,12 +15,28 @@
     }
 
     /** Fills in the answer; one that comes second is dropped. */
-    final synchronized void fill(Slice answer) {
-        if (bytes == null) {
+    final void fill(Slice answer) {
+        Runnable then;
+        synchronized (this) {
+            if (bytes != null) {
+                return;
+            }
             over();
             bytes = answer;
-            filled.countDown();
+            then = next;
         }
+        then.run();
+    }
+
+    /** Says what to do once the answer is there, which may be now. */
+    final void whenFilled(Runnable action) {
+        synchronized (this) {
+            if (bytes == null) {
+                next = action;
+                return;
+            }
+        }
+        action.run();
     }
 
     /** Called once, before the answer can be seen. */
@@ -32,9 +47,8 @@
         return bytes != null;
     }
 
-    /** Waits for the answer. */
-    final Slice await() throws InterruptedException {
-        filled.await();
+    /** The answer, or null if there is none yet. */
+    final Slice bytes() {
         return bytes;
     }
 }
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -29,6 +29,7 @@
     private final Lifecycle lifecycle;
     private final ModuleActor module = new ModuleActor();
     private final ClientConnections clients;
+    private final Writers writers = new Writers();
     private final ClientConnection.Site site;
     private final Listener listener;
     private final Discovery discovery;
@@ -43,7 +44,7 @@
         Capacity capacity = Capacity.of(config.sockets(), config.memoryMb());
         this.clients = new ClientConnections(capacity.clients());
         this.site = new ClientConnection.Site(new RequestParser(config.settings()), clock, lifecycle,
-            module::post, new OpenIds(), new Semaphore(capacity.largeRequests()), clients::remove);
+            module::post, writers, new OpenIds(), new Semaphore(capacity.largeRequests()), clients::remove);
         this.discovery = new Discovery(config.discovery(), new ListReader(config.settings()),
             config.known().version(), module::post);
         this.reloads = new Reloads(source, discovery);
@@ -129,6 +130,7 @@
         try {
             while (lifecycle.phase() != Lifecycle.Phase.STOPPED) {
                 clients.sweep(clock.now());
+                writers.check();
                 Thread.sleep(SWEEP_MILLIS);
             }
         } catch (InterruptedException e) {
--- a/src/test/java/beaconturn/net/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/ClientConnectionsTest.java
@@ -40,8 +40,8 @@
         from.setSoTimeout(20_000);
         client = new Peer.Line(from, new LinkedBlockingQueue<>());
         connection = new ClientConnection(server.accept(), new ClientConnection.Site(
-            new RequestParser(Samples.read()), now::get, new Lifecycle(), module::add, ids, new Semaphore(9),
-            connections::remove));
+            new RequestParser(Samples.read()), now::get, new Lifecycle(), module::add, new Writers(), ids,
+            new Semaphore(9), connections::remove));
         connections.add(connection);
         connection.start();
     }
--- a/src/test/java/beaconturn/net/ClientWriterTest.java
+++ b/src/test/java/beaconturn/net/ClientWriterTest.java
@@ -4,7 +4,6 @@
 
 import beaconturn.core.Clock;
 import beaconturn.protocol.Slice;
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -21,7 +20,7 @@
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
                 Socket client = new Socket(server.getInetAddress(), server.getLocalPort());
                 Socket socket = server.accept()) {
-            ClientWriter writer = new ClientWriter(socket, Clock.system(), () -> { });
+            ClientWriter writer = new ClientWriter(socket, Clock.system(), new Writers(), () -> { });
             writer.take(Reply.of(new Slice(new byte[LARGE], 0, LARGE)));
             while (writer.writingSince() == Long.MAX_VALUE) {
                 Thread.onSpinWait();
@@ -31,7 +30,7 @@
             Thread asker = Threads.start("test-asker", () -> {
                 try {
                     writer.take(Reply.of(Slice.of("+d\r\n")));
-                } catch (InterruptedException | IOException e) {
+                } catch (InterruptedException e) {
                     Thread.currentThread().interrupt();
                 }
             });
