One thread reads from all clients; answers are written where they arise, without waiting

Given up here: blocking sockets with a thread for each client. The substitute: non-blocking channels of clients on one poller thread; answers are written by the thread that has them, the rest when the client takes more. Cache servers, discovery and the listener stay blocking, each on its own thread.

--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -10,18 +10,22 @@
 import beaconturn.protocol.RespWriter;
 import beaconturn.protocol.Slice;
 import java.io.IOException;
-import java.net.Socket;
-import java.net.SocketTimeoutException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
- * One client: a thread that reads commands and hands the requests to the module. Reading goes on while
- * requests are out, so that a client's close is seen at once.
+ * One client: reads commands as the poller says that bytes are there, and hands the requests to the module.
+ * Reading goes on while requests are out, so that a client's close is seen at once.
  */
 final class ClientConnection {
     private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
@@ -33,32 +37,36 @@
 
     /** What a connection needs of the router round it. */
     record Site(RequestParser parser, Clock clock, Lifecycle lifecycle, Consumer<Message> module,
-            Writers writers, OpenIds ids, Semaphore largeRequests, Consumer<ClientConnection> whenClosed) { }
+            ClientPoller poller, OpenIds ids, Semaphore largeRequests,
+            Consumer<ClientConnection> whenClosed) { }
 
-    private final Socket socket;
+    private final SocketChannel channel;
     private final Site site;
     private final ClientWriter writer;
-    private final List<ClientCall> calls = new ArrayList<>();
     private final long since;
+    private final List<ClientCall> calls = new ArrayList<>(2);
+    private final AtomicBoolean left = new AtomicBoolean();
     private volatile boolean spoke;
+    private volatile boolean paused;
     private volatile long halfReadSince = NEVER;
     private volatile boolean largeInHand;
     private int large;
+    // For the poller's thread:
+    private final InputBuffer in = new InputBuffer();
+    private final RespReader reader = new RespReader(RespReader.LONGEST_VALUE);
+    private SelectionKey key;
+    private boolean malformed;
+    private int discarded;
 
-    ClientConnection(Socket socket, Site site) {
-        this.socket = socket;
+    ClientConnection(SocketChannel channel, Site site) {
+        this.channel = channel;
         this.site = site;
         this.since = site.clock().now();
-        this.writer = new ClientWriter(socket, site.clock(), site.writers(), this::quiet);
+        this.writer = new ClientWriter(channel, site.clock(), this::written);
     }
 
     void start() {
-        try {
-            Threads.start("client-read", this::read);
-        } catch (OutOfMemoryError e) {
-            LOG.warning("no thread for a new client connection, which is closed");
-            leave();
-        }
+        site.poller().call(this);
     }
 
     /** Since when no request is out and none half read, or {@code Long.MAX_VALUE} if one is. */
@@ -101,55 +109,144 @@
         boolean quiet = writer.finishIfQuiet();
         if (quiet) {
             close();
-            site.whenClosed().accept(this);
         }
         return quiet;
     }
 
-    /** Closes at once, whatever is out. */
+    /** Closes at once, whatever is out: nobody waits for what it still had. Not for the module's thread. */
     void close() {
-        Sockets.close(socket);
+        if (!left.compareAndSet(false, true)) {
+            return;
+        }
+        Sockets.close(channel);
+        writer.abandon();
+        List<ClientCall> open;
+        synchronized (calls) {
+            open = List.copyOf(calls);
+        }
+        for (ClientCall call : open) {
+            if (!call.isFilled()) {
+                site.module().accept(new Message.Left(call));
+                call.fill(ClientWriter.END);
+            }
+        }
+        giveBackLarge();
+        site.whenClosed().accept(this);
     }
 
-    private void read() {
+    /** The poller's word that bytes can be read or written. */
+    void ready(SelectionKey told) {
+        guarded(() -> {
+            if (told.isWritable()) {
+                writer.write();
+            }
+            if (told.isReadable()) {
+                read();
+            }
+        });
+    }
+
+    /** Takes up what has been put off; the first time, the connection is made known to the poller. */
+    void proceed(Selector selector) {
+        guarded(() -> {
+            if (key == null) {
+                key = channel.register(selector, SelectionKey.OP_READ, this);
+            }
+            parse();
+        });
+    }
+
+    private interface Step {
+        void run() throws IOException;
+    }
+
+    /** One connection's failure must not touch the others on the poller's thread. */
+    private void guarded(Step step) {
         try {
-            InputBuffer in = new InputBuffer();
-            RespReader reader = new RespReader(RespReader.LONGEST_VALUE);
-            while (Sockets.read(socket.getInputStream(), in)) {
-                halfReadSince = Math.min(halfReadSince, site.clock().now());
-                for (RespValue v = reader.next(in); v != null; v = reader.next(in)) {
-                    command(v);
-                    halfReadSince = in.size() > 0 ? site.clock().now() : NEVER;
-                }
-                if (in.large() && !largeInHand) {
-                    takeLarge();
-                }
+            if (!left.get()) {
+                step.run();
+                awaitNext();
             }
-        } catch (ProtocolException e) {
-            malformed(e.getMessage());
         } catch (IOException e) {
             LOG.finer("client connection ended: " + e.getMessage());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        } finally {
-            leave();
+            close();
+        } catch (RuntimeException | Error e) {
+            LOG.log(Level.WARNING, "client connection failed and is closed", e);
+            close();
         }
     }
 
-    private void command(RespValue value) throws ProtocolException, InterruptedException, IOException {
+    private void awaitNext() {
+        if (writer.broken()) {
+            close();
+        } else if (!left.get()) {
+            int ops = (paused ? 0 : SelectionKey.OP_READ) | (writer.stuck() ? SelectionKey.OP_WRITE : 0);
+            if (key.interestOps() != ops) {
+                key.interestOps(ops);
+            }
+        }
+    }
+
+    private void read() throws IOException {
+        if (malformed) {
+            discard();
+            return;
+        }
+        int room = Math.min(Sockets.LARGEST_STEP, in.room());
+        int got = channel.read(ByteBuffer.wrap(in.array(), in.end(), room));
+        if (got < 0) {
+            close();
+            return;
+        }
+        in.filled(got);
+        halfReadSince = Math.min(halfReadSince, site.clock().now());
+        parse();
+    }
+
+    /** Handles the commands that are whole, as far as there is room for their answers. */
+    private void parse() {
+        try {
+            RespValue next = nextCommand();
+            while (next != null) {
+                command(next);
+                halfReadSince = in.size() > 0 ? site.clock().now() : NEVER;
+                next = nextCommand();
+            }
+            if (in.large() && !largeInHand && !malformed) {
+                takeLarge();
+            }
+        } catch (ProtocolException e) {
+            malformed(e.getMessage());
+        }
+    }
+
+    private RespValue nextCommand() throws ProtocolException {
+        if (malformed) {
+            return null;
+        }
+        // Set before it is asked: who writes the answer that makes room must see that it is waited for.
+        paused = true;
+        if (!writer.hasRoom()) {
+            return null;
+        }
+        paused = false;
+        return reader.next(in);
+    }
+
+    private void command(RespValue value) throws ProtocolException {
         if (!(value instanceof RespValue.Array array) || array.items() == null || array.items().isEmpty()
                 || !(array.items().get(0) instanceof RespValue.Bulk name) || name.bytes() == null) {
             throw new ProtocolException("expected a command");
         }
         if (!RequestParser.isRequest(name.bytes())) {
-            writer.answer(other(name.bytes().toString().toUpperCase(Locale.ROOT)));
+            writer.take(Reply.of(other(name.bytes().toString().toUpperCase(Locale.ROOT))));
             spoke = true;
             return;
         }
         ClientCall call = site.parser().parse(array.items(), site.clock().now(), site.ids());
         largeInHand = false;
+        spoke = true;
         if (writer.take(call)) {
-            spoke = true;
             synchronized (calls) {
                 calls.removeIf(Reply::isFilled);
                 calls.add(call);
@@ -169,9 +266,15 @@
         };
     }
 
-    /** Large requests are held in memory till they are answered: so many at once, the others wait unread. */
-    private void takeLarge() throws InterruptedException {
-        site.largeRequests().acquire();
+    /**
+     * Large requests are held in memory till they are answered: so many at once, the others wait unread until
+     * the poller calls them again or the time for a command is over.
+     */
+    private void takeLarge() {
+        if (!site.largeRequests().tryAcquire()) {
+            paused = true;
+            return;
+        }
         largeInHand = true;
         synchronized (this) {
             large++;
@@ -183,27 +286,35 @@
         large = 0;
     }
 
-    /** All is answered: nothing of it is kept while the connection is idle. */
-    private void quiet() {
-        synchronized (calls) {
-            calls.removeIf(Reply::isFilled);
+    /** Answers have been written; when all are, nothing of them is kept while the connection is idle. */
+    private void written(boolean quiet) {
+        if (quiet) {
+            synchronized (calls) {
+                calls.removeIf(Reply::isFilled);
+            }
+            if (!largeInHand) {
+                giveBackLarge();
+            }
+        }
+        if (paused || writer.stuck() || writer.broken()) {
+            site.poller().call(this);
         }
-        if (!largeInHand) {
-            giveBackLarge();
+    }
+
+    /** Has a connection that waits for room look again. */
+    void retry() {
+        if (paused) {
+            site.poller().call(this);
         }
     }
 
     /** Malformed input: what came before it is answered, then one error, then the connection ends. */
     private void malformed(String reason) {
-        try {
-            writer.answer(RespWriter.failure("ERR " + reason));
-            writer.finish();
-            discard();
-        } catch (IOException e) {
-            LOG.finer("client connection ended: " + e.getMessage());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        malformed = true;
+        writer.take(Reply.of(RespWriter.failure("ERR " + reason)));
+        writer.finish();
+        // While answers are owed what follows stays unread; after that the sweep closes the connection.
+        paused = writer.closingSince() == NEVER;
     }
 
     /**
@@ -211,33 +322,10 @@
      * clients that send without end or 60 MB don't reach: they would have the processor to themselves.
      */
     private void discard() throws IOException {
-        socket.setSoTimeout(LINGER_MILLIS);
-        byte[] ignored = new byte[MOST_DISCARDED / 4];
-        int got = 0;
-        for (int all = 0; got >= 0 && all < MOST_DISCARDED; all += got) {
-            try {
-                got = socket.getInputStream().read(ignored);
-            } catch (SocketTimeoutException e) {
-                return;
-            }
-        }
-    }
-
-    /** The connection is over: nobody waits for what it still had out. */
-    private void leave() {
-        close();
-        List<ClientCall> left;
-        synchronized (calls) {
-            left = List.copyOf(calls);
-        }
-        for (ClientCall call : left) {
-            if (!call.isFilled()) {
-                site.module().accept(new Message.Left(call));
-                call.fill(ClientWriter.END);
-            }
+        int got = channel.read(ByteBuffer.allocate(Sockets.LARGEST_STEP));
+        discarded += got;
+        if (got < 0 || discarded >= MOST_DISCARDED) {
+            close();
         }
-        writer.abandon();
-        giveBackLarge();
-        site.whenClosed().accept(this);
     }
 }
--- a/src/main/java/beaconturn/net/ClientConnections.java
+++ b/src/main/java/beaconturn/net/ClientConnections.java
@@ -79,5 +79,6 @@
             .forEach(ClientConnection::closeIfQuiet);
         open.stream().filter(c -> c.quietSince() < now - LONGEST_QUIET)
             .forEach(ClientConnection::finishIfQuiet);
+        open.forEach(ClientConnection::retry);
     }
 }
--- a/src/main/java/beaconturn/net/ClientWriter.java
+++ b/src/main/java/beaconturn/net/ClientWriter.java
@@ -3,14 +3,14 @@
 import beaconturn.core.Clock;
 import beaconturn.protocol.Slice;
 import java.io.IOException;
-import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
 
 /**
- * The actor that writes a client's answers in the order of the commands. It runs on a thread only while there
- * is something to write.
+ * Writes a client's answers in the order of the commands, on whatever thread has the next one. Never waits:
+ * what the client does not take yet is written when the poller says that it can be.
  */
 final class ClientWriter {
     /** In the place of an answer: nothing more is written. */
@@ -20,34 +20,39 @@
     private static final int MOST_BEHIND = 2;
     private static final long NEVER = Long.MAX_VALUE;
 
-    private final Socket socket;
+    /** What a writer tells its connection; called without a lock, on any thread. */
+    interface Owner {
+        /** Some answers have been written, or could not be; {@code quiet} if none is owed any more. */
+        void written(boolean quiet);
+    }
+
+    private final SocketChannel channel;
     private final Clock clock;
-    private final Writers writers;
-    private final Runnable whenQuiet;
-    private volatile long writingSince = NEVER;
+    private final Owner owner;
     // Guarded by this:
     private final Deque<Reply> replies = new ArrayDeque<>(2);
-    private boolean scheduled;
+    private ByteBuffer pending;
+    private long writingSince = NEVER;
     private int unanswered;
+    private boolean ending;
+    private boolean broken;
     private long quietSince;
     private long closingSince = NEVER;
 
-    /** A writer that says each time that the last answer is written. */
-    ClientWriter(Socket socket, Clock clock, Writers writers, Runnable whenQuiet) {
-        this.socket = socket;
+    ClientWriter(SocketChannel channel, Clock clock, Owner owner) {
+        this.channel = channel;
         this.clock = clock;
-        this.writers = writers;
-        this.whenQuiet = whenQuiet;
+        this.owner = owner;
         this.quietSince = clock.now();
     }
 
     /** Since when no answer is owed, or {@code Long.MAX_VALUE} if one is, or the connection is ending. */
     synchronized long quietSince() {
-        return unanswered == 0 && closingSince == NEVER ? quietSince : NEVER;
+        return unanswered == 0 && !ending ? quietSince : NEVER;
     }
 
     /** Since when an answer is being written, or {@code Long.MAX_VALUE} if none is. */
-    long writingSince() {
+    synchronized long writingSince() {
         return writingSince;
     }
 
@@ -56,55 +61,32 @@
         return closingSince;
     }
 
-    /** Gives the reply the next place; false if the connection is ending. For the thread that reads. */
-    boolean take(Reply reply) throws InterruptedException {
-        if (!begin()) {
-            return false;
-        }
-        add(reply);
-        return true;
+    /** Whether an answer waits for its client to take more. */
+    synchronized boolean stuck() {
+        return pending != null;
     }
 
-    /** Answers at once what needs no waiting, by the thread that reads if no other answer is owed. */
-    void answer(Slice bytes) throws InterruptedException, IOException {
-        boolean alone;
-        synchronized (this) {
-            alone = unanswered == 0;
-        }
-        if (!alone) {
-            take(Reply.of(bytes));
-        } else if (begin()) {
-            send(bytes);
-        }
+    /** Whether the connection has failed under an answer. */
+    synchronized boolean broken() {
+        return broken;
     }
 
-    private synchronized boolean begin() throws InterruptedException {
-        while (unanswered > MOST_PIPELINED || writingSince != NEVER && unanswered > MOST_BEHIND) {
-            wait();
-        }
-        if (closingSince != NEVER) {
-            return false;
-        }
-        unanswered++;
-        return true;
+    /** Whether the next command may be read; if not, the owner hears of it when something is written. */
+    synchronized boolean hasRoom() {
+        return unanswered <= MOST_PIPELINED && (pending == null || unanswered <= MOST_BEHIND);
     }
 
-    private void add(Reply reply) {
+    /** Gives the reply the next place; false if the connection is ending and takes no more. */
+    boolean take(Reply reply) {
         synchronized (this) {
-            replies.add(reply);
-        }
-        reply.whenFilled(this::wake);
-    }
-
-    /** Never waits: the module's thread comes here with each answer. */
-    private void wake() {
-        synchronized (this) {
-            if (scheduled || replies.isEmpty() || !replies.peek().isFilled()) {
-                return;
+            if (ending) {
+                return false;
             }
-            scheduled = true;
+            unanswered++;
+            replies.add(reply);
         }
-        writers.schedule(this);
+        reply.whenFilled(this::write);
+        return true;
     }
 
     /**
@@ -116,88 +98,82 @@
             if (quietSince() == NEVER) {
                 return false;
             }
+            ending = true;
         }
         endOutput();
         return true;
     }
 
-    /** Ends the sending after what is owed, and waits for that. */
-    void finish() throws InterruptedException {
-        if (finishIfQuiet()) {
-            return;
-        }
-        add(Reply.of(END));
+    /** Ends the sending after what is owed. */
+    void finish() {
         synchronized (this) {
-            while (closingSince == NEVER) {
-                wait();
+            if (ending) {
+                return;
             }
+            ending = true;
+            replies.add(Reply.of(END));
         }
+        write();
     }
 
     /** The connection is closed: nothing of what waits will be written. */
-    void abandon() {
+    synchronized void abandon() {
+        ending = true;
+        replies.clear();
+        pending = null;
+        writingSince = NEVER;
+    }
+
+    /** Writes what there is of the answers, up to the first that is not there yet. */
+    void write() {
+        int before;
+        int after;
+        boolean tell;
         synchronized (this) {
-            replies.clear();
-            closingSince = Math.min(closingSince, clock.now());
-            notifyAll();
+            before = unanswered;
+            try {
+                flush();
+            } catch (IOException e) {
+                broken = true;
+                abandon();
+            }
+            after = unanswered;
+            tell = broken || pending != null || after < before;
+        }
+        if (tell) {
+            owner.written(after == 0 && before > 0);
         }
     }
 
-    /** Writes the answers that are there, up to the first that is not. */
-    void write() {
-        try {
-            for (Slice next = nextAnswer(); next != null; next = nextAnswer()) {
+    private void flush() throws IOException {
+        while (pending != null || !replies.isEmpty() && replies.peek().isFilled()) {
+            if (pending == null) {
+                Slice next = replies.poll().bytes();
                 if (next == END) {
                     endOutput();
                     return;
                 }
-                send(next);
+                pending = ByteBuffer.wrap(next.array(), next.from(), next.length());
+                writingSince = clock.now();
             }
-        } catch (IOException e) {
-            // The reader sees the same end and tells the module; nothing can be said to this client.
-            Sockets.close(socket);
-            abandon();
-        }
-    }
-
-    private synchronized Slice nextAnswer() {
-        if (replies.isEmpty() || !replies.peek().isFilled()) {
-            scheduled = false;
-            return null;
-        }
-        return replies.poll().bytes();
-    }
-
-    private void send(Slice bytes) throws IOException {
-        writingSince = clock.now();
-        try {
-            Sockets.write(socket.getOutputStream(), List.of(bytes));
-        } finally {
-            synchronized (this) {
-                writingSince = NEVER;
-                notifyAll();
+            if (!Sockets.writeSome(channel, pending)) {
+                return;
             }
-        }
-        boolean quiet;
-        synchronized (this) {
+            pending = null;
+            writingSince = NEVER;
             unanswered--;
             quietSince = clock.now();
-            quiet = unanswered == 0;
-        }
-        if (quiet) {
-            whenQuiet.run();
         }
     }
 
     private void endOutput() {
         synchronized (this) {
             closingSince = Math.min(closingSince, clock.now());
-            notifyAll();
         }
         try {
-            socket.shutdownOutput();
+            channel.shutdownOutput();
         } catch (IOException e) {
-            Sockets.close(socket);
+            Sockets.close(channel);
         }
     }
 }
--- a/src/main/java/beaconturn/net/Listener.java
+++ b/src/main/java/beaconturn/net/Listener.java
@@ -2,8 +2,9 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
+import java.net.StandardSocketOptions;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -14,20 +15,20 @@
     private static final int BACKLOG = 1024;
     private static final long PAUSE_MILLIS = 10;
 
-    private final ServerSocket server;
-    private final Consumer<Socket> accepted;
+    private final ServerSocketChannel server;
+    private final Consumer<SocketChannel> accepted;
     private volatile boolean closed;
 
     /** Binds the address; connections wait in the kernel until {@link #start}. */
-    Listener(InetSocketAddress address, Consumer<Socket> accepted) throws IOException {
+    Listener(InetSocketAddress address, Consumer<SocketChannel> accepted) throws IOException {
         this.accepted = accepted;
-        this.server = new ServerSocket();
-        server.setReuseAddress(true);
+        this.server = ServerSocketChannel.open();
+        server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
         server.bind(address, BACKLOG);
     }
 
     InetSocketAddress address() {
-        return (InetSocketAddress) server.getLocalSocketAddress();
+        return (InetSocketAddress) server.socket().getLocalSocketAddress();
     }
 
     void start() {
@@ -42,9 +43,10 @@
     private void accept() {
         while (!closed) {
             try {
-                Socket socket = server.accept();
-                socket.setTcpNoDelay(true);
-                accepted.accept(socket);
+                SocketChannel client = server.accept();
+                client.setOption(StandardSocketOptions.TCP_NODELAY, true);
+                client.configureBlocking(false);
+                accepted.accept(client);
             } catch (IOException | RuntimeException | Error e) {
                 // Out of descriptors, or a client gone while it waited: the next one may do better.
                 if (!closed) {
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -10,7 +10,7 @@
 import beaconturn.protocol.ProtocolException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.util.concurrent.Semaphore;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -29,7 +29,7 @@
     private final Lifecycle lifecycle;
     private final ModuleActor module = new ModuleActor();
     private final ClientConnections clients;
-    private final Writers writers = new Writers();
+    private final ClientPoller poller = new ClientPoller();
     private final ClientConnection.Site site;
     private final Listener listener;
     private final Discovery discovery;
@@ -44,7 +44,7 @@
         Capacity capacity = Capacity.of(config.sockets(), config.memoryMb());
         this.clients = new ClientConnections(capacity.clients());
         this.site = new ClientConnection.Site(new RequestParser(config.settings()), clock, lifecycle,
-            module::post, writers, new OpenIds(), new Semaphore(capacity.largeRequests()), clients::remove);
+            module::post, poller, new OpenIds(), new Semaphore(capacity.largeRequests()), clients::remove);
         this.discovery = new Discovery(config.discovery(), new ListReader(config.settings()),
             config.known().version(), module::post);
         this.reloads = new Reloads(source, discovery);
@@ -63,6 +63,7 @@
         module.post(new Message.News(config.known()));
         discovery.start();
         reloads.start();
+        poller.start();
         listener.start();
         Threads.start("sweeper", this::sweep);
         lifecycle.advance(Lifecycle.Phase.SERVING);
@@ -113,14 +114,14 @@
         }
     }
 
-    private void accepted(Socket socket) {
+    private void accepted(SocketChannel client) {
         // Never waits: the one accepting thread must not be held up by clients that keep others at work.
         if (clients.makeRoom(clock.now())) {
-            ClientConnection connection = new ClientConnection(socket, site);
+            ClientConnection connection = new ClientConnection(client, site);
             clients.add(connection);
             connection.start();
         } else {
-            Sockets.close(socket);
+            Sockets.close(client);
             turnedAway.note(clock.now());
         }
         turnedAway.check(clock.now());
@@ -130,7 +131,6 @@
         try {
             while (lifecycle.phase() != Lifecycle.Phase.STOPPED) {
                 clients.sweep(clock.now());
-                writers.check();
                 Thread.sleep(SWEEP_MILLIS);
             }
         } catch (InterruptedException e) {
--- a/src/main/java/beaconturn/net/Sockets.java
+++ b/src/main/java/beaconturn/net/Sockets.java
@@ -9,13 +9,15 @@
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import java.util.List;
 
 /** Small helpers that all connections share. */
 final class Sockets {
     private static final int COALESCED = 2048;
     /** Each thread keeps a buffer outside the heap as large as its largest read or write. */
-    private static final int LARGEST_STEP = 8 * 1024;
+    static final int LARGEST_STEP = 8 * 1024;
 
     private Sockets() {
     }
@@ -43,6 +45,18 @@
         out.flush();
     }
 
+    /** Writes as much as the peer takes without waiting; true once all is written. */
+    static boolean writeSome(SocketChannel to, ByteBuffer bytes) throws IOException {
+        int end = bytes.limit();
+        int written = 1;
+        while (bytes.position() < end && written > 0) {
+            bytes.limit(Math.min(end, bytes.position() + LARGEST_STEP));
+            written = to.write(bytes);
+            bytes.limit(end);
+        }
+        return bytes.position() == end;
+    }
+
     /** Closes without waiting; a socket that is closed already stays so. */
     static void close(Closeable socket) {
         try {
