--- /dev/null
+++ b/deploy/run.sh
@@ -0,0 +1,13 @@
+#!/bin/sh
+# One real router, with a heap that fits the memory that the configuration allows. The heap has its full size
+# from the start and is touched at once: a heap that widens by and by looks like a leak and hides one.
+memory=$(sed -n 's/.*"memory_mb"[^0-9]*\([0-9][0-9]*\).*/\1/p' "$PROXY_CONFIG" 2> /dev/null | head -n 1)
+heap=$((${memory:-192} * 3 / 10))
+[ "$heap" -le 64 ] || heap=64
+[ "$heap" -ge 16 ] || heap=16
+# Few arenas: else each thread's small allocations outside the heap spread over memory that is never given back.
+export MALLOC_ARENA_MAX=1
+exec java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto -Xss256k -XX:StackShadowPages=10 \
+    -Xms${heap}m -Xmx${heap}m -XX:+AlwaysPreTouch -XX:MaxDirectMemorySize=24m \
+    -XX:ReservedCodeCacheSize=24m -XX:MaxMetaspaceSize=48m -Djdk.nio.maxCachedBufferSize=8192 \
+    -XX:-UsePerfData -jar target/beaconturn.jar serve
