--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -17,7 +17,7 @@
  */
 public final class RingRouter implements Routing.Router {
     /** Bounded loads: a cache may hold this much more than the mean. The source gives 0.15 to 0.25. */
-    private static final double EPSILON = 0.2;
+    private static final double EPSILON = 0.9;
     /** The cap never falls below this, so that few requests in flight do not scatter the keys. */
     private static final int LEAST_CAP = 2;
     /** Virtual points of a cache of mean rating. The source advises 100 to 200. */
@@ -80,6 +80,7 @@
     private final KeyMemory held;
     private final Popularity popularity = new Popularity(KEYS_REMEMBERED);
     private final Gate caches = new Gate();
+    private final Server all = new Server(0);
     private final Gate origin = new Gate();
     private final Bucket[] quotas;
     private final Rate answers;
@@ -276,7 +277,8 @@
     private boolean crowded(Server s) {
         boolean full = s.reported > REPORTED * (reportedLoad.mean + 1) && now - s.reportedAt < smoothing();
         return full || s.inFlight > 0
-            && s.settle(now, smoothing()) > (1 + EPSILON) * LEAST_CAP / settings.routers();
+            && s.settle(now, smoothing()) > (1 + EPSILON) * Math.max((double) LEAST_CAP / settings.routers(),
+                all.settle(now, smoothing()) / ring.size());
     }
 
     /**
@@ -432,6 +434,7 @@
             return;
         }
         caches.inFlight++;
+        all.load(1, now, smoothing());
         s.cold.tokens -= 1;
         long lateAfter = lateAfter(r, fetches);
         if (now + lateAfter < r.due) {
@@ -452,6 +455,7 @@
 
     private void cacheClosed(Request r, Attempt a, Routing.AttemptClosed e) {
         caches.inFlight--;
+        all.load(-1, now, smoothing());
         Routing.Ending ending = e.ending();
         boolean answered = ending == Routing.Ending.OK || ending == Routing.Ending.MISS;
         if (ending.ownDoing()) {
