In through mode a cache is passed at 1.9 times the mean, and never while under the mean

At 12 in flight on 10 caches the cap is 2, which a third of the caches stand at by chance, and crowded() passed every cache over 1.2 in flight, its part of the floor at two routers, whatever the mean: each spill is a fetch that holds its place and pushes another key out. Ruled out: processor (3.8 of 10 s), ejections, refusals. Now epsilon is 0.9 where caches fetch, and the smoothed bound is at least that of the mean. A whole list now also forgets servers that were draining when it left them out.

--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -17,7 +17,9 @@
  */
 public final class RingRouter implements Routing.Router {
     /** Bounded loads: a cache may hold this much more than the mean. The source gives 0.15 to 0.25. */
-    private static final double EPSILON = 0.9;
+    private static final double EPSILON = 0.2;
+    /** Where a cache fetches what it lacks a spill holds its place for a fetch, and more spill behind it. */
+    private static final double EPSILON_THROUGH = 0.9;
     /** The cap never falls below this, so that few requests in flight do not scatter the keys. */
     private static final int LEAST_CAP = 2;
     /** Virtual points of a cache of mean rating. The source advises 100 to 200. */
@@ -68,6 +70,7 @@
     private final Routing.Actions out;
     private final SplittableRandom random;
     private final double highestWorth;
+    private final double epsilon;
     private final Map<Long, Server> servers = new HashMap<>();
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<Long, Flight> flights = new HashMap<>();
@@ -89,7 +92,6 @@
     private final Average reportedLoad = new Average(NEWEST / 4);
     private final int loadField;
     private long[] points = new long[0];
-    private boolean listChanged;
     private long now;
     private long walk;
     private double retryBudget;
@@ -103,6 +105,7 @@
         this.rules = settings.rules();
         this.loadField = settings.reportNames().indexOf("busy_reqs");
         this.may = settings.permissions();
+        this.epsilon = settings.origin().aside() ? EPSILON : EPSILON_THROUGH;
         this.out = out;
         this.now = now;
         this.random = new SplittableRandom(seed);
@@ -238,10 +241,10 @@
 
     /** The home cache of the key, or the next one clockwise that is under its cap; all full: least loaded. */
     private Server pick(Request r) {
-        if (listChanged) {
+        if (points.length == 0) {
             buildRing();
         }
-        int cap = cap();
+        int cap = cap(caches.inFlight, ring.size(), epsilon);
         int found = Arrays.binarySearch(points, r.hash & -0x10000L);
         int start = found >= 0 ? found : -found - 1;
         Server leastLoaded = null;
@@ -271,14 +274,14 @@
 
     /**
      * The floor of two lets many routers pile up twice their number on one home. So a cache whose smoothed
-     * load (as the source advises) exceeds the bound on an even part of it gets one at a time; one that said
-     * lately that it holds far more than the mean gets none.
+     * load (as the source advises) exceeds the bound on an even part of it gets one at a time; where a spill
+     * is a fetch, on the mean if that is more. One that said lately that it holds far more gets none.
      */
     private boolean crowded(Server s) {
         boolean full = s.reported > REPORTED * (reportedLoad.mean + 1) && now - s.reportedAt < smoothing();
-        return full || s.inFlight > 0
-            && s.settle(now, smoothing()) > (1 + EPSILON) * Math.max((double) LEAST_CAP / settings.routers(),
-                all.settle(now, smoothing()) / ring.size());
+        double even = (double) LEAST_CAP / settings.routers();
+        double mean = settings.origin().aside() ? 0 : all.settle(now, smoothing()) / ring.size();
+        return full || s.inFlight > 0 && s.settle(now, smoothing()) > (1 + epsilon) * Math.max(even, mean);
     }
 
     /**
@@ -299,18 +302,13 @@
         return a == null || b.inFlight < a.inFlight ? b : a;
     }
 
-    private int cap() {
-        return cap(caches.inFlight, ring.size());
-    }
-
     /** The most a cache may hold when one more request joins {@code total} in flight on {@code n} caches. */
-    static int cap(int total, int n) {
-        return Math.max(LEAST_CAP, (int) Math.ceil((1 + EPSILON) * (total + 1) / Math.max(1, n)));
+    static int cap(int total, int n, double epsilon) {
+        return Math.max(LEAST_CAP, (int) Math.ceil((1 + epsilon) * (total + 1) / Math.max(1, n)));
     }
 
     /** Points come from the server's id alone, so that all routers agree and a change moves few keys. */
     private void buildRing() {
-        listChanged = false;
         // The power of two nearest the mean rating: a change of members seldom moves it.
         double mean = ring.stream().mapToDouble(s -> s.rating).average().orElse(1);
         double unit = Math.pow(2, Math.rint(Math.log(mean) / Math.log(2)));
@@ -617,7 +615,8 @@
             Server s = leader.missedAt;
             if (!answered) {
                 refetch(w);
-            } else if (s != null && legal(w, s) && s.inFlight < cap() && coldBudgetLeft(s)) {
+            } else if (s != null && legal(w, s) && coldBudgetLeft(s)
+                    && s.inFlight < cap(caches.inFlight, ring.size(), epsilon)) {
                 send(w, s, false);
             } else {
                 askCache(w);
@@ -730,8 +729,7 @@
             return;
         }
         if (list.kind() != Routing.ListKind.DELTA) {
-            ring.forEach(s -> s.health = Routing.Health.GONE);
-            origins.forEach(s -> s.health = Routing.Health.GONE);
+            servers.values().forEach(s -> s.health = Routing.Health.GONE);
         }
         if (list.kind() != Routing.ListKind.CACHED) {
             watchBackoff = rules.askWithin() / 16;
@@ -744,14 +742,10 @@
                 home.add(s);
             }
         }
-        listChanged = true;
-        dropUnready(ring);
-        dropUnready(origins);
-    }
-
-    private void dropUnready(List<Server> from) {
-        from.forEach(this::forgetIfGone);
-        from.removeIf(s -> s.health != Routing.Health.READY);
+        points = new long[0];
+        ring.removeIf(s -> s.health != Routing.Health.READY);
+        origins.removeIf(s -> s.health != Routing.Health.READY);
+        List.copyOf(servers.values()).forEach(this::forgetIfGone);
     }
 
     private void forgetIfGone(Server s) {
@@ -779,7 +773,8 @@
             boolean busy = slowness.now > BUSY;
             spare = next(spare, busy, due, 1.0 / settings.routers(), 1 / spare);
             // Far from crowded it doubles a round: a short spell must not refuse for many times its length.
-            limit = next(limit, slowness.now > CROWDED, due, least, busy ? 1 / limit : 1);
+            double step = busy || settings.origin().aside() ? 1 / limit : 1;
+            limit = next(limit, slowness.now > CROWDED, due, least, step);
             shrunkAt = due && busy ? now : shrunkAt;
         }
 
