Take out what nothing calls any more: Mailbox.isEmpty, Sockets.connect, ClientConnections.most

Left over when clients moved to the poller and RegistryClient came to register its socket before it connects; a comment still gave an idle client a thread.

--- a/src/main/java/beaconturn/core/Mailbox.java
+++ b/src/main/java/beaconturn/core/Mailbox.java
@@ -28,11 +28,6 @@
         queue.put(message);
     }
 
-    /** Whether nothing waits. */
-    public boolean isEmpty() {
-        return queue.isEmpty();
-    }
-
     /** Takes the next message, waiting for it. */
     public T take() throws InterruptedException {
         return queue.take();
--- a/src/main/java/beaconturn/net/ClientConnections.java
+++ b/src/main/java/beaconturn/net/ClientConnections.java
@@ -15,7 +15,7 @@
     private static final long LONGEST_COMMAND = 2_000 * MILLI;
     /** How long a new client may take to its first byte. */
     private static final long LONGEST_SILENCE = 1_000 * MILLI;
-    /** A connection with nothing open is let go after so long: it has a thread and a descriptor. */
+    /** A connection with nothing open is let go after so long: it has a descriptor. */
     private static final long LONGEST_QUIET = 2_100 * MILLI;
     /** The first request of a client that has just connected should arrive before it makes room. */
     private static final long SETTLED = 30 * MILLI;
@@ -43,10 +43,6 @@
         open.remove(connection);
     }
 
-    int most() {
-        return most;
-    }
-
     int count() {
         return open.size();
     }
--- a/src/main/java/beaconturn/net/Sockets.java
+++ b/src/main/java/beaconturn/net/Sockets.java
@@ -8,7 +8,6 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.channels.SocketChannel;
 import java.util.List;
@@ -67,18 +66,6 @@
         }
     }
 
-    static Socket connect(InetSocketAddress address, int timeoutMillis) throws IOException {
-        Socket socket = new Socket();
-        try {
-            socket.setTcpNoDelay(true);
-            socket.connect(address, Math.max(1, timeoutMillis));
-            return socket;
-        } catch (IOException | RuntimeException e) {
-            close(socket);
-            throw e;
-        }
-    }
-
     /** An address written as host:port, without asking any name service. */
     static InetSocketAddress address(String text) {
         int colon = text.lastIndexOf(':');
--- a/src/test/java/beaconturn/net/Peer.java
+++ b/src/test/java/beaconturn/net/Peer.java
@@ -112,7 +112,8 @@
         }
 
         static Line to(InetSocketAddress address) throws IOException {
-            Socket socket = Sockets.connect(address, SECONDS * 1000);
+            Socket socket = new Socket(address.getAddress(), address.getPort());
+            socket.setTcpNoDelay(true);
             socket.setSoTimeout(SECONDS * 1000);
             return new Line(socket, new LinkedBlockingQueue<>());
         }
