The protocol package reads HTTP requests and writes JSON, answers and byte strings

Need: stand-in servers are to speak the published protocol with the project's own parsers, which so far read only what a router reads.

--- a/src/main/java/beaconturn/protocol/HttpReader.java
+++ b/src/main/java/beaconturn/protocol/HttpReader.java
@@ -3,7 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.util.Locale;
 
-/** Reads answers of HTTP/1.1 out of a buffer as they become whole. */
+/** Reads answers and requests of HTTP/1.1 out of a buffer as they become whole. */
 public final class HttpReader {
     private static final int LONGEST_HEAD = 8192;
     private static final int UNTIL_CLOSE = -1;
@@ -36,6 +36,28 @@
         return new HttpResponse(status, body, keepAlive);
     }
 
+    /** The next request if it is whole, else null; its body, if any, is read and left out. */
+    public HttpRequest nextRequest(InputBuffer buffer) throws ProtocolException {
+        in = buffer;
+        at = 0;
+        Slice line = line();
+        if (line == null) {
+            return null;
+        }
+        String[] words = line.toString().split(" ");
+        if (words.length != 3 || !words[2].matches("HTTP/1\\.[01]")) {
+            throw new ProtocolException("no HTTP/1 request");
+        }
+        keepAlive = words[2].endsWith("1.1");
+        length = 0;
+        chunked = false;
+        if (!headers() || plain(false) == null) {
+            return null;
+        }
+        buffer.consume(at);
+        return new HttpRequest(words[0], words[1], keepAlive);
+    }
+
     private boolean head() throws ProtocolException {
         Slice line = line();
         if (line == null) {
@@ -49,7 +71,11 @@
         status = Integer.parseInt(first.substring(9, 12));
         length = status == 204 || status == 304 ? 0 : UNTIL_CLOSE;
         chunked = false;
-        for (line = line(); line != null; line = line()) {
+        return headers();
+    }
+
+    private boolean headers() throws ProtocolException {
+        for (Slice line = line(); line != null; line = line()) {
             if (line.length() == 0) {
                 keepAlive &= chunked || length != UNTIL_CLOSE;
                 return true;
--- a/src/main/java/beaconturn/protocol/HttpWriter.java
+++ b/src/main/java/beaconturn/protocol/HttpWriter.java
@@ -1,7 +1,12 @@
 package beaconturn.protocol;
 
-/** Makes the HTTP/1.1 requests that a router sends. */
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** Makes HTTP/1.1 requests and answers. */
 public final class HttpWriter {
+    private static final int OK = 200;
+
     private HttpWriter() {
     }
 
@@ -10,4 +15,15 @@
         return Slice.of("GET " + path + " HTTP/1.1\r\nHost: " + host
             + "\r\nAccept: application/json\r\n\r\n");
     }
+
+    /** An answer with a body of JSON, on a connection that is kept. */
+    public static Slice answer(int status, String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        byte[] head = ("HTTP/1.1 " + status + (status == OK ? " OK" : " Error")
+            + "\r\nContent-Type: application/json\r\nContent-Length: " + bytes.length + "\r\n\r\n")
+            .getBytes(StandardCharsets.US_ASCII);
+        byte[] all = Arrays.copyOf(head, head.length + bytes.length);
+        System.arraycopy(bytes, 0, all, head.length, bytes.length);
+        return new Slice(all, 0, all.length);
+    }
 }
--- a/src/main/java/beaconturn/protocol/RespWriter.java
+++ b/src/main/java/beaconturn/protocol/RespWriter.java
@@ -1,6 +1,9 @@
 package beaconturn.protocol;
 
-/** Makes the RESP2 values that a router writes itself. */
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** Makes RESP2 values. */
 public final class RespWriter {
     private static final int LONGEST_REASON = 200;
 
@@ -17,6 +20,19 @@
         return Slice.of("$" + text.length() + "\r\n" + text + "\r\n");
     }
 
+    /** A string of bytes; {@code null} makes the null string. */
+    public static Slice bulk(byte[] bytes) {
+        if (bytes == null) {
+            return Slice.of("$-1\r\n");
+        }
+        byte[] head = ("$" + bytes.length + "\r\n").getBytes(StandardCharsets.US_ASCII);
+        byte[] all = Arrays.copyOf(head, head.length + bytes.length + 2);
+        System.arraycopy(bytes, 0, all, head.length, bytes.length);
+        all[all.length - 2] = '\r';
+        all[all.length - 1] = '\n';
+        return new Slice(all, 0, all.length);
+    }
+
     /** A plain answer. */
     public static Slice simple(String text) {
         return Slice.of("+" + text + "\r\n");
--- a/src/test/java/beaconturn/protocol/HttpReaderTest.java
+++ b/src/test/java/beaconturn/protocol/HttpReaderTest.java
@@ -66,4 +66,39 @@
     void malformedAnswersAndThoseBeyondTheLimitsAreRefused(String text) {
         assertThrows(ProtocolException.class, () -> reader.next(Bytes.buffer(text), false));
     }
+
+    @Test
+    void aRequestIsReadWithItsParameters() throws ProtocolException {
+        String text = "GET /registry/instances?after=41&wait_ms=20000 HTTP/1.1\r\nHost: x\r\n\r\n";
+        InputBuffer in = new InputBuffer();
+        for (int i = 0; i < text.length() - 1; i++) {
+            Bytes.feed(in, text.substring(i, i + 1));
+            assertNull(reader.nextRequest(in), "whole after " + (i + 1) + " bytes");
+        }
+        Bytes.feed(in, text.substring(text.length() - 1) + "GET /b HTTP/1.0\r\nContent-Length: 2\r\n\r\nxy");
+        HttpRequest first = reader.nextRequest(in);
+        assertEquals("/registry/instances", first.path());
+        assertEquals("41", first.parameter("after", ""));
+        assertEquals("20000", first.parameter("wait_ms", ""));
+        assertEquals("none", first.parameter("wait", "none"));
+        assertTrue(first.keepAlive());
+        HttpRequest second = reader.nextRequest(in);
+        assertEquals("/b", second.target());
+        assertFalse(second.keepAlive());
+        assertEquals(0, in.size(), "its body is read and left out");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"GET /\r\n\r\n", "GET / HTTP/2\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"})
+    void whatIsNoRequestIsTurnedAway(String text) {
+        assertThrows(ProtocolException.class, () -> reader.nextRequest(Bytes.buffer(text)));
+    }
+
+    @Test
+    void anAnswerThatIsWrittenReadsTheSame() throws ProtocolException {
+        HttpResponse read = reader.next(Bytes.buffer(HttpWriter.answer(503, "{}").toString()), false);
+        assertEquals(503, read.status());
+        assertEquals("{}", read.body().toString());
+        assertTrue(read.keepAlive());
+    }
 }
