The model of a router's surroundings: cache servers, origin, discovery and their faults

Package standin has no I/O and no clock of its own: an Agenda that somebody else drives, chance from Commons RNG by seed, faults as conditions.

--- /dev/null
+++ b/src/main/java/beaconturn/standin/Fault.java
@@ -0,0 +1,79 @@
+package beaconturn.standin;
+
+import java.util.Locale;
+
+/** What can be made to go wrong. */
+public final class Fault {
+    private Fault() {
+    }
+
+    /** What a fault happens to. */
+    public enum Target { CACHE, ORIGIN, DISCOVERY, ROUTER }
+
+    /** The kinds; each is known to operators by its word. */
+    public enum Kind {
+        /** Work takes {@code factor} times as long. */
+        SLOW(Target.CACHE, true),
+        /** Commands are taken and none is answered, nor any work ended. */
+        STALL(Target.CACHE, true),
+        /** Nothing is read. */
+        UNREAD(Target.CACHE, true),
+        /** A part of the commands fails at once. */
+        ERRORS(Target.CACHE, true),
+        /** A part of the answers is spoilt. */
+        SPOIL(Target.CACHE, true),
+        /** Open connections are reset, and a part of the commands meets a reset. */
+        RESET(Target.CACHE, true),
+        /** New connections are refused. */
+        REFUSE(Target.CACHE, true),
+        /** New connections are accepted and never spoken to. */
+        MUTE(Target.CACHE, true),
+        /** The machine is cut off: silence, new connections never come up. */
+        VANISH(Target.CACHE, true),
+        /** Listed as draining, then gone once it is empty; it turns away from the grace on. */
+        DRAIN(Target.CACHE, true),
+        /** Turns away from now on, and is listed as draining seconds later. */
+        DRAIN_LATE(Target.CACHE, true),
+        /** The process dies and starts again at the fault's end, cold and empty. */
+        KILL(Target.CACHE, false),
+        /** The process dies; another one under a new name takes its address at the fault's end. */
+        REPLACE(Target.CACHE, false),
+        /** The origin's work takes {@code factor} times as long. */
+        ORIGIN_SLOW(Target.ORIGIN, false),
+        /** The origin stands still. */
+        ORIGIN_STOP(Target.ORIGIN, false),
+        /** Calls end with 503, watches break. */
+        DISCOVERY_OUT(Target.DISCOVERY, false),
+        /** Every answer of discovery takes {@code delay} longer. */
+        DISCOVERY_SLOW(Target.DISCOVERY, false),
+        /** Discovery answers with the list as it was {@code delay} before. */
+        DISCOVERY_BACK(Target.DISCOVERY, false),
+        /** A router is killed outright and started again at the fault's end. */
+        ROUTER_KILL(Target.ROUTER, false),
+        /** A router gets SIGTERM, and is started again at the fault's end. */
+        ROUTER_TERM(Target.ROUTER, false);
+
+        private final Target target;
+        private final boolean condition;
+
+        Kind(Target target, boolean condition) {
+            this.target = target;
+            this.condition = condition;
+        }
+
+        /** What it happens to. */
+        public Target target() {
+            return target;
+        }
+
+        /** Whether it is a state of a running cache server. */
+        boolean condition() {
+            return condition;
+        }
+
+        /** The word by which operators know it. */
+        public String word() {
+            return name().toLowerCase(Locale.ROOT).replace('_', '-');
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/standin/net/Loop.java
@@ -0,0 +1,181 @@
+package beaconturn.standin.net;
+
+import beaconturn.standin.Agenda;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.Selector;
+import java.nio.channels.ServerSocketChannel;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutionException;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/**
+ * The one thread of a model: drives its agenda by the real clock and serves its channels. A turn reads all
+ * that the kernel had when it began, so that what a peer did before something else is seen a turn later at
+ * most.
+ */
+public final class Loop implements Closeable {
+    private static final Logger LOG = Logger.getLogger(Loop.class.getName());
+    private static final long MILLI = 1_000_000;
+    private static final long LONGEST_WAIT_MILLIS = 1000;
+    private final Agenda agenda;
+    private final LongSupplier clock;
+    private final Selector selector;
+    private final Queue<Runnable> errands = new ConcurrentLinkedQueue<>();
+    private final Thread thread;
+    private volatile boolean closed;
+    private long turn;
+
+    /** What a channel's owner does once it is ready; an exception ends only that channel. */
+    interface Ready {
+        void ready(SelectionKey key) throws IOException;
+
+        /** The channel has failed and is closed. */
+        void failed(IOException cause);
+    }
+
+    /** A loop on the agenda whose time the clock tells, in nanoseconds; it runs from {@link #start} on. */
+    public Loop(String name, Agenda agenda, LongSupplier clock) throws IOException {
+        this.agenda = agenda;
+        this.clock = clock;
+        this.selector = Selector.open();
+        this.thread = new Thread(this::run, name);
+        thread.setDaemon(true);
+    }
+
+    /** Begins to serve. */
+    public void start() {
+        thread.start();
+    }
+
+    /** Has the loop's thread run something soon. */
+    public void execute(Runnable errand) {
+        errands.add(errand);
+        selector.wakeup();
+    }
+
+    /** Has the loop's thread compute something, and waits for it. */
+    public <T> T call(Supplier<T> question) {
+        if (Thread.currentThread() == thread) {
+            return question.get();
+        }
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        execute(() -> {
+            try {
+                answer.complete(question.get());
+            } catch (RuntimeException e) {
+                answer.completeExceptionally(e);
+            }
+        });
+        try {
+            return answer.get();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted while waiting for the loop", e);
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e.getCause().getMessage(), e.getCause());
+        }
+    }
+
+    /** The number of this turn. */
+    long turn() {
+        return turn;
+    }
+
+    Agenda agenda() {
+        return agenda;
+    }
+
+    SelectionKey register(SelectableChannel channel, int interest, Ready owner) throws IOException {
+        channel.configureBlocking(false);
+        return channel.register(selector, interest, owner);
+    }
+
+    /** Listens at the address; port 0 takes a free one. */
+    ServerSocketChannel listen(InetSocketAddress address, int backlog, Ready owner) throws IOException {
+        ServerSocketChannel channel = ServerSocketChannel.open();
+        try {
+            channel.bind(address, backlog);
+            register(channel, SelectionKey.OP_ACCEPT, owner);
+            return channel;
+        } catch (IOException e) {
+            channel.close();
+            throw e;
+        }
+    }
+
+    /** Ends the thread and closes all channels. */
+    @Override
+    public void close() {
+        closed = true;
+        selector.wakeup();
+        try {
+            if (Thread.currentThread() != thread) {
+                thread.join();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void run() {
+        try {
+            while (!closed) {
+                step();
+            }
+        } catch (IOException e) {
+            LOG.log(Level.SEVERE, "the loop cannot wait for its channels", e);
+        } finally {
+            end();
+        }
+    }
+
+    private void step() throws IOException {
+        long wait = agenda.next() - clock.getAsLong();
+        if (wait <= 0 || !errands.isEmpty()) {
+            selector.selectNow();
+        } else {
+            selector.select(Math.max(1, Math.min(LONGEST_WAIT_MILLIS, wait / MILLI)));
+        }
+        turn++;
+        agenda.advance(clock.getAsLong());
+        for (SelectionKey key : selector.selectedKeys()) {
+            serve(key);
+        }
+        selector.selectedKeys().clear();
+        for (Runnable errand = errands.poll(); errand != null; errand = errands.poll()) {
+            errand.run();
+        }
+    }
+
+    private static void serve(SelectionKey key) {
+        if (!key.isValid()) {
+            return;
+        }
+        Ready owner = (Ready) key.attachment();
+        try {
+            owner.ready(key);
+        } catch (IOException e) {
+            owner.failed(e);
+        }
+    }
+
+    private void end() {
+        try {
+            for (SelectionKey key : selector.keys()) {
+                key.channel().close();
+            }
+            selector.close();
+        } catch (IOException e) {
+            LOG.log(Level.FINE, "closing the loop's channels", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/standin/net/Surroundings.java
@@ -0,0 +1,141 @@
+package beaconturn.standin.net;
+
+import beaconturn.protocol.Json;
+import beaconturn.standin.Discovery;
+import beaconturn.standin.Listing;
+import beaconturn.standin.World;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+
+/**
+ * A whole model on loopback sockets: cache servers, the origin behind them, and discovery for each router.
+ */
+public final class Surroundings implements Closeable {
+    private static final int BACKLOG = 64;
+    private static final long MILLI = 1_000_000;
+    private final World world;
+    private final Loop loop;
+    private final Places places;
+    private final List<ServerSocketChannel> registries = new ArrayList<>();
+
+    /**
+     * Opens all addresses; nobody is served before {@link #start}.
+     *
+     * @param routers how many routers have addresses of their own
+     * @param firstPort where addresses begin, discovery's first, one for each router; 0 for any free ones
+     */
+    public Surroundings(World world, LongSupplier clock, int routers, int firstPort) throws IOException {
+        this.world = world;
+        this.loop = new Loop("stand-ins", world.agenda(), clock);
+        this.places = new Places(loop, world);
+        for (int router = 0; router < routers; router++) {
+            int port = firstPort == 0 ? 0 : firstPort + router;
+            registries.add(loop.listen(new InetSocketAddress("127.0.0.1", port), BACKLOG,
+                new Registry(router)));
+        }
+        places.open(routers, firstPort == 0 ? 0 : firstPort + routers);
+    }
+
+    /** Begins to serve on a thread of its own. */
+    public void start() {
+        loop.start();
+    }
+
+    /** Changes or asks something on the model's thread, and waits for it. */
+    public <T> T ask(Supplier<T> question) {
+        return loop.call(question);
+    }
+
+    /** Changes something on the model's thread, and waits for it. */
+    public void tell(Runnable change) {
+        loop.call(() -> {
+            change.run();
+            return true;
+        });
+    }
+
+    /** The model; to be touched on its own thread only. */
+    public World world() {
+        return world;
+    }
+
+    /** Where a router asks for the list. */
+    public InetSocketAddress discovery(int router) {
+        try {
+            return (InetSocketAddress) registries.get(router).getLocalAddress();
+        } catch (IOException e) {
+            throw new IllegalStateException("closed", e);
+        }
+    }
+
+    /** Where a router connects to the cache server at a place. */
+    public InetSocketAddress cache(int router, int place) {
+        return places.address(router, place);
+    }
+
+    /** The list that a router knows before its start, in discovery's form. */
+    public Json known(int router) {
+        return loop.call(() -> form(router, world.discovery().known(router)));
+    }
+
+    private Json form(int router, Discovery.News news) {
+        Map<String, Json> members = new LinkedHashMap<>();
+        members.put("seq", new Json.Figure(Long.toString(news.version())));
+        members.put("whole", new Json.Flag(news.whole()));
+        members.put("hosts", new Json.Items(news.entries().stream().map(e -> form(router, e)).toList()));
+        return new Json.Members(members);
+    }
+
+    private Json form(int router, Listing entry) {
+        InetSocketAddress dial = places.address(router, entry.place());
+        Map<String, Json> line = new LinkedHashMap<>();
+        line.put("host", new Json.Text(entry.host()));
+        line.put("dial", new Json.Text(dial.getHostString() + ":" + dial.getPort()));
+        line.put("site", new Json.Text(entry.site()));
+        line.put("class", new Json.Text(entry.kind()));
+        line.put("block", new Json.Figure(Integer.toString(entry.block())));
+        line.put("health", new Json.Text(entry.health().name().toLowerCase(Locale.ROOT)));
+        line.put("share", new Json.Figure(Double.toString(entry.share())));
+        line.put("born_ms", new Json.Figure(Long.toString(entry.born() / MILLI)));
+        return new Json.Members(line);
+    }
+
+    @Override
+    public void close() {
+        loop.close();
+    }
+
+    private final class Registry implements Loop.Ready {
+        private final int router;
+
+        private Registry(int router) {
+            this.router = router;
+        }
+
+        @Override
+        public void ready(SelectionKey key) throws IOException {
+            Function<Discovery.News, Json> form = news -> form(router, news);
+            ServerSocketChannel listener = (ServerSocketChannel) key.channel();
+            for (SocketChannel next = listener.accept(); next != null; next = listener.accept()) {
+                new RegistrySession(loop, next, world.discovery(), router, form).begin();
+            }
+        }
+
+        @Override
+        public void failed(IOException cause) {
+            throw new IllegalStateException("discovery cannot accept", cause);
+        }
+    }
+}
