--- /dev/null
+++ b/src/main/java/beaconturn/cli/EmbeddedLauncher.java
@@ -0,0 +1,78 @@
+package beaconturn.cli;
+
+import beaconturn.core.Lifecycle;
+import beaconturn.net.ConfigException;
+import beaconturn.net.RouterConfig;
+import beaconturn.net.RouterServer;
+import beaconturn.rehearsal.RouterLauncher;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+
+/** Runs routers inside this process: quick to start and easy to debug, but they cannot be killed. */
+final class EmbeddedLauncher implements RouterLauncher {
+    @Override
+    public boolean restarts() {
+        return false;
+    }
+
+    @Override
+    public Running launch(String name, Path config, Path log) throws IOException {
+        try {
+            RouterConfig read = RouterConfig.read(config, Map.of());
+            RouterServer server = new RouterServer(read, () -> read, new Lifecycle());
+            server.start();
+            return new Embedded(server);
+        } catch (ConfigException e) {
+            throw new IOException(e.getMessage(), e);
+        }
+    }
+
+    private static final class Embedded implements Running {
+        private final RouterServer server;
+        private Thread drain;
+
+        private Embedded(RouterServer server) {
+            this.server = server;
+        }
+
+        @Override
+        public boolean alive() {
+            return drain == null || drain.isAlive();
+        }
+
+        @Override
+        public void kill() {
+            terminate();
+        }
+
+        @Override
+        public void terminate() {
+            if (drain == null) {
+                drain = new Thread(this::drain, "drain");
+                drain.setDaemon(true);
+                drain.start();
+            }
+        }
+
+        private void drain() {
+            try {
+                server.drain();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+
+        @Override
+        public int awaitEnd(long millis) throws InterruptedException {
+            terminate();
+            drain.join(Math.max(1, millis));
+            return drain.isAlive() ? -1 : 0;
+        }
+
+        @Override
+        public long cpu() {
+            return -1;
+        }
+    }
+}
--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -31,8 +31,8 @@
         this(settings, clock, fleet, list, out -> new RingRouter(settings, seed, clock.now(), out));
     }
 
-    /** A host of any module, for tests. */
-    ModuleHost(Routing.Settings settings, Clock clock, Fleet fleet, ListSource list,
+    /** A host of any module. */
+    public ModuleHost(Routing.Settings settings, Clock clock, Fleet fleet, ListSource list,
             Function<Routing.Actions, Routing.Router> module) {
         this.settings = settings;
         this.clock = clock;
--- /dev/null
+++ b/src/main/java/beaconturn/ledger/Evidence.java
@@ -0,0 +1,132 @@
+package beaconturn.ledger;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** An account, sorted for the rules: each request with all that belongs to it. */
+final class Evidence {
+    private final Terms terms;
+    private final Map<String, Case> cases = new LinkedHashMap<>();
+    private final Map<Long, Entry.Replied> replies = new HashMap<>();
+    private final Map<Long, Entry.Ran> runs = new HashMap<>();
+    private final Map<Long, Entry.Ended> ends = new HashMap<>();
+    private final Map<Class<?>, List<Entry>> byKind = new HashMap<>();
+    private final List<Entry.Paused> pauses;
+
+    /** A request, what its client was told, and the commands that were sent for it in their order. */
+    static final class Case {
+        private final String id;
+        private final List<Entry.Asked> asked = new ArrayList<>();
+        private final List<Entry.Answered> answers = new ArrayList<>();
+        private final List<Entry.Sent> sends = new ArrayList<>();
+
+        private Case(String id) {
+            this.id = id;
+        }
+
+        String id() {
+            return id;
+        }
+
+        /**
+         * As it was written last, or null if no client did; a request that crossed a close is written twice.
+         */
+        Entry.Asked asked() {
+            return asked.isEmpty() ? null : asked.get(asked.size() - 1);
+        }
+
+        List<Entry.Answered> answers() {
+            return answers;
+        }
+
+        List<Entry.Sent> sends() {
+            return sends;
+        }
+
+        /** The final answers, which are values, refusals and failures. */
+        List<Entry.Answered> finals() {
+            return answers.stream()
+                .filter(a -> a.kind() != Entry.Kind.BROKEN && a.kind() != Entry.Kind.SILENCE).toList();
+        }
+    }
+
+    Evidence(Terms terms, List<Entry> entries) {
+        this.terms = terms;
+        for (Entry entry : entries) {
+            byKind.computeIfAbsent(entry.getClass(), kind -> new ArrayList<>()).add(entry);
+            if (entry instanceof Entry.Asked asked) {
+                of(asked.id()).asked.add(asked);
+            } else if (entry instanceof Entry.Answered answered) {
+                of(answered.id()).answers.add(answered);
+            } else if (entry instanceof Entry.Sent sent) {
+                of(sent.id()).sends.add(sent);
+            } else if (entry instanceof Entry.Replied replied) {
+                replies.put(replied.number(), replied);
+            } else if (entry instanceof Entry.Ran ran) {
+                runs.putIfAbsent(ran.number(), ran);
+            } else if (entry instanceof Entry.Ended ended) {
+                ends.put(ended.connection(), ended);
+            }
+        }
+        pauses = all(Entry.Paused.class);
+    }
+
+    private Case of(String id) {
+        return cases.computeIfAbsent(id, Case::new);
+    }
+
+    Terms terms() {
+        return terms;
+    }
+
+    /** The request of that id. */
+    Case request(String id) {
+        return of(id);
+    }
+
+    /** All requests, also those that no client has asked for. */
+    Iterable<Case> cases() {
+        return cases.values();
+    }
+
+    /** All lines of a kind in their order. */
+    <T extends Entry> List<T> all(Class<T> kind) {
+        return byKind.getOrDefault(kind, List.of()).stream().map(kind::cast).toList();
+    }
+
+    /** What the command was answered, or null. */
+    Entry.Replied reply(Entry.Sent sent) {
+        return replies.get(sent.number());
+    }
+
+    /** How it ran, or null. */
+    Entry.Ran ran(Entry.Sent sent) {
+        return runs.get(sent.number());
+    }
+
+    /** How its connection ended, or null. */
+    Entry.Ended end(Entry.Sent sent) {
+        return ends.get(sent.connection());
+    }
+
+    /**
+     * Whether a command that was read whole may have run by the time: only a turn-away before it rules it
+     * out.
+     */
+    boolean mayHaveRun(Entry.Sent sent, long by) {
+        Entry.Replied reply = reply(sent);
+        return reply == null || reply.made() != Entry.Made.BUSY || reply.at() > by;
+    }
+
+    /** How long it was between two times, less what the machine kept the kit from running. */
+    long between(long from, long to) {
+        long paused = 0;
+        for (Entry.Paused pause : pauses) {
+            paused += Math.max(0, Math.min(to, pause.until()) - Math.max(from, pause.at()));
+        }
+        return to - from - paused;
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/ledger/Judge.java
@@ -0,0 +1,18 @@
+package beaconturn.ledger;
+
+import java.util.List;
+
+/** Judges an account by all rules. */
+public final class Judge {
+    private Judge() {
+    }
+
+    /** The verdicts, in a fixed order; the same account always gives the same ones. */
+    public static List<Verdict> judge(Terms terms, List<Entry> entries) {
+        Evidence evidence = new Evidence(terms, entries);
+        List<Rule> rules = List.of(new OneAnswer(), new MadeForIt(), new NoEffectTwice(), new Copies(),
+            new Attempts(), new HarmlessRefusal(), new NothingAfter(), new PassedOn(), new Drains(),
+            new ColdServers(), new OriginKept(), new Books(), new RoutersRun());
+        return rules.stream().map(rule -> rule.on(evidence)).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/ledger/OneAnswer.java
@@ -0,0 +1,54 @@
+package beaconturn.ledger;
+
+import java.util.List;
+
+/** Every request that a router took has exactly one final answer, in time. */
+final class OneAnswer extends Rule {
+    OneAnswer() {
+        super("one-answer", "exactly one final answer, before the deadline");
+    }
+
+    @Override
+    void judge(Evidence evidence) {
+        crossings(evidence);
+        for (Evidence.Case one : evidence.cases()) {
+            Entry.Asked asked = one.asked();
+            if (asked == null) {
+                continue;
+            }
+            List<Entry.Answered> finals = one.finals();
+            if (finals.isEmpty()) {
+                missing(evidence, one, asked);
+            } else {
+                Entry.Answered first = finals.get(0);
+                check(finals.size() == 1, finals.get(finals.size() - 1).at(), one.id(), "",
+                    finals.size() + " final answers");
+                long took = evidence.between(asked.at(), first.at());
+                long late = took - (asked.deadline() - asked.at());
+                check(late <= evidence.terms().answerSlack(), first.at(), one.id(), "",
+                    "answered " + millis(late) + " after its deadline");
+            }
+        }
+    }
+
+    /** A close may cross a request that was not read, but what was sent on had been taken. */
+    private void crossings(Evidence evidence) {
+        for (Entry.Crossed crossed : evidence.all(Entry.Crossed.class)) {
+            Evidence.Case one = evidence.request(crossed.id());
+            boolean taken = one.sends().stream().anyMatch(sent -> sent.at() < crossed.at());
+            boolean killed = evidence.all(Entry.Stopped.class).stream().anyMatch(stop -> !stop.planned()
+                && stop.at() <= crossed.at() && stop.router() == one.asked().router());
+            check(!taken || killed, crossed.at(), one.id(), "", "its connection ended after it was taken");
+        }
+    }
+
+    /** What a killed router held is its client's to retry; anything else must be answered. */
+    private void missing(Evidence evidence, Evidence.Case one, Entry.Asked asked) {
+        long until = one.answers().isEmpty() ? asked.deadline() : one.answers().get(0).at();
+        boolean killed = evidence.all(Entry.Stopped.class).stream().anyMatch(stop -> !stop.planned()
+            && stop.router() == asked.router() && stop.at() + evidence.terms().sendSlack() >= asked.at()
+            && stop.at() <= until);
+        boolean broken = one.answers().stream().anyMatch(a -> a.kind() == Entry.Kind.BROKEN);
+        check(killed, until, one.id(), "", broken ? "its connection ended with no answer" : "never answered");
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/ledger/Terms.java
@@ -0,0 +1,34 @@
+package beaconturn.ledger;
+
+import java.util.Map;
+
+/**
+ * What is promised, in nanoseconds throughout.
+ *
+ * @param types the classes by name
+ * @param mostTries commands for one request at the most
+ * @param secondCopies whether a second one may be out while the first is
+ * @param answerSlack how much later than its deadline a final answer may come
+ * @param drainGrace how long after the news a draining server may get new work
+ * @param sendSlack what a send's way through sockets is allowed on top
+ * @param askWithin a router that asks nothing for so long counts as told
+ * @param coldShare part of its speed that a server has right after a start
+ * @param coldFor how long it takes to warm up
+ * @param fallMultiple sent so many times what it can do ...
+ * @param fallAfter ... over so long, it is pushed over
+ */
+public record Terms(Map<String, Type> types, int mostTries, boolean secondCopies, long answerSlack,
+        long drainGrace, long sendSlack, long askWithin, double coldShare, long coldFor, double fallMultiple,
+        long fallAfter) {
+    /** Whether a request may run more than once. */
+    public enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** A class of request; {@code scope} is all, zone or cell. */
+    public record Type(Effect effect, String scope, long window) { }
+
+    /** The effect of a class; one that is unknown is taken for unsafe. */
+    Effect effect(String type) {
+        Type known = types.get(type);
+        return known == null ? Effect.UNSAFE : known.effect();
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/ledger/Verdict.java
@@ -0,0 +1,18 @@
+package beaconturn.ledger;
+
+import java.util.List;
+
+/**
+ * What the account says of one rule.
+ *
+ * @param rule its name
+ * @param promise the rule in a few words
+ * @param checked how many times it could have been broken
+ * @param offences all breaks in the order of time
+ */
+public record Verdict(String rule, String promise, long checked, List<Offence> offences) {
+    /** Whether it was kept throughout. */
+    public boolean held() {
+        return offences.isEmpty();
+    }
+}
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -1,7 +1,9 @@
 package beaconturn.net;
 
 import beaconturn.core.Clock;
+import beaconturn.core.Fleet;
 import beaconturn.core.Lifecycle;
+import beaconturn.core.ListSource;
 import beaconturn.core.Message;
 import beaconturn.core.ModuleActor;
 import beaconturn.core.ModuleHost;
@@ -12,6 +14,7 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Semaphore;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -24,6 +27,22 @@
     private static final long STEP_MILLIS = 5;
     private static final long SWEEP_MILLIS = 50;
 
+    /** How the module is hosted and what its mailbox gets; broken in tests to prove what watches over it. */
+    interface Hosting {
+        /** As it should be. */
+        Hosting USUAL = new Hosting() { };
+
+        /** The host that the module's thread runs. */
+        default ModuleHost host(RouterConfig config, Clock clock, Fleet fleet, ListSource list) {
+            return new ModuleHost(config.settings().routing(), config.seed(), clock, fleet, list);
+        }
+
+        /** Where clients and cache servers post. */
+        default Consumer<Message> inbox(Consumer<Message> mailbox) {
+            return mailbox;
+        }
+    }
+
     private final RouterConfig config;
     private final Clock clock = Clock.system();
     private final Lifecycle lifecycle;
@@ -39,20 +58,27 @@
     /** Binds the address; nothing is served before {@link #start}. A reload reads from the source. */
     public RouterServer(RouterConfig config, RouterConfig.Source source, Lifecycle lifecycle)
             throws IOException {
+        this(config, source, lifecycle, Hosting.USUAL);
+    }
+
+    /** A router whose module may be hosted otherwise, for tests. */
+    RouterServer(RouterConfig config, RouterConfig.Source source, Lifecycle lifecycle, Hosting hosting)
+            throws IOException {
         this.config = config;
         this.lifecycle = lifecycle;
         Capacity capacity = Capacity.of(config.sockets(), config.memoryMb());
         this.clients = new ClientConnections(capacity.clients(), capacity.easyClients());
+        Consumer<Message> inbox = hosting.inbox(module::post);
         this.site = new ClientConnection.Site(new RequestParser(config.settings()), clock, lifecycle,
-            module::post, poller, new OpenIds(), new Semaphore(capacity.largeRequests()), clients::remove);
+            inbox, poller, new OpenIds(), new Semaphore(capacity.largeRequests()), clients::remove);
         this.discovery = new Discovery(config.discovery(), new ListReader(config.settings()),
             config.known().version(), module::post);
         this.reloads = new Reloads(source, discovery);
         Routing.Settings routing = config.settings().routing();
-        CacheFleet fleet = new CacheFleet(new CacheServer.Site(clock, module::post,
+        CacheFleet fleet = new CacheFleet(new CacheServer.Site(clock, inbox,
             new Semaphore(capacity.cacheConnections()), new ReplyReader(routing),
             routing.permissions().connectTimeout(), config.settings().idleTime() / 2));
-        module.host(new ModuleHost(routing, config.seed(), clock, fleet, discovery));
+        module.host(hosting.host(config, clock, fleet, discovery));
         this.listener = new Listener(config.listen(), this::accepted);
     }
 
--- /dev/null
+++ b/src/main/java/beaconturn/rehearsal/ClientCrowd.java
@@ -0,0 +1,191 @@
+package beaconturn.rehearsal;
+
+import beaconturn.core.Clock;
+import beaconturn.ledger.Account;
+import beaconturn.ledger.Entry;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.PriorityQueue;
+
+/**
+ * All clients of a play behind their front: sends each planned request at its time, whatever the answers
+ * before it do, tries again as clients do, and goes round a router that the front knows to be down.
+ */
+final class ClientCrowd implements ClientLine.Owner {
+    private static final long MILLI = 1_000_000;
+    private final Scenario scenario;
+    private final List<InetSocketAddress> routers;
+    private final Clock clock;
+    private final Account account;
+    private final Tally tally;
+    // Guarded by this:
+    private final PriorityQueue<Due> due = new PriorityQueue<>();
+    private final List<Deque<ClientLine>> idle = new ArrayList<>();
+    private final boolean[] avoided;
+    private long started;
+    private long lastNumber;
+    private int out;
+    private boolean over;
+
+    private record Due(long at, long number, ClientLine.Try asked) implements Comparable<Due> {
+        @Override
+        public int compareTo(Due other) {
+            int byTime = Long.compare(at, other.at);
+            return byTime != 0 ? byTime : Long.compare(number, other.number);
+        }
+    }
+
+    ClientCrowd(Scenario scenario, List<InetSocketAddress> routers, Clock clock, Account account,
+            Tally tally) {
+        this.scenario = scenario;
+        this.routers = routers;
+        this.clock = clock;
+        this.account = account;
+        this.tally = tally;
+        this.avoided = new boolean[routers.size()];
+        routers.forEach(router -> idle.add(new ArrayDeque<>()));
+    }
+
+    /** Begins to send; times of the plan count from {@code start}. */
+    synchronized void start(List<Planned> plan, long start) {
+        started = start;
+        for (Planned planned : plan) {
+            due.add(new Due(start + planned.at(), ++lastNumber, first(planned)));
+        }
+        Thread thread = new Thread(this::run, "clients");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private ClientLine.Try first(Planned planned) {
+        return attempt(planned, 0);
+    }
+
+    private ClientLine.Try attempt(Planned planned, int attempt) {
+        Scenario.Clients stream = scenario.clients().get(planned.stream());
+        long patience = Math.max(MILLI,
+            (long) (planned.type().deadline() * stream.tryShare()) / MILLI * MILLI);
+        String once = planned.type().effect() == Scenario.Effect.KEYED ? planned.once(scenario.seed()) : null;
+        return new ClientLine.Try(planned, attempt, planned.id(scenario.seed(), attempt),
+            planned.router(attempt, routers.size()), patience, once);
+    }
+
+    private void run() {
+        try {
+            while (true) {
+                Due next = next();
+                if (next == null) {
+                    return;
+                }
+                long late = clock.now() - next.at();
+                tally.sent(next.asked(), late);
+                send(next.asked());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized Due next() throws InterruptedException {
+        while (!over) {
+            long wait = due.isEmpty() ? Long.MAX_VALUE : due.peek().at() - clock.now();
+            if (wait <= 0) {
+                out++;
+                return due.remove();
+            }
+            wait(Math.max(1, Math.min(1000, wait / MILLI)));
+        }
+        return null;
+    }
+
+    private void send(ClientLine.Try asked) {
+        ClientLine line;
+        ClientLine.Try sent;
+        synchronized (this) {
+            int router = asked.router();
+            for (int i = 0; i < avoided.length && avoided[router]; i++) {
+                router = (router + 1) % avoided.length;
+            }
+            sent = new ClientLine.Try(asked.planned(), asked.attempt(), asked.id(), router, asked.patience(),
+                asked.once());
+            line = idle.get(router).pollFirst();
+        }
+        if (line == null) {
+            line = new ClientLine(routers.get(sent.router()), clock, account, this);
+            line.start();
+        }
+        line.ask(sent);
+    }
+
+    @Override
+    public void done(ClientLine line, ClientLine.Result result, boolean reusable) {
+        tally.done(result, started);
+        synchronized (this) {
+            out--;
+            if (reusable) {
+                idle.get(result.asked().router()).addFirst(line);
+            }
+            long wait = again(result);
+            if (wait >= 0) {
+                ClientLine.Try next = attempt(result.asked().planned(), result.asked().attempt() + 1);
+                due.add(new Due(clock.now() + wait, ++lastNumber, next));
+            }
+            notifyAll();
+        }
+    }
+
+    /**
+     * How long until the client tries again, or below 0: never a write that may have run and must not twice.
+     */
+    private long again(ClientLine.Result result) {
+        Planned planned = result.asked().planned();
+        Scenario.Clients stream = scenario.clients().get(planned.stream());
+        boolean served = result.kind() == Entry.Kind.SERVED;
+        boolean doubtful = result.kind() != null && result.kind() != Entry.Kind.REFUSED;
+        boolean unsafe = planned.type().effect() == Scenario.Effect.UNSAFE;
+        if (served || doubtful && unsafe || result.asked().attempt() >= stream.retries()) {
+            return -1;
+        }
+        return Math.max(stream.backoff(), result.retryAfter());
+    }
+
+    @Override
+    public void crossed(ClientLine line, ClientLine.Try again) {
+        send(again);
+    }
+
+    /** The front goes round a router, or uses it again. */
+    synchronized void avoid(int router, boolean on) {
+        avoided[router] = on;
+    }
+
+    /** Waits until nothing is out or planned any more, but not past the time; false if something is left. */
+    synchronized boolean drained(long until) throws InterruptedException {
+        while (out > 0 || !due.isEmpty()) {
+            long left = (until - clock.now()) / MILLI;
+            if (left <= 0) {
+                return false;
+            }
+            wait(Math.min(left, 50));
+        }
+        return true;
+    }
+
+    /** How many are out. */
+    synchronized int out() {
+        return out;
+    }
+
+    /** Ends all connections that are idle, each with a last look for answers too many. */
+    synchronized void finish() {
+        over = true;
+        notifyAll();
+        for (Deque<ClientLine> lines : idle) {
+            lines.forEach(ClientLine::finish);
+            lines.clear();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/rehearsal/ProcessLauncher.java
@@ -0,0 +1,105 @@
+package beaconturn.rehearsal;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Starts each router as a process of its own, with the options that operators start one with. */
+public final class ProcessLauncher implements RouterLauncher {
+    private static final List<String> OPTIONS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+        "-Xshare:auto", "-Xss256k", "-XX:StackShadowPages=10", "-Xms64m", "-Xmx64m",
+        "-XX:MaxDirectMemorySize=24m", "-XX:-UsePerfData", "-Djdk.nio.maxCachedBufferSize=8192");
+    private final List<String> program;
+
+    private ProcessLauncher(List<String> program) {
+        this.program = program;
+    }
+
+    /** Routers from a jar. */
+    public static ProcessLauncher of(Path jar) {
+        return new ProcessLauncher(List.of("-jar", jar.toString()));
+    }
+
+    /** Routers from the classes that run now: the jar they are in, or the class path of a build. */
+    public static ProcessLauncher own(String mainClass) {
+        String path = System.getProperty("java.class.path");
+        boolean jar = path.endsWith(".jar") && !path.contains(File.pathSeparator);
+        return new ProcessLauncher(jar ? List.of("-jar", path) : List.of("-cp", path, mainClass));
+    }
+
+    @Override
+    public Running launch(String name, Path config, Path log) throws IOException {
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(OPTIONS);
+        command.addAll(program);
+        command.addAll(List.of("serve", "--config", config.toString()));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
+        builder.environment().keySet().removeIf(variable -> variable.startsWith("PROXY_"));
+        Process process = builder.start();
+        // Whoever ends the rehearsal by a signal must not leave routers behind.
+        Thread hook = new Thread(process::destroyForcibly);
+        Runtime.getRuntime().addShutdownHook(hook);
+        process.onExit().thenRun(() -> forget(hook));
+        return new OfProcess(process);
+    }
+
+    private static void forget(Thread hook) {
+        try {
+            Runtime.getRuntime().removeShutdownHook(hook);
+        } catch (IllegalStateException e) {
+            // The rehearsal itself is on its way out: the hook has run or is running.
+            return;
+        }
+    }
+
+    @Override
+    public boolean restarts() {
+        return true;
+    }
+
+    private static final class OfProcess implements Running {
+        private final Process process;
+        private long lastCpu = -1;
+
+        private OfProcess(Process process) {
+            this.process = process;
+        }
+
+        @Override
+        public boolean alive() {
+            return process.isAlive();
+        }
+
+        @Override
+        public void kill() {
+            cpu();
+            process.destroyForcibly();
+        }
+
+        @Override
+        public void terminate() {
+            cpu();
+            process.destroy();
+        }
+
+        @Override
+        public int awaitEnd(long millis) throws InterruptedException {
+            if (!process.waitFor(millis, TimeUnit.MILLISECONDS)) {
+                return -1;
+            }
+            return process.exitValue();
+        }
+
+        @Override
+        public long cpu() {
+            lastCpu = process.info().totalCpuDuration().map(Duration::toNanos).orElse(lastCpu);
+            return lastCpu;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/rehearsal/RouterConfigText.java
@@ -0,0 +1,73 @@
+package beaconturn.rehearsal;
+
+import beaconturn.protocol.Json;
+import beaconturn.protocol.JsonWriter;
+import beaconturn.standin.CacheShape;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** The configuration that a router under rehearsal is started with, in the form that {@code serve} reads. */
+final class RouterConfigText {
+    private static final long TICK = 5_000_000;
+    private final Scenario scenario;
+
+    RouterConfigText(Scenario scenario) {
+        this.scenario = scenario;
+    }
+
+    /** The text for one router, which listens and asks at these addresses. */
+    String of(int router, String listen, String discovery, Json known, long seed) {
+        Scenario.RouterSpec spec = scenario.routers().get(router);
+        return JsonWriter.write(object("name", spec.name(), "listen", listen, "discovery", discovery,
+            "seed", String.format("%016x", seed),
+            "limits", object("cores", 1.0, "memory_mb", spec.memoryMb(), "sockets", spec.sockets()),
+            "known", known, "settings", settings(router)));
+    }
+
+    private Json settings(int router) {
+        Scenario.Rules r = scenario.rules();
+        CacheShape shape = scenario.fleet().shape();
+        List<String> reports = shape.reports();
+        return object("index", router, "replicas_of_me", scenario.routers().size(), "zone", 0,
+            "dcs", texts(scenario.fleet().sites()), "flavors", texts(List.of("standin")), "discovery", "ask",
+            "counted_by", "request", "over_share_worth", 1.0, "weights", "none", "tick", TICK,
+            "tenants", new Json.Items(List.of()),
+            "classes", new Json.Items(scenario.types().stream().map(RouterConfigText::type).toList()),
+            "family_info", object("mode", "through", "ordered", true, "origin_kind", -1,
+                "origin_fall", scenario.origin().fallAfter(),
+                "origin_fall_multiple", scenario.origin().fallMultiple()),
+            "load_report", object("how", reports.isEmpty() ? "none" : "each", "names", texts(reports)),
+            "permissions", object("cancel", r.cancel(), "peers", false, "probes", false, "retry_after", true,
+                "second_copies", r.secondCopies(), "most_tries", r.mostTries(),
+                "max_retry_after", r.mostRetryAfter(), "multiplex", shape.multiplex(),
+                "dial_timeout", r.dialTimeout(), "conn_idle", r.idle()),
+            "rules", object("answer_slack", r.answerSlack(), "ask_within", r.askWithin(),
+                "cold_share", shape.coldShare(), "cold", shape.coldFor(), "drain_grace", r.drainGrace(),
+                "fall_multiple", shape.fallMultiple(), "overload_for", shape.fallAfter()));
+    }
+
+    private static Json type(Scenario.Type t) {
+        return object("name", t.name(), "effect", t.effect().setting(), "key_scope", t.scope(),
+            "window", t.window(), "target", t.aim(), "hard_limit", t.deadline(), "worth", t.worth(),
+            "late_worth", 0.0, "stream", false);
+    }
+
+    private static Json texts(List<String> words) {
+        return new Json.Items(words.stream().map(w -> (Json) new Json.Text(w)).toList());
+    }
+
+    /** An object of names and values by turns; texts, numbers, flags or values of JSON. */
+    static Json object(Object... pairs) {
+        Map<String, Json> members = new LinkedHashMap<>();
+        for (int i = 0; i < pairs.length; i += 2) {
+            Object value = pairs[i + 1];
+            Json json = value instanceof Json whole ? whole
+                : value instanceof Boolean flag ? new Json.Flag(flag)
+                : value instanceof Number figure ? new Json.Figure(figure.toString())
+                : new Json.Text(value.toString());
+            members.put(pairs[i].toString(), json);
+        }
+        return new Json.Members(members);
+    }
+}
--- /dev/null
+++ b/src/main/java/beaconturn/rehearsal/ScenarioReader.java
@@ -0,0 +1,242 @@
+package beaconturn.rehearsal;
+
+import beaconturn.standin.CacheShape;
+import beaconturn.standin.Fault;
+import beaconturn.standin.Origin;
+import beaconturn.standin.Seeds;
+import beaconturn.toml.Section;
+import beaconturn.toml.TomlException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.sampling.ListSampler;
+
+/** Reads a scenario; everything has a default, and whatever is wrong is said in one line before any start. */
+public final class ScenarioReader {
+    private static final long MILLI = 1_000_000;
+    private static final long SECOND = 1000 * MILLI;
+    private static final int MOST_CACHES = 200;
+    private static final int MOST_ROUTERS = 16;
+    private static final double MOST_RATE = 20_000;
+    private static final List<String> REPORTS = List.of("inflight", "latency_ms", "qps");
+    private final Section file;
+    private final Long seed;
+
+    private ScenarioReader(Section file, Long seed) {
+        this.file = file;
+        this.seed = seed;
+    }
+
+    /** The scenario of a text; {@code name} is the file's in messages, {@code seed} overrules its own. */
+    public static Scenario read(String name, String text, Long seed) throws TomlException {
+        return new ScenarioReader(Section.read(name, text), seed).scenario();
+    }
+
+    private Scenario scenario() throws TomlException {
+        String name = file.word("name", "rehearsal");
+        String about = file.word("about", "");
+        long ownSeed = file.whole("seed", 1, 0, Integer.MAX_VALUE);
+        long length = file.time("length", 20 * SECOND, SECOND);
+        Scenario.Fleet fleet = fleet();
+        Origin.Shape origin = origin();
+        Section discovery = file.table("discovery");
+        long lag = discovery.time("lag", SECOND, 0);
+        Scenario.Rules rules = rules();
+        List<Scenario.Type> types = types();
+        List<Scenario.RouterSpec> routers = routers();
+        List<Scenario.Clients> clients = clients(types, length);
+        long chosen = seed == null ? ownSeed : seed;
+        List<Scenario.FaultSpec> faults = faults(fleet, routers, length, chosen);
+        file.end();
+        return new Scenario(name, about, chosen, length, fleet, origin, lag, rules, types, routers, clients,
+            faults);
+    }
+
+    private Scenario.Fleet fleet() throws TomlException {
+        Section s = file.table("fleet");
+        List<String> sites = s.words("sites", List.of("east", "west"));
+        if (sites.isEmpty()) {
+            throw s.wrong("sites", "empty, at least one is needed");
+        }
+        List<String> reports = s.words("report", List.of());
+        for (String report : reports) {
+            if (!REPORTS.contains(report)) {
+                throw s.wrong("report", "unknown '" + report + "', allowed are " + String.join(", ",
+                    REPORTS));
+            }
+        }
+        CacheShape shape = new CacheShape(s.number("speed", 1, 0.01, 100), s.whole("workers", 4, 1, 1000),
+            s.whole("room", 64, 0, 100_000), s.size("capacity", 64L << 20, 1024),
+            s.time("ttl", 60 * SECOND, MILLI), s.number("cold_share", 0.2, 0.01, 1),
+            s.time("cold_for", 10 * SECOND, 0), s.number("fall_multiple", 4, 1, 1000),
+            s.time("fall_after", SECOND, 100 * MILLI), s.whole("connections", 1000, 1, 100_000),
+            s.time("connect_work", MILLI, 0), s.whole("multiplex", 1, 1, 1000), s.flag("share_fetch", true),
+            s.flag("cancel", true), reports);
+        return new Scenario.Fleet(s.whole("caches", 6, 1, MOST_CACHES), sites, s.whole("cell", 3, 1, 1000),
+            shape);
+    }
+
+    private Origin.Shape origin() throws TomlException {
+        Section s = file.table("origin");
+        return new Origin.Shape(s.whole("workers", 16, 1, 10_000), s.whole("queue", 2000, 0, 1_000_000),
+            s.time("work", 60 * MILLI, 0), s.number("fall_multiple", 8, 1, 10_000),
+            s.time("fall_after", 3 * SECOND, 0), s.time("fall_for", 5 * SECOND, 0));
+    }
+
+    private Scenario.Rules rules() throws TomlException {
+        Section s = file.table("settings");
+        return new Scenario.Rules(s.whole("most_tries", 4, 1, 16), s.flag("second_copies", true),
+            s.flag("cancel", true), s.time("most_retry_after", 2 * SECOND, 0),
+            s.time("dial_timeout", 250 * MILLI, MILLI), s.time("conn_idle", 5 * SECOND, 100 * MILLI),
+            s.time("drain_grace", 500 * MILLI, 0), s.time("answer_slack", 20 * MILLI, 0),
+            s.time("ask_within", 10 * SECOND, MILLI));
+    }
+
+    private List<Scenario.Type> types() throws TomlException {
+        List<Scenario.Type> types = new ArrayList<>();
+        for (Section s : file.tables("class")) {
+            String name = s.word("name", "class" + types.size());
+            checkName(s, name, types.stream().map(Scenario.Type::name).toList());
+            types.add(type(s, name));
+        }
+        if (!types.isEmpty()) {
+            return List.copyOf(types);
+        }
+        return List.of(
+            new Scenario.Type("level", Scenario.Effect.SAFE, 0.85, 8 * MILLI, 400, 400 * MILLI,
+                1500 * MILLI, 1,
+                0, "all"),
+            new Scenario.Type("correction", Scenario.Effect.KEYED, 0.1, 12 * MILLI, 200, 700 * MILLI,
+                2 * SECOND, 3, 4 * SECOND, "all"),
+            new Scenario.Type("alert-ack", Scenario.Effect.UNSAFE, 0.05, 12 * MILLI, 100, 700 * MILLI,
+                2 * SECOND, 5, 0, "all"));
+    }
+
+    private Scenario.Type type(Section s, String name) throws TomlException {
+        String effect = s.choice("effect", "safe", words(Scenario.Effect.values()));
+        long aim = s.time("aim", 400 * MILLI, MILLI);
+        long deadline = s.time("deadline", 1500 * MILLI, MILLI);
+        if (deadline < aim) {
+            throw s.wrong("deadline", "before the aim, allowed is " + aim / MILLI + "ms or later");
+        }
+        return new Scenario.Type(name, Scenario.Effect.valueOf(effect.toUpperCase(Locale.ROOT)),
+            s.number("share", 1, 0, 1000), s.time("work", 8 * MILLI, 0), s.whole("size", 400, 0, 65_000), aim,
+            deadline, s.number("worth", 1, 0, 1000), s.time("window", 4 * SECOND, 0),
+            s.choice("scope", "all", List.of("all", "zone", "cell")));
+    }
+
+    private static void checkName(Section s, String name, List<String> taken) throws TomlException {
+        if (!name.matches("[A-Za-z0-9_-]{1,32}") || taken.contains(name)) {
+            throw s.wrong("name", "'" + name + "' is taken or odd, allowed are letters, digits, - and _");
+        }
+    }
+
+    private static List<String> words(Enum<?>[] values) {
+        return Arrays.stream(values).map(v -> v.name().toLowerCase(Locale.ROOT)).toList();
+    }
+
+    private List<Scenario.RouterSpec> routers() throws TomlException {
+        List<Scenario.RouterSpec> routers = new ArrayList<>();
+        for (Section s : file.tables("router")) {
+            String name = s.word("name", "r" + (routers.size() + 1));
+            checkName(s, name, routers.stream().map(Scenario.RouterSpec::name).toList());
+            routers.add(new Scenario.RouterSpec(name, s.whole("memory_mb", 192, 32, 4096),
+                s.whole("sockets", 1024, 64, 65_536)));
+        }
+        if (routers.size() > MOST_ROUTERS) {
+            throw file.wrong("router", "too many, allowed are " + MOST_ROUTERS);
+        }
+        return routers.isEmpty()
+            ? List.of(new Scenario.RouterSpec("r1", 192, 1024), new Scenario.RouterSpec("r2", 192, 1024))
+            : List.copyOf(routers);
+    }
+
+    private List<Scenario.Clients> clients(List<Scenario.Type> types, long length) throws TomlException {
+        List<Scenario.Clients> all = new ArrayList<>();
+        for (Section s : file.tables("clients")) {
+            List<String> classes = s.words("classes", List.of());
+            for (String name : classes) {
+                if (types.stream().noneMatch(t -> t.name().equals(name))) {
+                    throw s.wrong("classes", "no class '" + name + "', there are "
+                        + String.join(", ", types.stream().map(Scenario.Type::name).toList()));
+                }
+            }
+            long from = s.time("from", 0, 0);
+            long to = end(s, from, length);
+            all.add(new Scenario.Clients(s.number("rate", 100, 0.1, MOST_RATE), classes,
+                s.whole("keys", 400, 1, 10_000_000), s.number("skew", 0.9, 0, 3), s.whole("retries", 2, 0,
+                    10),
+                s.time("backoff", 100 * MILLI, 0), s.number("try_share", 0.6, 0.05, 1),
+                s.time("notice", 1500 * MILLI, 0), from, to));
+        }
+        return all.isEmpty() ? List.of(new Scenario.Clients(100, List.of(), 400, 0.9, 2, 100 * MILLI, 0.6,
+            1500 * MILLI, 0, length)) : List.copyOf(all);
+    }
+
+    private static long end(Section s, long from, long length) throws TomlException {
+        long to = s.time("to", length, 0);
+        if (to <= from) {
+            throw s.wrong(s.has("to") ? "to" : "from", "ends before it begins, allowed is after "
+                + from / MILLI + "ms and up to the length of " + length / MILLI + "ms");
+        }
+        if (to > length) {
+            throw s.wrong("to", "after the end, allowed is up to the length of " + length / MILLI + "ms");
+        }
+        return to;
+    }
+
+    private List<Scenario.FaultSpec> faults(Scenario.Fleet fleet, List<Scenario.RouterSpec> routers,
+            long length,
+            long chosen) throws TomlException {
+        List<Scenario.FaultSpec> faults = new ArrayList<>();
+        List<String> kinds = Arrays.stream(Fault.Kind.values()).map(Fault.Kind::word).toList();
+        for (Section s : file.tables("fault")) {
+            String word = s.choice("kind", "", kinds);
+            Fault.Kind kind = Fault.Kind.values()[kinds.indexOf(word)];
+            long from = s.time("from", 5 * SECOND, 0);
+            long to = end(s, from, length);
+            List<String> names = switch (kind.target()) {
+                case CACHE -> IntStream.range(0, fleet.caches()).mapToObj(Scenario::cacheName).toList();
+                case ROUTER -> routers.stream().map(Scenario.RouterSpec::name).toList();
+                default -> List.of();
+            };
+            List<String> target = names.isEmpty() ? List.of() : target(s, names, chosen + faults.size());
+            faults.add(new Scenario.FaultSpec(kind, target, amount(s, kind), from, to));
+        }
+        return List.copyOf(faults);
+    }
+
+    /** Those named, or a share of all chosen by the seed, or the first one. */
+    private static List<String> target(Section s, List<String> names, long seed) throws TomlException {
+        List<String> on = s.words("on", List.of());
+        for (String name : on) {
+            if (!names.contains(name)) {
+                throw s.wrong("on", "there is no '" + name + "', there are " + String.join(", ", names));
+            }
+        }
+        if (s.has("share") && s.has("on")) {
+            throw s.wrong("share", "given beside on, allowed is one of them");
+        }
+        if (s.has("share")) {
+            int count = (int) Math.max(1, Math.round(names.size() * s.number("share", 1, 0.001, 1)));
+            List<String> mixed = new ArrayList<>(names);
+            ListSampler.shuffle(new Seeds(seed).of("share"), mixed);
+            return mixed.subList(0, count).stream().sorted().toList();
+        }
+        return on.isEmpty() ? names.subList(0, 1) : on;
+    }
+
+    /** The factor, the part or the time that the kind goes by. */
+    private static double amount(Section s, Fault.Kind kind) throws TomlException {
+        return switch (kind) {
+            case SLOW, ORIGIN_SLOW -> s.number("factor", 5, 0.01, 10_000);
+            case ERRORS, SPOIL, RESET -> s.number("part", 0.5, 0.001, 1);
+            case DRAIN_LATE -> s.time("delay", 3 * SECOND, 0);
+            case DISCOVERY_SLOW -> s.time("delay", 2 * SECOND, 0);
+            case DISCOVERY_BACK -> s.time("delay", 10 * SECOND, 0);
+            default -> 1;
+        };
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/LayoutTest.java
@@ -0,0 +1,90 @@
+package beaconturn;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Which package may use which: arrows point down only, and what decides or models does no I/O. */
+class LayoutTest {
+    private static final JavaClasses CLASSES = new ClassFileImporter()
+        .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("beaconturn");
+    private static final String[] TOOLS = {"beaconturn.rehearsal..", "beaconturn.cli.."};
+    private static final String[] ADAPTERS = {"beaconturn.net..", "beaconturn.sim..",
+        "beaconturn.standin.net.."};
+    private static final String[] NO_IO = {"beaconturn.decision..", "beaconturn.core..",
+        "beaconturn.protocol..",
+        "beaconturn.standin", "beaconturn.ledger..", "beaconturn.toml.."};
+
+    private static void none(String[] of, String... use) {
+        noClasses().that().resideInAnyPackage(of).should().dependOnClassesThat().resideInAnyPackage(use)
+            .check(CLASSES);
+    }
+
+    private static String[] at(String... packages) {
+        return packages;
+    }
+
+    @Test
+    void nothingBelowUsesTheCommandLineOrTheTools() {
+        none(at("beaconturn.net..", "beaconturn.sim..", "beaconturn.standin..", "beaconturn.ledger..",
+            "beaconturn.core..", "beaconturn.decision..", "beaconturn.protocol..", "beaconturn.toml.."),
+                TOOLS);
+        none(at("beaconturn.rehearsal.."), "beaconturn.cli..");
+    }
+
+    @Test
+    void nothingWithoutIoUsesAnAdapter() {
+        none(NO_IO, ADAPTERS);
+    }
+
+    @Test
+    void adaptersDoNotUseEachOther() {
+        none(at("beaconturn.net.."), "beaconturn.sim..", "beaconturn.standin..");
+        none(at("beaconturn.sim.."), "beaconturn.net..", "beaconturn.standin..");
+        none(at("beaconturn.standin.net.."), "beaconturn.net..", "beaconturn.sim..", "beaconturn.decision..");
+        none(at("beaconturn.rehearsal.."), "beaconturn.net..", "beaconturn.sim..", "beaconturn.decision..");
+    }
+
+    @Test
+    void decisionsAndFormatsStandOnTheirOwn() {
+        none(at("beaconturn.decision.."), "beaconturn.core..", "beaconturn.protocol..", "beaconturn.ledger..",
+            "beaconturn.standin..");
+        none(at("beaconturn.protocol..", "beaconturn.toml.."), "beaconturn.core..", "beaconturn.decision..",
+            "beaconturn.standin..", "beaconturn.ledger..");
+    }
+
+    @Test
+    void theModelAndTheAccountDoNotKnowEachOtherNorTheRouter() {
+        none(at("beaconturn.standin"), "beaconturn.ledger..", "beaconturn.core..", "beaconturn.decision..");
+        none(at("beaconturn.ledger.."), "beaconturn.standin..", "beaconturn.core..", "beaconturn.decision..");
+    }
+
+    @Test
+    void whatDecidesOrModelsDoesNoIoAndHasNoClock() {
+        none(NO_IO, "java.net..", "java.nio.channels..", "java.nio.file..");
+        none(at("beaconturn.decision..", "beaconturn.standin", "beaconturn.ledger.."), "java.time..");
+        noClasses().that().resideInAnyPackage("beaconturn.decision..", "beaconturn.protocol..",
+            "beaconturn.standin", "beaconturn.ledger..").should().callMethod(System.class, "nanoTime")
+            .orShould().callMethod(System.class, "currentTimeMillis")
+            .orShould().callMethod(Math.class, "random").check(CLASSES);
+    }
+
+    @Test
+    void streamsAreForAdaptersBytesInMemoryAside() {
+        noClasses().that().resideInAnyPackage(NO_IO).should().dependOnClassesThat(
+            com.tngtech.archunit.base.DescribedPredicate.describe("are streams of java.io",
+                c -> c.getPackageName().equals("java.io") && !c.getSimpleName().startsWith("ByteArray")
+                    && !c.getSimpleName().equals("Serializable") && !c.getSimpleName().equals("OutputStream")
+                    && (c.getSimpleName().endsWith("Stream") || c.getSimpleName().endsWith("Reader"))))
+            .check(CLASSES);
+    }
+
+    @Test
+    void onlyTheKitUsesItsLibraries() {
+        none(at("beaconturn.net..", "beaconturn.core..", "beaconturn.decision..", "beaconturn.protocol..",
+            "beaconturn.sim.."), "com.fasterxml..", "org.apache.commons.rng..", "org.HdrHistogram..");
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/net/BrokenRouter.java
@@ -0,0 +1,153 @@
+package beaconturn.net;
+
+import beaconturn.core.Clock;
+import beaconturn.core.Fleet;
+import beaconturn.core.Lifecycle;
+import beaconturn.core.ListSource;
+import beaconturn.core.Message;
+import beaconturn.core.ModuleHost;
+import beaconturn.core.Outcome;
+import beaconturn.decision.RingRouter;
+import beaconturn.decision.Routing;
+import beaconturn.protocol.Slice;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+/** Routers with a defect each, put in on purpose: what watches over routers must name every one of them. */
+public final class BrokenRouter implements RouterServer.Hosting {
+    private static final int SOME = 15;
+    private final Defect defect;
+    private int count;
+    private Slice before;
+
+    /** What is wrong with a router. */
+    public enum Defect {
+        /** Nothing: the same router as it should be. */
+        NONE,
+        /** Now and then a client gets its answer twice. */
+        ANSWERS_TWICE,
+        /** An unsafe request that may have run is sent again. */
+        REPEATS_UNSAFE,
+        /** News of drains are not heard. */
+        IGNORES_DRAINS,
+        /** Now and then a request is forgotten. */
+        LOSES,
+        /** Every cache server is taken for a warm one. */
+        OVERRUNS_COLD,
+        /** Now and then a client gets the answer of another. */
+        SWAPS_ANSWERS
+    }
+
+    private BrokenRouter(Defect defect) {
+        this.defect = defect;
+    }
+
+    /** A router with the defect; not started yet. */
+    public static RouterServer of(Defect defect, RouterConfig config) throws IOException {
+        return new RouterServer(config, () -> config, new Lifecycle(), new BrokenRouter(defect));
+    }
+
+    @Override
+    public Consumer<Message> inbox(Consumer<Message> mailbox) {
+        return message -> {
+            Message passed = spoil(message);
+            if (passed != null) {
+                mailbox.accept(passed);
+            }
+        };
+    }
+
+    private synchronized Message spoil(Message message) {
+        if (message instanceof Message.Arrived && defect == Defect.LOSES) {
+            return ++count % SOME == 0 ? null : message;
+        }
+        if (!(message instanceof Message.Ended ended) || ended.outcome().ending() != Routing.Ending.OK) {
+            return message;
+        }
+        Slice answer = ended.outcome().answer();
+        Slice other = before;
+        before = answer;
+        if (++count % SOME != 0 || other == null) {
+            return message;
+        }
+        return switch (defect) {
+            case ANSWERS_TWICE -> new Message.Ended(ended.attempt(), with(ended.outcome(), twice(answer)));
+            case SWAPS_ANSWERS -> new Message.Ended(ended.attempt(), with(ended.outcome(), other));
+            default -> message;
+        };
+    }
+
+    private static Outcome with(Outcome outcome, Slice answer) {
+        return new Outcome(outcome.ending(), outcome.at(), outcome.note(), outcome.report(), answer);
+    }
+
+    private static Slice twice(Slice answer) {
+        byte[] both = new byte[2 * answer.length()];
+        System.arraycopy(answer.copy(), 0, both, 0, answer.length());
+        System.arraycopy(answer.copy(), 0, both, answer.length(), answer.length());
+        return new Slice(both, 0, both.length);
+    }
+
+    @Override
+    public ModuleHost host(RouterConfig config, Clock clock, Fleet fleet, ListSource list) {
+        Routing.Settings settings = config.settings().routing();
+        return new ModuleHost(settings, clock, fleet, list, out -> {
+            Routing.Router module = new RingRouter(settings, config.seed(), clock.now(), out);
+            return switch (defect) {
+                case IGNORES_DRAINS, OVERRUNS_COLD -> (now, event) -> module.handle(now, unheard(event));
+                case REPEATS_UNSAFE -> new Repeater(settings, module, out);
+                default -> module;
+            };
+        });
+    }
+
+    private Routing.Event unheard(Routing.Event event) {
+        if (!(event instanceof Routing.ServerList list)) {
+            return event;
+        }
+        boolean deaf = defect == Defect.IGNORES_DRAINS;
+        List<Routing.ServerEntry> entries = list.entries().stream()
+            .map(e -> new Routing.ServerEntry(e.server(), e.zone(), e.kind(), e.cell(),
+            deaf && e.health() == Routing.Health.DRAINING ? Routing.Health.READY : e.health(), e.rating(),
+            deaf ? e.bootTime() : 0)).toList();
+        return new Routing.ServerList(list.version(), list.kind(), entries);
+    }
+
+    /** Sends unsafe requests again after a reset, behind the module's back. */
+    private static final class Repeater implements Routing.Router {
+        private final Routing.Settings settings;
+        private final Routing.Router module;
+        private final Routing.Actions out;
+        private final Set<Long> unsafe = new HashSet<>();
+        private final Map<Long, Long> servers = new HashMap<>();
+
+        private Repeater(Routing.Settings settings, Routing.Router module, Routing.Actions out) {
+            this.settings = settings;
+            this.module = module;
+            this.out = out;
+        }
+
+        @Override
+        public void handle(long now, Routing.Event event) {
+            if (event instanceof Routing.ServerList list) {
+                list.entries().forEach(e -> servers.put(e.server(), e.server()));
+            } else if (event instanceof Routing.Arrival a
+                    && settings.classes().get(a.requestClass()).effect() == Routing.Effect.UNSAFE) {
+                unsafe.add(a.request());
+            } else if (event instanceof Routing.AttemptClosed e && unsafe.contains(e.request()) && !e.closed()
+                    && e.ending() == Routing.Ending.RESET && e.attempt() == 0) {
+                List<Long> others = new ArrayList<>(servers.keySet());
+                others.remove(e.server());
+                out.send(e.request(), others.get(0), 0);
+                return;
+            }
+            module.handle(now, event);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/package-info.java
@@ -0,0 +1,2 @@
+/** What concerns the whole program. */
+package beaconturn;
--- /dev/null
+++ b/src/test/java/beaconturn/rehearsal/BrokenRoutersTest.java
@@ -0,0 +1,150 @@
+package beaconturn.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.ledger.Verdict;
+import beaconturn.net.BrokenRouter;
+import beaconturn.net.ConfigException;
+import beaconturn.net.RouterConfig;
+import beaconturn.net.RouterServer;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** An account that cannot fail is worthless: each defect that is put into a router must break its rule. */
+class BrokenRoutersTest {
+    private static final String DAY = """
+        length = "3s"
+        [fleet]
+        caches = 3
+        cold_share = 0.05
+        fall_multiple = 2
+        [discovery]
+        lag = "100ms"
+        [settings]
+        drain_grace = "100ms"
+        [[router]]
+        [[clients]]
+        rate = 200
+        keys = 50
+        """;
+    private static final String RESETS = """
+        [[fault]]
+        kind = "reset"
+        on = ["c1", "c2"]
+        from = "200ms"
+        """;
+    private static final String DRAIN = """
+        [[fault]]
+        kind = "drain"
+        on = ["c1", "c2"]
+        from = "300ms"
+        """;
+    private static final String RESTART = """
+        [[fault]]
+        kind = "kill"
+        on = ["c1", "c2"]
+        from = "300ms"
+        to = "600ms"
+        """;
+    @TempDir
+    private Path folder;
+
+    private List<String> broken(BrokenRouter.Defect defect, String fault) throws Exception {
+        Scenario scenario = ScenarioReader.read("day.toml", DAY + fault, null);
+        Report report = new Rehearsal(scenario, new Launcher(defect), folder, text -> { }).play();
+        assertTrue(report.classes().stream().mapToLong(Tally.Line::served).sum() > 100, report.text());
+        return report.verdicts().stream().filter(v -> !v.held()).map(Verdict::rule).toList();
+    }
+
+    @ParameterizedTest
+    @CsvSource({"ANSWERS_TWICE, one-answer, none", "LOSES, one-answer, none",
+        "SWAPS_ANSWERS, made-for-it, none",
+        "REPEATS_UNSAFE, no-effect-twice, resets", "IGNORES_DRAINS, drains-kept, drain",
+        "OVERRUNS_COLD, cold-kept, restart"})
+    void theDefectIsNamedAndTheSameDayWithoutItBreaksNothing(BrokenRouter.Defect defect, String rule,
+        String day)
+            throws Exception {
+        String fault = switch (day) {
+            case "resets" -> RESETS;
+            case "drain" -> DRAIN;
+            case "restart" -> RESTART;
+            default -> "";
+        };
+        List<String> broken = broken(defect, fault);
+        assertTrue(broken.contains(rule), defect + " broke " + broken);
+        if (!fault.isEmpty() || defect == BrokenRouter.Defect.LOSES) {
+            assertEquals(List.of(), broken(BrokenRouter.Defect.NONE, fault));
+        }
+    }
+
+    /** Routers of this process with one defect. */
+    private record Launcher(BrokenRouter.Defect defect) implements RouterLauncher {
+        @Override
+        public boolean restarts() {
+            return false;
+        }
+
+        @Override
+        public Running launch(String name, Path config, Path log) throws IOException {
+            try {
+                RouterServer server = BrokenRouter.of(defect, RouterConfig.read(config, Map.of()));
+                server.start();
+                return new InProcess(server);
+            } catch (ConfigException e) {
+                throw new IOException(e);
+            }
+        }
+    }
+
+    /** A router that a thread of this process stops. */
+    private static final class InProcess implements RouterLauncher.Running {
+        private final Thread drain;
+        private boolean told;
+
+        private InProcess(RouterServer server) {
+            drain = new Thread(() -> {
+                try {
+                    server.drain();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            });
+        }
+
+        @Override
+        public boolean alive() {
+            return !told || drain.isAlive();
+        }
+
+        @Override
+        public void kill() {
+            terminate();
+        }
+
+        @Override
+        public void terminate() {
+            if (!told) {
+                told = true;
+                drain.start();
+            }
+        }
+
+        @Override
+        public int awaitEnd(long millis) throws InterruptedException {
+            terminate();
+            drain.join(Math.max(1, millis));
+            return drain.isAlive() ? -1 : 0;
+        }
+
+        @Override
+        public long cpu() {
+            return 0;
+        }
+    }
+}
