--- a/src/test/java/beaconturn/rehearsal/BrokenRoutersTest.java
+++ b/src/test/java/beaconturn/rehearsal/BrokenRoutersTest.java
@@ -22,8 +22,10 @@
         length = "3s"
         [fleet]
         caches = 3
+        workers = 2
         cold_share = 0.05
-        fall_multiple = 2
+        cold_for = "60s"
+        fall_multiple = 1.2
         [discovery]
         lag = "100ms"
         [settings]
