The stand-in command runs a router's surroundings, which fail on command; the toy goes

'beaconturn stand-in SCENARIO' starts the cache servers, origin and discovery of a scenario for one router; lines on standard input or on a loopback control port make them fail: stall c3 for 5s, slow c1 8, drain c2 in 4s, heal all, status. Tried with serve and ask.sh in three terminals: PING, a miss, a hit and a write are answered, a status shows the stall.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The usual tasks; each is one command of Maven or Java, spelled out in README.md.
-.PHONY: build test lint run toy ask clean
+.PHONY: build test lint run stand-in rehearse ask clean
 
 CONFIG ?= examples/config.json
 
@@ -16,9 +16,14 @@
 run: build
 	java -jar target/beaconturn.jar serve --config $(CONFIG)
 
-# What a router needs round it, in memory: caches, a slow origin and discovery.
-toy:
-	java examples/ToyBackend.java
+# What a router needs round it, on loopback: cache servers, a slow origin and discovery; they fail on command.
+stand-in: build
+	java -jar target/beaconturn.jar stand-in examples/try-out.toml
+
+# One rehearsal; SCENARIO names another one.
+SCENARIO ?= examples/rehearsals/stall.toml
+rehearse: build
+	java -jar target/beaconturn.jar rehearse $(SCENARIO)
 
 ask:
 	examples/ask.sh get 00000000000000a1
--- a/src/main/java/beaconturn/cli/Main.java
+++ b/src/main/java/beaconturn/cli/Main.java
@@ -21,8 +21,8 @@
     static int run(String... args) {
         JCommander commands = JCommander.newBuilder().programName("beaconturn")
             .addCommand(new ServeCommand()).addCommand(new CheckConfigCommand())
-            .addCommand(new RehearseCommand()).addCommand(new SimHostCommand())
-            .addCommand(new VersionCommand()).build();
+            .addCommand(new RehearseCommand()).addCommand(new StandInCommand())
+            .addCommand(new SimHostCommand()).addCommand(new VersionCommand()).build();
         try {
             commands.parse(args);
         } catch (ParameterException e) {
--- a/src/main/java/beaconturn/standin/World.java
+++ b/src/main/java/beaconturn/standin/World.java
@@ -157,17 +157,7 @@
     /** Ends all that is wrong with anybody; dead processes start again. */
     public void healAll() {
         for (int place = 0; place < caches.size(); place++) {
-            CacheModel cache = caches.get(place);
-            if (cache.dead()) {
-                restart(place, cache.listing().host());
-            } else {
-                boolean listed = discovery.listed(cache.listing().host()) != null && !listedDraining(cache);
-                cache.heal();
-                if (!listed) {
-                    discovery.change(cache.listing(), 0);
-                }
-            }
-            changed.accept(place);
+            heal(place);
         }
         for (Fault.Kind kind : Fault.Kind.values()) {
             if (kind.target() == Fault.Target.ORIGIN || kind.target() == Fault.Target.DISCOVERY) {
@@ -176,6 +166,21 @@
         }
     }
 
+    /** Ends all that is wrong at a place; a dead process starts again, cold. */
+    public void heal(int place) {
+        CacheModel cache = caches.get(place);
+        if (cache.dead()) {
+            restart(place, cache.listing().host());
+        } else {
+            boolean listed = discovery.listed(cache.listing().host()) != null && !listedDraining(cache);
+            cache.heal();
+            if (!listed) {
+                discovery.change(cache.listing(), 0);
+            }
+        }
+        changed.accept(place);
+    }
+
     /** The process at the place, perhaps dead. */
     public CacheModel at(int place) {
         return caches.get(place);
--- a/src/main/java/beaconturn/standin/net/Surroundings.java
+++ b/src/main/java/beaconturn/standin/net/Surroundings.java
@@ -18,11 +18,15 @@
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 /**
  * A whole model on loopback sockets: cache servers, the origin behind them, and discovery for each router.
  */
 public final class Surroundings implements Closeable {
+    private static final Logger LOG = Logger.getLogger(Surroundings.class.getName());
     private static final int BACKLOG = 64;
     private static final long MILLI = 1_000_000;
     private final World world;
@@ -43,11 +47,24 @@
         for (int router = 0; router < routers; router++) {
             int port = firstPort == 0 ? 0 : firstPort + router;
             registries.add(loop.listen(new InetSocketAddress("127.0.0.1", port), BACKLOG,
-                new Registry(router)));
+                registry(router)));
         }
         places.open(routers, firstPort == 0 ? 0 : firstPort + routers);
     }
 
+    private Acceptor registry(int router) {
+        Function<Discovery.News, Json> form = news -> form(router, news);
+        return new Acceptor("discovery",
+            channel -> new RegistrySession(loop, channel, world.discovery(), router, form));
+    }
+
+    /** Opens a control port on loopback, 0 for any free one, whose lines go to the orders; where it is. */
+    public InetSocketAddress control(int port, UnaryOperator<String> orders) throws IOException {
+        ServerSocketChannel listener = loop.listen(new InetSocketAddress("127.0.0.1", port), BACKLOG,
+            new Acceptor("control", channel -> new ControlSession(loop, channel, orders)));
+        return (InetSocketAddress) listener.getLocalAddress();
+    }
+
     /** Begins to serve on a thread of its own. */
     public void start() {
         loop.start();
@@ -117,25 +134,19 @@
         loop.close();
     }
 
-    private final class Registry implements Loop.Ready {
-        private final int router;
-
-        private Registry(int router) {
-            this.router = router;
-        }
-
+    /** Takes connections for sessions that need to know nothing of each other. */
+    private record Acceptor(String what, Function<SocketChannel, Wire> sessions) implements Loop.Ready {
         @Override
         public void ready(SelectionKey key) throws IOException {
-            Function<Discovery.News, Json> form = news -> form(router, news);
             ServerSocketChannel listener = (ServerSocketChannel) key.channel();
             for (SocketChannel next = listener.accept(); next != null; next = listener.accept()) {
-                new RegistrySession(loop, next, world.discovery(), router, form).begin();
+                sessions.apply(next).begin();
             }
         }
 
         @Override
         public void failed(IOException cause) {
-            throw new IllegalStateException("discovery cannot accept", cause);
+            LOG.log(Level.WARNING, what + " cannot accept", cause);
         }
     }
 }
--- a/src/main/java/beaconturn/toml/Section.java
+++ b/src/main/java/beaconturn/toml/Section.java
@@ -7,17 +7,14 @@
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 
 /**
  * One table of a file. Each key is asked for by name with the value that holds where it is not given; at the
  * end {@link #end} turns away keys that nobody has asked for.
  */
 public final class Section {
-    private static final Pattern TIME = Pattern.compile("([0-9]+(?:\\.[0-9]+)?)\\s*(us|ms|s|min|h)");
-    private static final Pattern SIZE = Pattern.compile("([0-9]+(?:\\.[0-9]+)?)\\s*(B|KB|MB|GB)");
     private final String file;
     private final Lines lines;
     private final String path;
@@ -134,18 +131,11 @@
             return usual;
         }
         JsonNode value = node.get(key);
-        Matcher m = TIME.matcher(value.isTextual() ? value.textValue().trim() : "");
-        if (!m.matches()) {
+        OptionalLong time = value.isTextual() ? Units.time(value.textValue()) : OptionalLong.empty();
+        if (time.isEmpty()) {
             throw wrong(key, "not a time, write for example \"1.5s\" or \"300ms\"");
         }
-        double unit = switch (m.group(2)) {
-            case "us" -> 1e3;
-            case "ms" -> 1e6;
-            case "s" -> 1e9;
-            case "min" -> 60e9;
-            default -> 3600e9;
-        };
-        long nanos = Math.round(Double.parseDouble(m.group(1)) * unit);
+        long nanos = time.getAsLong();
         if (nanos < least) {
             throw wrong(key, "too short, at least " + least / 1e9 + "s is needed");
         }
@@ -158,12 +148,11 @@
             return usual;
         }
         JsonNode value = node.get(key);
-        Matcher m = SIZE.matcher(value.isTextual() ? value.textValue().trim() : "");
-        if (!m.matches()) {
+        OptionalLong size = value.isTextual() ? Units.size(value.textValue()) : OptionalLong.empty();
+        if (size.isEmpty()) {
             throw wrong(key, "not a size, write for example \"512B\" or \"64MB\"");
         }
-        int power = List.of("B", "KB", "MB", "GB").indexOf(m.group(2));
-        long bytes = Math.round(Double.parseDouble(m.group(1)) * Math.pow(1024, power));
+        long bytes = size.getAsLong();
         if (bytes < least) {
             throw wrong(key, "too small, at least " + least + "B is needed");
         }
