--- a/src/main/java/beaconturn/ledger/Entry.java
+++ b/src/main/java/beaconturn/ledger/Entry.java
@@ -76,8 +76,8 @@
     /** Discovery is up from now on, or no longer. */
     record Reachable(long at, boolean up) implements Entry { }
 
-    /** A router was killed or told to stop; {@code planned} tells which. */
-    record Stopped(long at, int router, boolean planned) implements Entry { }
+    /** A router was told to stop at a time, or killed outright and gone by {@code until}. */
+    record Stopped(long at, long until, int router, boolean planned) implements Entry { }
 
     /** A router's process ended though nobody had told it to. */
     record Died(long at, int router, String how) implements Entry { }
--- a/src/main/java/beaconturn/ledger/Evidence.java
+++ b/src/main/java/beaconturn/ledger/Evidence.java
@@ -22,6 +22,7 @@
         private final List<Entry.Asked> asked = new ArrayList<>();
         private final List<Entry.Answered> answers = new ArrayList<>();
         private final List<Entry.Sent> sends = new ArrayList<>();
+        private int crossings;
 
         private Case(String id) {
             this.id = id;
@@ -38,6 +39,16 @@
             return asked.isEmpty() ? null : asked.get(asked.size() - 1);
         }
 
+        /** Whether no router took it: each time that it was written crossed a close between requests. */
+        boolean untaken() {
+            return crossings >= asked.size();
+        }
+
+        /** As it was written first. */
+        Entry.Asked firstAsked() {
+            return asked.get(0);
+        }
+
         List<Entry.Answered> answers() {
             return answers;
         }
@@ -63,6 +74,8 @@
                 of(answered.id()).answers.add(answered);
             } else if (entry instanceof Entry.Sent sent) {
                 of(sent.id()).sends.add(sent);
+            } else if (entry instanceof Entry.Crossed crossed) {
+                of(crossed.id()).crossings++;
             } else if (entry instanceof Entry.Replied replied) {
                 replies.put(replied.number(), replied);
             } else if (entry instanceof Entry.Ran ran) {
--- a/src/main/java/beaconturn/ledger/OneAnswer.java
+++ b/src/main/java/beaconturn/ledger/OneAnswer.java
@@ -13,10 +13,10 @@
         crossings(evidence);
         for (Evidence.Case one : evidence.cases()) {
             Entry.Asked asked = one.asked();
-            if (asked == null) {
+            List<Entry.Answered> finals = one.finals();
+            if (asked == null || finals.isEmpty() && one.untaken()) {
                 continue;
             }
-            List<Entry.Answered> finals = one.finals();
             if (finals.isEmpty()) {
                 missing(evidence, one, asked);
             } else {
@@ -36,8 +36,7 @@
         for (Entry.Crossed crossed : evidence.all(Entry.Crossed.class)) {
             Evidence.Case one = evidence.request(crossed.id());
             boolean taken = one.sends().stream().anyMatch(sent -> sent.at() < crossed.at());
-            boolean killed = evidence.all(Entry.Stopped.class).stream().anyMatch(stop -> !stop.planned()
-                && stop.at() <= crossed.at() && stop.router() == one.asked().router());
+            boolean killed = killed(evidence, one.firstAsked(), crossed.at());
             check(!taken || killed, crossed.at(), one.id(), "", "its connection ended after it was taken");
         }
     }
@@ -45,10 +44,15 @@
     /** What a killed router held is its client's to retry; anything else must be answered. */
     private void missing(Evidence evidence, Evidence.Case one, Entry.Asked asked) {
         long until = one.answers().isEmpty() ? asked.deadline() : one.answers().get(0).at();
-        boolean killed = evidence.all(Entry.Stopped.class).stream().anyMatch(stop -> !stop.planned()
-            && stop.router() == asked.router() && stop.at() + evidence.terms().sendSlack() >= asked.at()
-            && stop.at() <= until);
+        boolean killed = killed(evidence, asked, until);
         boolean broken = one.answers().stream().anyMatch(a -> a.kind() == Entry.Kind.BROKEN);
         check(killed, until, one.id(), "", broken ? "its connection ended with no answer" : "never answered");
     }
+
+    /** Whether the router was killed while it had the request, which ended so at a time. */
+    private static boolean killed(Evidence evidence, Entry.Asked asked, long ended) {
+        return evidence.all(Entry.Stopped.class).stream().anyMatch(stop -> !stop.planned()
+            && stop.router() == asked.router() && stop.at() <= ended
+            && asked.at() <= stop.until() + evidence.terms().sendSlack());
+    }
 }
--- a/src/main/java/beaconturn/rehearsal/RouterSeat.java
+++ b/src/main/java/beaconturn/rehearsal/RouterSeat.java
@@ -125,18 +125,19 @@
      */
     void kill() {
         told = true;
+        long at = clock.now();
         running.kill();
         try {
             running.awaitEnd(KILL_MILLIS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        account.add(new Entry.Stopped(clock.now(), number, false));
+        account.add(new Entry.Stopped(at, clock.now(), number, false));
     }
 
     void terminate() {
         told = true;
-        account.add(new Entry.Stopped(clock.now(), number, true));
+        account.add(new Entry.Stopped(clock.now(), clock.now(), number, true));
         running.terminate();
     }
 
--- /dev/null
+++ b/src/test/java/beaconturn/cli/ServeLoadsNothingElseTest.java
@@ -0,0 +1,47 @@
+package beaconturn.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A router pays for nothing that is off: its start loads no class of the kit nor of the kit's libraries. */
+@Timeout(60)
+class ServeLoadsNothingElseTest {
+    private static final List<String> OFF = List.of("beaconturn.standin.", "beaconturn.ledger.",
+        "beaconturn.rehearsal.", "beaconturn.toml.", "com.fasterxml.", "org.apache.commons.",
+            "org.HdrHistogram.");
+    @TempDir
+    private Path folder;
+
+    @Test
+    void serveLoadsNoClassOfTheKit() throws IOException, InterruptedException {
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, Files.readString(Path.of("examples", "config.json"))
+            .replace("\"listen\": \"127.0.0.1:6379\"", "\"listen\": \"127.0.0.1:0\""));
+        Path loaded = folder.resolve("loaded");
+        Process router = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin",
+            "java").toString(),
+            "-Xlog:class+load:file=" + loaded, "-cp", System.getProperty("java.class.path"),
+            Main.class.getName(), "serve", "--config", config.toString()).redirectErrorStream(true).start();
+        try (BufferedReader log = router.inputReader()) {
+            String line = log.readLine();
+            while (line != null && !line.contains(" serves on ")) {
+                line = log.readLine();
+            }
+            assertTrue(line != null, "the router did not start");
+        } finally {
+            router.destroyForcibly().waitFor();
+        }
+        List<String> classes = Files.readAllLines(loaded);
+        assertTrue(classes.stream().anyMatch(c -> c.contains("beaconturn.net.RouterServer")));
+        assertEquals(List.of(), classes.stream().filter(c -> OFF.stream().anyMatch(c::contains)).toList());
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/rehearsal/ScenarioReaderTest.java
@@ -0,0 +1,108 @@
+package beaconturn.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.standin.Fault;
+import beaconturn.toml.TomlException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ScenarioReaderTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    private static Scenario read(String text) throws TomlException {
+        return ScenarioReader.read("s.toml", text, null);
+    }
+
+    @Test
+    void anEmptyFileIsAWholeScenario() throws TomlException {
+        Scenario scenario = read("");
+        assertEquals(20 * SECOND, scenario.length());
+        assertEquals(6, scenario.fleet().caches());
+        assertEquals(List.of("r1", "r2"),
+            scenario.routers().stream().map(Scenario.RouterSpec::name).toList());
+        assertEquals(Set.of(Scenario.Effect.values()), new HashSet<>(scenario.types().stream()
+            .map(Scenario.Type::effect).toList()));
+        assertEquals(1, scenario.clients().size());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "length = 5 | s.toml:1: length: not a time, write for example \"1.5s\" or \"300ms\"",
+        "length = \"-5s\" | s.toml:1: length: not a time, write for example \"1.5s\" or \"300ms\"",
+        "[fleet];caches = 0 | s.toml:2: fleet.caches: out of range, allowed is 1 to 200",
+        "[fleet];cashes = 3 | s.toml:2: fleet.cashes: unknown key",
+        "[fleet];report = [\"load\"] | s.toml:2: fleet.report: unknown 'load', allowed",
+        "[[class]];deadline = \"100ms\" | s.toml:2: class[0].deadline: before the aim, allowed",
+        "[[class]];name = \"a\";[[class]];name = \"a\" | s.toml:4: class[1].name: 'a' is taken or odd",
+        "[[clients]];classes = [\"x\"] | s.toml:2: clients[0].classes: no class 'x', there are",
+        "[[fault]];kind = \"flood\" | s.toml:2: fault[0].kind: unknown 'flood', allowed are",
+        "[[fault]];kind = \"stall\";on = [\"c9\"] | s.toml:3: fault[0].on: there is no 'c9', there are",
+        "[[fault]];kind = \"stall\";from = \"9s\";to = \"8s\" | s.toml:4: fault[0].to: ends before",
+        "[[fault]];kind = \"stall\";to = \"21s\" | s.toml:3: fault[0].to: after the end, allowed is up to",
+        "[[fault]];kind = \"stall\";share = 0.5;on = [\"c1\"] | s.toml:3: fault[0].share: given beside on",
+        "[[fault]];kind = \"router-kill\";on = [\"r3\"] | s.toml:3: fault[0].on: there is no 'r3'"})
+    void whatIsWrongIsOneLineWithFileLineAndKey(String text, String line) {
+        TomlException e = assertThrows(TomlException.class, () -> read(text.replace(';', '\n')));
+        assertTrue(e.getMessage().startsWith(line), e.getMessage());
+        assertEquals(1, e.getMessage().lines().count());
+    }
+
+    @Test
+    void everyShippedScenarioIsReadTheSameFromItsExplanation() throws TomlException, IOException {
+        List<Path> files = Shipped.files(Path.of("examples", "rehearsals"));
+        Set<Fault.Kind> kinds = new HashSet<>();
+        for (Path file : files) {
+            Scenario scenario = ScenarioReader.read(file.toString(), Files.readString(file), null);
+            assertTrue(Files.readString(file).startsWith("#"), file + " says nothing of what is to be seen");
+            assertEquals(scenario, read(Shipped.explain(scenario)), file.toString());
+            scenario.faults().forEach(fault -> kinds.add(fault.kind()));
+        }
+        assertTrue(files.size() >= 12);
+        assertEquals(Set.of(), Arrays.stream(Fault.Kind.values()).filter(k -> !kinds.contains(k))
+            .collect(java.util.stream.Collectors.toSet()), "kinds of fault that no scenario plays");
+    }
+
+    @Test
+    void aShareOfTheFleetIsChosenByTheSeed() throws TomlException {
+        String text = "[fleet]\ncaches = 40\n[[fault]]\nkind = \"slow\"\nshare = 0.25\n";
+        List<String> chosen = ScenarioReader.read("s", text, 1L).faults().get(0).target();
+        assertEquals(10, chosen.size());
+        assertEquals(chosen, ScenarioReader.read("s", text, 1L).faults().get(0).target());
+        assertNotEquals(chosen, ScenarioReader.read("s", text, 2L).faults().get(0).target());
+    }
+
+    @Test
+    void theSameSeedPlansTheSameRequests() throws TomlException {
+        Scenario scenario = read("length = \"10s\"");
+        List<Planned> plan = Plan.of(scenario);
+        assertEquals(plan, Plan.of(scenario));
+        assertNotEquals(plan, Plan.of(ScenarioReader.read("s", "length = \"10s\"", 2L)));
+        assertTrue(Math.abs(plan.size() - 1000) < 150, plan.size() + " requests where 1000 are expected");
+        long last = 0;
+        for (Planned p : plan) {
+            assertTrue(p.at() >= last && p.at() < 10 * SECOND);
+            last = p.at();
+        }
+    }
+
+    @Test
+    void streamsKeepToTheirTimesAndClasses() throws TomlException {
+        List<Planned> plan = Plan.of(read("[[clients]]\nclasses = [\"level\"]\nto = \"5s\"\n"
+            + "[[clients]]\nclasses = [\"alert-ack\"]\nfrom = \"6s\"\nto = \"8s\"\n"));
+        assertTrue(plan.stream().allMatch(p -> p.type().name().equals("level") ? p.at() < 5 * SECOND
+            : p.at() >= 6 * SECOND && p.at() < 8 * SECOND));
+        assertEquals(2, plan.stream().map(p -> p.type().name()).distinct().count());
+    }
+}
