--- a/src/main/java/beaconturn/ledger/NoEffectTwice.java
+++ b/src/main/java/beaconturn/ledger/NoEffectTwice.java
@@ -1,5 +1,6 @@
 package beaconturn.ledger;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -61,9 +62,24 @@
         return group ? null : "keyed and may have run outside the group, on " + earlier.server();
     }
 
+    /**
+     * A keyed effect that comes about again after the group has forgotten its key was sent by the rule: its
+     * first copy stood still somewhere for longer than the window. No router can prevent that, so it is noted
+     * only.
+     */
     private void runs(Evidence evidence, Evidence.Case one) {
-        long runs = one.sends().stream().map(evidence::ran).filter(r -> r != null && !r.repeat()).count();
-        long at = one.sends().isEmpty() ? 0 : one.sends().get(one.sends().size() - 1).at();
-        check(runs <= 1, at, one.id(), "", "its effect has come about " + runs + " times");
+        List<Entry.Ran> runs = one.sends().stream().map(evidence::ran).filter(r -> r != null && !r.repeat())
+            .sorted(Comparator.comparingLong(Entry.Ran::at)).toList();
+        long at = runs.isEmpty() ? 0 : runs.get(runs.size() - 1).at();
+        Terms.Type type = evidence.terms().types().get(one.asked().type());
+        boolean forgotten = runs.size() > 1 && type != null && type.effect() == Terms.Effect.KEYED
+            && runs.get(1).at() - runs.get(0).at() >= type.window();
+        check(runs.size() <= 1 || forgotten, at, one.id(), "",
+            "its effect has come about " + runs.size() + " times");
+        if (forgotten) {
+            note(at, one.id(), "",
+                "a keyed effect came about again " + millis(runs.get(1).at() - runs.get(0).at())
+                + " later, when its key was forgotten: its first copy had stood still for that long");
+        }
     }
 }
--- a/src/main/java/beaconturn/ledger/Rule.java
+++ b/src/main/java/beaconturn/ledger/Rule.java
@@ -9,6 +9,7 @@
     private final String name;
     private final String promise;
     private final List<Offence> offences = new ArrayList<>();
+    private final List<Offence> notes = new ArrayList<>();
     private long checked;
 
     Rule(String name, String promise) {
@@ -27,11 +28,16 @@
         }
     }
 
+    /** Something that breaks no rule and is still worth knowing. */
+    protected void note(long at, String request, String server, String what) {
+        notes.add(new Offence(at, request, server, what));
+    }
+
     /** The rule's verdict on the account; for one use. */
     Verdict on(Evidence evidence) {
         judge(evidence);
         offences.sort(Comparator.comparingLong(Offence::at));
-        return new Verdict(name, promise, checked, List.copyOf(offences));
+        return new Verdict(name, promise, checked, List.copyOf(offences), List.copyOf(notes));
     }
 
     static String millis(long nanos) {
--- a/src/main/java/beaconturn/ledger/Verdict.java
+++ b/src/main/java/beaconturn/ledger/Verdict.java
@@ -9,8 +9,10 @@
  * @param promise the rule in a few words
  * @param checked how many times it could have been broken
  * @param offences all breaks in the order of time
+ * @param notes what came about without a break, and an operator wants to know
  */
-public record Verdict(String rule, String promise, long checked, List<Offence> offences) {
+public record Verdict(String rule, String promise, long checked, List<Offence> offences,
+        List<Offence> notes) {
     /** Whether it was kept throughout. */
     public boolean held() {
         return offences.isEmpty();
--- a/src/main/java/beaconturn/rehearsal/RouterConfigText.java
+++ b/src/main/java/beaconturn/rehearsal/RouterConfigText.java
@@ -53,7 +53,8 @@
             "late_worth", 0.0, "stream", false);
     }
 
-    private static Json texts(List<String> words) {
+    /** A list of texts. */
+    static Json texts(List<String> words) {
         return new Json.Items(words.stream().map(w -> (Json) new Json.Text(w)).toList());
     }
 
--- a/src/test/java/beaconturn/ledger/JudgeTest.java
+++ b/src/test/java/beaconturn/ledger/JudgeTest.java
@@ -210,6 +210,28 @@
             .told(Entry.Kind.SERVED, 1050, 2).breaks("no-effect-twice");
     }
 
+    /**
+     * A first copy that stood still for longer than the window: no send broke a rule, but somebody must know.
+     */
+    @Test
+    void aKeyedEffectAfterItsKeyWasForgottenIsNoted() {
+        asked("put", 1000).sent(1, "c1", 1010).ended(1, 1020).sent(2, "c2", 1030).made(2, Entry.Made.VALUE,
+            1040)
+            .line(new Entry.Ran(1035 * MILLI, 2, false)).line(new Entry.Ran(3035 * MILLI, 1, false))
+            .told(Entry.Kind.SERVED, 1050, 2).breaks();
+        assertEquals(1, Judge.judge(terms, lines).stream().mapToInt(v -> v.notes().size()).sum());
+    }
+
+    @Test
+    void theStoryOfARequestHasAllThatBelongsToIt() {
+        served("read").ended(1, 1050).line(new Entry.Ran(1020 * MILLI, 1, false));
+        lines.add(new Entry.Answered(900 * MILLI, "other", Entry.Kind.FAILED, 0));
+        assertEquals(List.of("0.0000 s client asked router 0: read key, until 1.0000 s",
+            "0.0100 s c1 read #1 of router 0 on connection 1", "0.0300 s #1 answered: value",
+            "0.0400 s client: served", "0.0500 s connection 1 ended", "0.0200 s #1 ran"),
+            Story.of(lines, "id", 1000 * MILLI));
+    }
+
     @Test
     void aSecondCopyIsSeenWhereNoneIsAllowed() {
         terms = terms(false);
