Hard cases as plays: the whole fleet replaced, a send half written when its server drains

A fleet of four replaced one a second, successors cold at the old addresses, is played against two router processes: cold-kept is checked in more than fifty windows and held. A command that is half written counts from its first byte, on sockets and in the account; with firstAt taken at the last byte the test on sockets fails.

--- a/src/test/java/beaconturn/ledger/JudgeTest.java
+++ b/src/test/java/beaconturn/ledger/JudgeTest.java
@@ -295,6 +295,14 @@
         line(new Entry.Told(400 * MILLI, 0, "c1", Entry.State.DRAINING, 0)).breaks("drains-kept");
     }
 
+    /** A send counts from its first byte: one that was half written at the end of the grace may go on. */
+    @Test
+    void aSendThatWasBegunInTimeMayEndAfterTheGrace() {
+        line(new Entry.Told(400 * MILLI, 0, "c1", Entry.State.DRAINING, 0)).asked("read", 800);
+        line(new Entry.Sent(1800 * MILLI, 900 * MILLI, 1, 1, "c1", 0, 1, "id", "read", "key", MILLI))
+            .made(1, Entry.Made.BUSY, 1801).told(Entry.Kind.REFUSED, 1801, 0).breaks();
+    }
+
     @Test
     void aServerThatIsGoneAfterItsDrainCountsFromTheDrain() {
         line(new Entry.Told(400 * MILLI, 0, "c1", Entry.State.DRAINING, 0))
--- a/src/test/java/beaconturn/rehearsal/RehearsalTest.java
+++ b/src/test/java/beaconturn/rehearsal/RehearsalTest.java
@@ -71,6 +71,32 @@
         assertTrue(Files.readString(folder.resolve("r1.log")).contains("DRAINING -> STOPPED"));
     }
 
+    /**
+     * Every cache server goes, one after the other; each successor is cold, at the address of its
+     * predecessor.
+     */
+    @Test
+    void aFleetThatIsReplacedWholeIsNotPushedOverWhileItIsCold() throws Exception {
+        StringBuilder text = new StringBuilder("""
+            length = "8s"
+            [fleet]
+            caches = 4
+            cold_for = "3s"
+            [discovery]
+            lag = "200ms"
+            """);
+        for (int i = 1; i <= 4; i++) {
+            text.append(String.format("[[fault]]%nkind = \"replace\"%non = [\"c%d\"]%nfrom = \"%ds\"%n"
+                + "to = \"%d.5s\"%n", i, i, i));
+        }
+        Report report = play(text.toString());
+        held(report);
+        Verdict cold = report.verdicts().stream().filter(v -> v.rule().equals("cold-kept")).findFirst()
+            .orElseThrow();
+        assertTrue(cold.checked() > 50, "cold servers got work in " + cold.checked() + " windows");
+        assertTrue(Files.readString(folder.resolve("r1.log")).contains("cache server c4-2 at"));
+    }
+
     /** Killed with requests out: what it held is its clients' to retry, and nothing else is excused. */
     @Test
     void aRouterThatIsKilledAndOneThatIsRestartedLoseNothingThatWasTaken() throws Exception {
--- a/src/test/java/beaconturn/standin/net/SurroundingsTest.java
+++ b/src/test/java/beaconturn/standin/net/SurroundingsTest.java
@@ -49,6 +49,7 @@
     private static final String GET =
         "*4\r\n$5\r\nC.GET\r\n$1\r\nk\r\n$2\r\n%02d\r\n$13\r\nc=read,d=9000\r\n";
     private final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Long> firstAt = new LinkedBlockingQueue<>();
     private final Clock clock = Clock.system();
     private final World world;
     private final Surroundings surroundings;
@@ -66,6 +67,7 @@
             @Override
             public void commanded(long at, String server, int router, long number, Command c, long work) {
                 seen.add(server + " " + router + " " + c.id());
+                firstAt.add(c.firstAt());
             }
 
             @Override
@@ -222,6 +224,22 @@
         }
     }
 
+    /** What a drain's rule goes by: when the first byte came, however long the rest takes. */
+    @Test
+    void aCommandThatIsHalfWrittenCountsFromItsFirstByte() throws Exception {
+        try (Peer peer = to(0, 0)) {
+            peer.say(get(1)).answer();
+            peer.say(get(2).substring(0, 9));
+            long before = clock.now();
+            peer.silent();
+            peer.say(get(2).substring(9));
+            assertEquals("02", id(peer.answer()));
+            firstAt.remove();
+            long begun = firstAt.remove();
+            assertTrue(begun < before + SILENCE_MILLIS * MILLI, "counted from its last byte");
+        }
+    }
+
     @Test
     void aMuteServerNeverSpeaksOnNewConnectionsAndGoesOnWithOldOnes() throws Exception {
         try (Peer old = to(0, 0)) {
