--- a/src/main/java/beaconturn/cli/Main.java
+++ b/src/main/java/beaconturn/cli/Main.java
@@ -23,6 +23,9 @@
             .addCommand(new ServeCommand()).addCommand(new CheckConfigCommand())
             .addCommand(new RehearseCommand()).addCommand(new StandInCommand())
             .addCommand(new SimHostCommand()).addCommand(new VersionCommand()).build();
+        if (args.length > 0 && args[args.length - 1].equals("--help")) {
+            return help(commands, args[0]);
+        }
         try {
             commands.parse(args);
         } catch (ParameterException e) {
@@ -35,6 +38,18 @@
         return ((Command) chosen).execute();
     }
 
+    /** The options of one command, or of all where the word names none. */
+    private static int help(JCommander commands, String word) {
+        StringBuilder usage = new StringBuilder();
+        if (commands.getCommands().containsKey(word)) {
+            commands.getUsageFormatter().usage(word, usage);
+        } else {
+            commands.getUsageFormatter().usage(usage);
+        }
+        System.out.print(usage);
+        return 0;
+    }
+
     private static int wrong(JCommander commands, String message) {
         System.err.println("beaconturn: " + message);
         StringBuilder usage = new StringBuilder();
--- a/src/main/java/beaconturn/cli/StandInRun.java
+++ b/src/main/java/beaconturn/cli/StandInRun.java
@@ -13,6 +13,7 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -39,6 +40,9 @@
                 listen(surroundings, orders);
             }
             return 0;
+        } catch (BindException e) {
+            System.err.println("stand-in: an address from 127.0.0.1:" + port + " on, or the control port "
+                + control + ", is in use; choose others with --port and --control");
         } catch (IOException e) {
             System.err.println("stand-in: " + e.getClass().getSimpleName() + ": " + e.getMessage());
         } catch (TomlException e) {
--- a/src/test/java/beaconturn/cli/MainTest.java
+++ b/src/test/java/beaconturn/cli/MainTest.java
@@ -2,6 +2,9 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
 import org.junit.jupiter.api.Test;
 
 class MainTest {
@@ -23,4 +26,28 @@
         assertEquals(1, Main.run("check-config", "--config", "no/such/file.json"));
         assertEquals(1, Main.run("serve", "--config", "no/such/file.json"));
     }
+
+    @Test
+    void helpIsNoWrongUsage() {
+        assertEquals(0, Main.run("--help"));
+        assertEquals(0, Main.run("rehearse", "--help"));
+        assertEquals(2, Main.run("rehearse", "--help", "more"));
+    }
+
+    @Test
+    void theKitTellsWrongUsageFromWrongInput() {
+        assertEquals(2, Main.run("rehearse"));
+        assertEquals(2, Main.run("stand-in", "one.toml", "two.toml"));
+        assertEquals(1, Main.run("rehearse", "no/such/scenario.toml"));
+        assertEquals(1, Main.run("stand-in", "no/such/scenario.toml"));
+        assertEquals(0, Main.run("rehearse", "--list"));
+    }
+
+    @Test
+    void anAddressThatIsTakenEndsTheStandInsInOneLine() throws IOException {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            assertEquals(1, Main.run("stand-in", "examples/try-out.toml", "--port",
+                Integer.toString(taken.getLocalPort()), "--control", "0"));
+        }
+    }
 }
