Routers inside the process are started in one place; what nothing calls goes

The test of broken routers had a second copy of the embedded launcher: EmbeddedLauncher now takes how a router is made, and both use it. Load.clear, PauseWatch.longest, ClientCrowd.first and an argument of crossed that nobody read are gone. No behaviour changes, no assertion is touched; the tests of the account, of broken routers and of real processes pass.

--- a/src/main/java/beaconturn/cli/EmbeddedLauncher.java
+++ b/src/main/java/beaconturn/cli/EmbeddedLauncher.java
@@ -10,7 +10,25 @@
 import java.util.Map;
 
 /** Runs routers inside this process: quick to start and easy to debug, but they cannot be killed. */
-final class EmbeddedLauncher implements RouterLauncher {
+public final class EmbeddedLauncher implements RouterLauncher {
+    private final Maker maker;
+
+    /** How a router is made of its configuration; it is not started yet. */
+    public interface Maker {
+        /** A router that listens already. */
+        RouterServer make(RouterConfig config) throws IOException;
+    }
+
+    /** The usual routers. */
+    EmbeddedLauncher() {
+        this(config -> new RouterServer(config, () -> config, new Lifecycle()));
+    }
+
+    /** Routers that are made otherwise, as tests need them. */
+    public EmbeddedLauncher(Maker maker) {
+        this.maker = maker;
+    }
+
     @Override
     public boolean restarts() {
         return false;
@@ -19,8 +37,7 @@
     @Override
     public Running launch(String name, Path config, Path log) throws IOException {
         try {
-            RouterConfig read = RouterConfig.read(config, Map.of());
-            RouterServer server = new RouterServer(read, () -> read, new Lifecycle());
+            RouterServer server = maker.make(RouterConfig.read(config, Map.of()));
             server.start();
             return new Embedded(server);
         } catch (ConfigException e) {
--- a/src/main/java/beaconturn/ledger/Evidence.java
+++ b/src/main/java/beaconturn/ledger/Evidence.java
@@ -106,8 +106,10 @@
     }
 
     /** All lines of a kind in their order. */
+    @SuppressWarnings("unchecked")
     <T extends Entry> List<T> all(Class<T> kind) {
-        return byKind.getOrDefault(kind, List.of()).stream().map(kind::cast).toList();
+        // Filed under its own class, so each line is of that kind; rules ask for it in their loops.
+        return (List<T>) byKind.getOrDefault(kind, List.of());
     }
 
     /** What the command was answered, or null. */
--- a/src/main/java/beaconturn/rehearsal/ClientCrowd.java
+++ b/src/main/java/beaconturn/rehearsal/ClientCrowd.java
@@ -53,17 +53,13 @@
     synchronized void start(List<Planned> plan, long start) {
         started = start;
         for (Planned planned : plan) {
-            due.add(new Due(start + planned.at(), ++lastNumber, first(planned)));
+            due.add(new Due(start + planned.at(), ++lastNumber, attempt(planned, 0)));
         }
         Thread thread = new Thread(this::run, "clients");
         thread.setDaemon(true);
         thread.start();
     }
 
-    private ClientLine.Try first(Planned planned) {
-        return attempt(planned, 0);
-    }
-
     private ClientLine.Try attempt(Planned planned, int attempt) {
         Scenario.Clients stream = scenario.clients().get(planned.stream());
         long patience = Math.max(MILLI,
@@ -153,7 +149,7 @@
     }
 
     @Override
-    public void crossed(ClientLine line, ClientLine.Try again) {
+    public void crossed(ClientLine.Try again) {
         send(again);
     }
 
--- a/src/main/java/beaconturn/rehearsal/ClientLine.java
+++ b/src/main/java/beaconturn/rehearsal/ClientLine.java
@@ -52,7 +52,7 @@
         void done(ClientLine line, Result result, boolean reusable);
 
         /** The connection had been closed between requests: the same try goes out once more on a new one. */
-        void crossed(ClientLine line, Try again);
+        void crossed(Try again);
     }
 
     ClientLine(InetSocketAddress router, Clock clock, Account account, Owner owner) {
@@ -155,7 +155,7 @@
 
     private void crossed(Try one) {
         account.add(new Entry.Crossed(clock.now(), one.id()));
-        owner.crossed(this, one);
+        owner.crossed(one);
     }
 
     private RespValue read(long until) throws IOException, ProtocolException {
--- a/src/main/java/beaconturn/rehearsal/PauseWatch.java
+++ b/src/main/java/beaconturn/rehearsal/PauseWatch.java
@@ -13,7 +13,6 @@
     private final Account account;
     private volatile boolean over;
     private volatile long total;
-    private volatile long longest;
 
     PauseWatch(Clock clock, Account account) {
         this.clock = clock;
@@ -36,11 +35,6 @@
         return total;
     }
 
-    /** Nanoseconds of the longest. */
-    long longest() {
-        return longest;
-    }
-
     private void run() {
         try {
             for (long last = clock.now(); !over; last = clock.now()) {
@@ -49,7 +43,6 @@
                 if (pause > WORTH_NOTING) {
                     account.add(new Entry.Paused(last + STEP, last + STEP + pause));
                     total += pause;
-                    longest = Math.max(longest, pause);
                 }
             }
         } catch (InterruptedException e) {
--- a/src/main/java/beaconturn/standin/Load.java
+++ b/src/main/java/beaconturn/standin/Load.java
@@ -22,9 +22,4 @@
         }
         return sum;
     }
-
-    void clear() {
-        sent.clear();
-        sum = 0;
-    }
 }
--- a/src/test/java/beaconturn/rehearsal/BrokenRoutersTest.java
+++ b/src/test/java/beaconturn/rehearsal/BrokenRoutersTest.java
@@ -4,15 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beaconturn.cli.EmbeddedLauncher;
 import beaconturn.ledger.Verdict;
 import beaconturn.net.BrokenRouter;
-import beaconturn.net.ConfigException;
-import beaconturn.net.RouterConfig;
-import beaconturn.net.RouterServer;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -61,7 +58,7 @@
 
     private List<String> broken(BrokenRouter.Defect defect, String fault) throws Exception {
         Scenario scenario = ScenarioReader.read("day.toml", DAY + fault, null);
-        Report report = new Rehearsal(scenario, new Launcher(defect), folder, text -> { }).play();
+        Report report = new Rehearsal(scenario, launcher(defect), folder, text -> { }).play();
         assertTrue(report.classes().stream().mapToLong(Tally.Line::served).sum() > 100, report.text());
         return report.verdicts().stream().filter(v -> !v.held()).map(Verdict::rule).toList();
     }
@@ -90,74 +87,14 @@
     @Test
     void aRouterOfThisProcessCannotBeKilled() throws Exception {
         Scenario scenario = ScenarioReader.read("day.toml", "[[fault]]\nkind = \"router-kill\"\n", null);
-        RouterLauncher launcher = new Launcher(BrokenRouter.Defect.NONE);
+        RouterLauncher launcher = launcher(BrokenRouter.Defect.NONE);
         IOException e = assertThrows(IOException.class,
             () -> new Rehearsal(scenario, launcher, folder, text -> { }).play());
         assertEquals("router-kill needs routers that are processes of their own", e.getMessage());
     }
 
     /** Routers of this process with one defect. */
-    private record Launcher(BrokenRouter.Defect defect) implements RouterLauncher {
-        @Override
-        public boolean restarts() {
-            return false;
-        }
-
-        @Override
-        public Running launch(String name, Path config, Path log) throws IOException {
-            try {
-                RouterServer server = BrokenRouter.of(defect, RouterConfig.read(config, Map.of()));
-                server.start();
-                return new InProcess(server);
-            } catch (ConfigException e) {
-                throw new IOException(e);
-            }
-        }
-    }
-
-    /** A router that a thread of this process stops. */
-    private static final class InProcess implements RouterLauncher.Running {
-        private final Thread drain;
-        private boolean told;
-
-        private InProcess(RouterServer server) {
-            drain = new Thread(() -> {
-                try {
-                    server.drain();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            });
-        }
-
-        @Override
-        public boolean alive() {
-            return !told || drain.isAlive();
-        }
-
-        @Override
-        public void kill() {
-            terminate();
-        }
-
-        @Override
-        public void terminate() {
-            if (!told) {
-                told = true;
-                drain.start();
-            }
-        }
-
-        @Override
-        public int awaitEnd(long millis) throws InterruptedException {
-            terminate();
-            drain.join(Math.max(1, millis));
-            return drain.isAlive() ? -1 : 0;
-        }
-
-        @Override
-        public long cpu() {
-            return 0;
-        }
+    private static RouterLauncher launcher(BrokenRouter.Defect defect) {
+        return new EmbeddedLauncher(config -> BrokenRouter.of(defect, config));
     }
 }
