The run command is one process: run.sh reads the memory limit without starting others

Checked with one-line and many-line files, without the key, an empty file and no file. `build` needed no change.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -1,7 +1,19 @@
 #!/bin/sh
 # One real router, with a heap that fits the memory that the configuration allows. The heap has its full size
 # from the start and is touched at once: a heap that widens by and by looks like a leak and hides one.
-memory=$(sed -n 's/.*"memory_mb"[^0-9]*\([0-9][0-9]*\).*/\1/p' "$PROXY_CONFIG" 2> /dev/null | head -n 1)
+# Only what the shell itself can do: where the platform lets a router be no more than one process, it cannot
+# start another program to read its configuration.
+memory=
+while [ -z "$memory" ] && { IFS= read -r line || [ -n "$line" ]; }; do
+    case $line in
+        *'"memory_mb"'*)
+            memory=${line#*'"memory_mb"'}
+            memory=${memory#*[!0-9]}
+            while case $memory in [!0-9]*) ;; *) false ;; esac; do memory=${memory#?}; done
+            memory=${memory%%[!0-9]*}
+            ;;
+    esac
+done 2> /dev/null < "${PROXY_CONFIG:-/dev/null}"
 heap=$((${memory:-192} * 3 / 10))
 [ "$heap" -le 64 ] || heap=64
 [ "$heap" -ge 16 ] || heap=16
