--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -3,17 +3,24 @@
 # from the start and is touched at once: a heap that widens by and by looks like a leak and hides one.
 # Only what the shell itself can do: where the platform lets a router be no more than one process, it cannot
 # start another program to read its configuration.
+# The file is cut at commas and braces first: to strip a prefix from a long line takes the square of its length.
 memory=
+set -f
 while [ -z "$memory" ] && { IFS= read -r line || [ -n "$line" ]; }; do
-    case $line in
-        *'"memory_mb"'*)
-            memory=${line#*'"memory_mb"'}
-            memory=${memory#*[!0-9]}
-            while case $memory in [!0-9]*) ;; *) false ;; esac; do memory=${memory#?}; done
-            memory=${memory%%[!0-9]*}
-            ;;
-    esac
+    IFS=,{}
+    for part in $line; do
+        case $part in
+            *'"memory_mb"'*)
+                memory=${part#*'"memory_mb"'}
+                while case $memory in [!0-9]*) ;; *) false ;; esac; do memory=${memory#?}; done
+                memory=${memory%%[!0-9]*}
+                break
+                ;;
+        esac
+    done
+    unset IFS
 done 2> /dev/null < "${PROXY_CONFIG:-/dev/null}"
+set +f
 heap=$((${memory:-192} * 3 / 10))
 [ "$heap" -le 64 ] || heap=64
 [ "$heap" -ge 16 ] || heap=16
--- a/src/main/java/beaconturn/core/Mailbox.java
+++ b/src/main/java/beaconturn/core/Mailbox.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.Queue;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The bounded queue in front of an actor: many threads post, one takes. It waits on its own monitor: a
@@ -10,7 +11,6 @@
  * never come.
  */
 public final class Mailbox<T> {
-    private static final long MILLI = 1_000_000;
     private final int capacity;
     // Guarded by this:
     private final Queue<T> urgent = new ArrayDeque<>();
@@ -61,7 +61,7 @@
     public synchronized T poll(long nanos) throws InterruptedException {
         long until = System.nanoTime() + nanos;
         for (long left = nanos; isEmpty() && left > 0; left = until - System.nanoTime()) {
-            wait(left / MILLI, (int) (left % MILLI));
+            TimeUnit.NANOSECONDS.timedWait(this, left);
         }
         return next();
     }
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -466,7 +466,7 @@
             answers.count(now);
         }
         boolean missed = e.note() == Routing.Note.MISS && !settings.origin().aside();
-        // Only a presumption that the cache says was wrong: with many routers most hits are on keys new here.
+        // The fetch was presumed; a hit says there was none. At many routers most hits are on keys new here.
         boolean fetched = missed || a.fetches && e.note() != Routing.Note.HIT;
         boolean late = e.elapsed() > lateAfter(r, fetched);
         if (loadField >= 0 && loadField < e.report().length) {
--- a/src/main/java/beaconturn/net/CacheConnection.java
+++ b/src/main/java/beaconturn/net/CacheConnection.java
@@ -24,7 +24,7 @@
     /** A whole request fits into the kernel's buffer, so that writing one to a silent peer never blocks. */
     private static final int SEND_BUFFER = 128 * 1024;
 
-    /** What a connection tells the actor that owns it; called on the connection's thread. */
+    /** What a connection tells its actor, on its own thread, and what it asks of it, on any. */
     interface Owner {
         /** Whether the server still takes requests, as far as the list says. */
         boolean wanted();
--- a/src/main/java/beaconturn/net/CacheFleet.java
+++ b/src/main/java/beaconturn/net/CacheFleet.java
@@ -68,7 +68,7 @@
         }
         if (!changes.isEmpty()) {
             // One line: in a large fleet a line a server costs the module's thread more than the news itself.
-            LOG.info("list " + news.version() + ": " + String.join(", ", changes));
+            LOG.info("list " + news.version() + ": " + String.join("; ", changes));
         }
     }
 
@@ -81,8 +81,8 @@
         Known old = servers.get(entry.server());
         CacheServer actor = old == null ? start(member) : old.actor();
         if (old == null || old.health() != entry.health() || old.bootTime() != entry.bootTime()) {
-            changes.add(member.host() + " at " + member.dial() + " is " + entry.health()
-                + (entry.bootTime() == 0 ? "" : " (started " + entry.bootTime() / 1_000_000 + ")"));
+            changes.add("cache server " + member.host() + " at " + member.dial() + " is " + entry.health()
+                + (entry.bootTime() == 0 ? "" : ", started " + entry.bootTime() / 1_000_000));
         }
         if (old != null) {
             leaving -= old.health() == Routing.Health.GONE ? 1 : 0;
@@ -106,7 +106,7 @@
     private void gone(long server, List<String> changes) {
         Known known = servers.get(server);
         if (known != null && known.health() != Routing.Health.GONE) {
-            changes.add(known.host() + " is gone");
+            changes.add("cache server " + known.host() + " is gone");
             known.actor().wanted(false);
             known.actor().closeIdle();
             servers.put(server, new Known(known.actor(), known.host(), Routing.Health.GONE, 0));
--- a/src/test/java/beaconturn/decision/Harness.java
+++ b/src/test/java/beaconturn/decision/Harness.java
@@ -125,8 +125,17 @@
 
     /** The last send is answered from what its cache holds, with a load report. */
     void hit(long elapsed, float... report) {
+        answered(elapsed, Routing.Note.HIT, report);
+    }
+
+    /** The last send is answered by a fetch of its cache. */
+    void fetched(long elapsed) {
+        answered(elapsed, Routing.Note.MISS);
+    }
+
+    private void answered(long elapsed, Routing.Note note, float... report) {
         router.handle(now, new Routing.AttemptClosed(last().request(), elapsed, true, last().server(),
-            Ending.OK, Routing.Note.HIT, 0, report));
+            Ending.OK, note, 0, report));
     }
 
     /** Delivers all timers due within the given time, in order, and moves the clock there. */
--- a/src/test/java/beaconturn/decision/OriginBlameTest.java
+++ b/src/test/java/beaconturn/decision/OriginBlameTest.java
@@ -95,10 +95,9 @@
     @Test
     void fetchesWithinTwoThirdsOfTheirAimDoNotShrinkTheFetchGate() {
         for (int i = 0; i < 4 * CACHES; i++) {
-            Harness.Send usual = fetch();
+            fetch();
             h.now += 2 * SECOND / 3;
-            h.router.handle(h.now, new Routing.AttemptClosed(usual.request(), 2 * SECOND / 3, true,
-                usual.server(), Ending.OK, Routing.Note.MISS, 0, new float[0]));
+            h.fetched(2 * SECOND / 3);
         }
         assertEquals(CACHES, sendsSince(() -> {
             for (int i = 0; i < CACHES; i++) {
--- a/src/test/java/beaconturn/rehearsal/RehearsalTest.java
+++ b/src/test/java/beaconturn/rehearsal/RehearsalTest.java
@@ -94,7 +94,7 @@
         Verdict cold = report.verdicts().stream().filter(v -> v.rule().equals("cold-kept")).findFirst()
             .orElseThrow();
         assertTrue(cold.checked() > 50, "cold servers got work in " + cold.checked() + " windows");
-        assertTrue(Files.readString(folder.resolve("r1.log")).contains("c4-2 at"));
+        assertTrue(Files.readString(folder.resolve("r1.log")).contains("cache server c4-2 at"));
     }
 
     /** Killed with requests out: what it held is its clients' to retry, and nothing else is excused. */
