Kinds weigh by learned pace, a next try keeps its aim, late attempts move on, no presumed fetch

Hedges need second copies, which neither allows.

At fault: buildRing (rating alone), arrived (aim from this try's arrival), late (secondCopies or nothing), willFetch (no word of a hit taken for a miss).

--- a/src/main/java/beaconturn/core/SettingsReader.java
+++ b/src/main/java/beaconturn/core/SettingsReader.java
@@ -79,6 +79,7 @@
         String at = "family_info.";
         return new Routing.Origin(word(at + "mode", "through").equals("aside"),
             (int) whole(at + "origin_kind", -1), flag(at + "ordered", false),
+            !word(at + "notes", "").equals("none"),
             whole(at + "origin_fall", 0), number(at + "origin_fall_multiple", 0));
     }
 
--- a/src/main/java/beaconturn/decision/Request.java
+++ b/src/main/java/beaconturn/decision/Request.java
@@ -13,6 +13,10 @@
     final boolean write;
     final boolean overQuota;
     final long deadline;
+    /** Until when an answer is in time, counted from the client's first try where that is known. */
+    final long aimEnds;
+    /** Which of the client's asks this is a try of. */
+    final long ask;
     /** From here on an answer to a safe request earns nothing; the deadline for all others. */
     final long due;
     final List<Attempt> attempts = new ArrayList<>(2);
@@ -21,10 +25,12 @@
     Flight flight;
     boolean queued;
     boolean streaming;
+    /** Called off where it is late, to go to another cache. */
+    boolean moves;
     boolean done;
 
-    Request(Routing.Arrival e, Routing.RequestClass type, long now, boolean overQuota,
-            boolean cutAtAim) {
+    Request(Routing.Arrival e, Routing.RequestClass type, long now, long aimEnds, long ask,
+            boolean overQuota, boolean cutAtAim) {
         this.id = e.request();
         this.key = e.key();
         this.hash = Hash.mix(e.key() != 0 ? e.key() : e.request());
@@ -33,7 +39,9 @@
         this.write = e.write();
         this.overQuota = overQuota;
         this.deadline = now + e.left();
-        this.due = cutAtAim ? Math.min(deadline, now + type.aim()) : deadline;
+        this.aimEnds = aimEnds;
+        this.ask = ask;
+        this.due = cutAtAim ? Math.min(deadline, aimEnds) : deadline;
     }
 
     int openCount() {
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -62,6 +62,9 @@
     /** A tenant's part of the traffic may exceed its share by this before it counts as beyond its quota. */
     private static final double SHARE_SLACK = 1.5;
 
+    /** The pace of a kind is told in this many steps to a doubling. */
+    private static final int PACE_STEPS = 2;
+
     private static final int LATE = 0;
     private static final int PATIENCE = 1;
     private static final int WATCH = 2;
@@ -84,6 +87,8 @@
     private final Average fetchTime = new Average(NEWEST);
     private final KeyMemory held;
     private final Popularity popularity = new Popularity(KEYS_REMEMBERED);
+    /** Until when an answer to what was given up would have been in time, for the client's next try. */
+    private final Map<Long, Long> givenUp = new LatestUsed<>(KEYS_REMEMBERED);
     private final Gate caches = new Gate(CROWDED);
     private final Server all = new Server(0);
     private final Gate origin;
@@ -91,6 +96,7 @@
     private final Rate answers;
     private final Rate arrivals;
     private final Rate[] tenantArrivals;
+    private final Map<Integer, Slowness> paces = new HashMap<>();
     private final Average reportedLoad = new Average(NEWEST / 4);
     private final int loadField;
     private long[] points = new long[0];
@@ -159,12 +165,16 @@
         // A cache that goes on with what earns nothing is late for the next; not so where caches fetch.
         boolean cutAtAim = settings.origin().aside() && type.lateWorth() <= 0
             && type.effect() == Routing.Effect.SAFE;
-        Request r = new Request(e, type, now, overQuota(e.tenant()), cutAtAim);
+        long ask = sameAsk(e);
+        Long before = e.clientRetry() ? givenUp.remove(ask) : null;
+        long aimEnds = before == null ? now + type.aim() : Math.min(before, now + type.aim());
+        Request r = new Request(e, type, now, aimEnds, ask, overQuota(e.tenant()), cutAtAim);
         requests.put(r.id, r);
         r.keyPart = r.key == 0 || r.write ? 0 : popularity.count(r.key, RECENT * Math.max(1, ring.size()));
         retryBudget = Math.min(Math.max(1, ring.size()), retryBudget + RETRY_RATIO);
         boolean toOrigin = settings.origin().aside() && r.write;
-        if (!admitted(r, toOrigin ? origin : caches)) {
+        boolean worthless = aimEnds <= now && type.lateWorth() <= 0 && type.effect() == Routing.Effect.SAFE;
+        if (worthless || !admitted(r, toOrigin ? origin : caches)) {
             giveUp(r);
         } else if (toOrigin) {
             askOrigin(r, null);
@@ -175,6 +185,11 @@
         }
     }
 
+    /** What a client's next try has in common with its last: it comes back to the router that gave it up. */
+    private static long sameAsk(Routing.Arrival e) {
+        return Hash.mix(e.key() ^ Hash.mix(e.tenant() * 64L + e.requestClass()));
+    }
+
     private void attemptClosed(Routing.AttemptClosed e) {
         Request r = requests.get(e.request());
         if (r == null || e.attempt() >= r.attempts.size() || !r.attempts.get(e.attempt()).open) {
@@ -192,7 +207,10 @@
         if (a.fetches) {
             fetchClosed(r, a, e);
         }
-        if (e.closed() && !r.done) {
+        if (r.moves && e.ending() == Routing.Ending.CANCELLED && !r.done) {
+            r.moves = false;
+            retry(r, a);
+        } else if (e.closed() && !r.done) {
             r.missedAt = a.onRing && !settings.origin().aside() ? a.server : r.missedAt;
             conclude(r, e.ending() == Routing.Ending.OK);
         } else if (!r.done) {
@@ -318,7 +336,8 @@
         long[] all = new long[4 * POINTS * ring.size()];
         int at = 0;
         for (int i = 0; i < ring.size(); i++) {
-            long count = Math.round(POINTS * Math.max(0.25, Math.min(4, ring.get(i).rating / unit)));
+            double size = ring.get(i).rating / unit / pace(ring.get(i).kind);
+            long count = Math.round(POINTS * Math.max(0.25, Math.min(4, size)));
             for (int k = 0; k < count; k++) {
                 all[at++] = Hash.mix(ring.get(i).id * 4099 + k) & -0x10000L | i;
             }
@@ -327,6 +346,24 @@
         Arrays.sort(points);
     }
 
+    /**
+     * How long caches of a kind take, as a part of what all take: ratings may tell their cores and not their
+     * speed. In steps, so that routers which learn apart place nearly all points alike.
+     */
+    private double pace(int kind) {
+        double taken = paces.size() < 2 || !paces.containsKey(kind) ? 1 : paces.get(kind).now;
+        return Math.pow(2, Math.rint(PACE_STEPS * Math.log(taken) / Math.log(2)) / PACE_STEPS);
+    }
+
+    /** Learns how long the kind takes; the ring is built anew when that is a step more or less. */
+    private void paced(int kind, double ofUsual) {
+        double before = pace(kind);
+        paces.computeIfAbsent(kind, k -> new Slowness(NEWEST / 2)).add(ofUsual);
+        if (pace(kind) != before) {
+            points = new long[0];
+        }
+    }
+
     // ---- health: a sick cache is passed over but for a trickle
 
     private boolean passedOver(Server s, Request r) {
@@ -477,6 +514,10 @@
         if (ending == Routing.Ending.OK && !r.write && !settings.origin().aside()) {
             held.answered(r.key, a.server.id, missed, now);
         }
+        Average usual = answerTimes[r.classIndex];
+        if (ending == Routing.Ending.OK && !fetched && usual.any && settings.origin().aside()) {
+            paced(a.server.kind, e.elapsed() / usual.mean);
+        }
         if (ending == Routing.Ending.OK && !fetched) {
             answerTimes[r.classIndex].add(e.elapsed());
             answerTime.add(e.elapsed());
@@ -503,8 +544,14 @@
         }
         a.judged = true;
         judge(a.server, true);
-        if (furtherAttemptEarned() && may.secondCopies() && !r.streaming && r.openCount() == 1
-                && r.type.effect() != Routing.Effect.UNSAFE && (!a.fetches || a.unheard())) {
+        if (!furtherAttemptEarned() || r.streaming || r.openCount() > 1
+                || r.type.effect() == Routing.Effect.UNSAFE || a.fetches && !a.unheard()) {
+            return;
+        }
+        if (!may.secondCopies()) {
+            r.moves = may.cancel();
+            cancelOpen(r, -1);
+        } else {
             Server s = pick(r);
             if (s != null) {
                 retryBudget--;
@@ -548,6 +595,9 @@
             return;
         }
         r.done = true;
+        if (!answered) {
+            givenUp.put(r.ask, r.aimEnds);
+        }
         cancelOpen(r, -1);
         fetchQueue.remove(r);
         Flight flight = r.flight;
@@ -575,7 +625,8 @@
 
     /** Whether a cache that fetches for itself will ask the origin: it is not known to hold the key. */
     private boolean willFetch(Request r, Server s) {
-        return !settings.origin().aside() && (r.write || !held.holds(r.key, s.id, now));
+        return !settings.origin().aside() && (r.write
+            || settings.origin().tellsHits() && !held.holds(r.key, s.id, now));
     }
 
     /** The first request for a key that is not held asks the origin, later ones wait until it is. */
--- a/src/main/java/beaconturn/decision/Routing.java
+++ b/src/main/java/beaconturn/decision/Routing.java
@@ -61,8 +61,12 @@
     public record Permissions(boolean cancel, boolean peers, boolean probes, boolean retryAfter,
             boolean secondCopies, int maxTries, long maxRetryAfter, int multiplex, long connectTimeout) { }
 
-    /** Where the origin stands: {@code aside} misses go to servers of {@code kind}; else caches fetch. */
-    public record Origin(boolean aside, int kind, boolean ordered, long fallTime, double fallMultiple) { }
+    /**
+     * Where the origin stands: {@code aside} misses go to servers of {@code kind}; else caches fetch, and
+     * {@code tellsHits} says whether their answers tell that.
+     */
+    public record Origin(boolean aside, int kind, boolean ordered, boolean tellsHits, long fallTime,
+            double fallMultiple) { }
 
     /** All settings; {@code ratingStable} says that ratings compare sizes and do not follow load. */
     public record Settings(int index, int routers, int zone, boolean askForList, boolean ratingStable,
--- a/src/test/java/beaconturn/decision/Harness.java
+++ b/src/test/java/beaconturn/decision/Harness.java
@@ -60,7 +60,7 @@
         Routing.Permissions may = new Routing.Permissions(true, false, false, true, true, tries,
             2 * SECOND, 32, 250 * MS);
         return new Routing.Settings(0, routers, 0, true, false, false, 0.1, 5 * MS, classes, tenants, rules,
-            may, new Routing.Origin(aside, aside ? ORIGIN_KIND : -1, false, 0, 0), List.of());
+            may, new Routing.Origin(aside, aside ? ORIGIN_KIND : -1, false, true, 0, 0), List.of());
     }
 
     static Routing.Settings reporting(Routing.Settings s, String name) {
@@ -69,6 +69,16 @@
             s.permissions(), s.origin(), List.of(name));
     }
 
+    /** The same where no request may have two attempts out, and where caches that fetch do not say so. */
+    static Routing.Settings alone(Routing.Settings s) {
+        Routing.Permissions may = new Routing.Permissions(true, false, false, true, false, 3, 2 * SECOND, 32,
+            250 * MS);
+        Routing.Origin origin = new Routing.Origin(s.origin().aside(), s.origin().kind(), false, false, 0, 0);
+        return new Routing.Settings(s.index(), s.routers(), s.zone(), s.askForList(), s.ratingStable(),
+            s.worthByWork(), s.overShareWorth(), s.tick(), s.classes(), s.tenants(), s.rules(), may, origin,
+            s.reportNames());
+    }
+
     private static Routing.RequestClass type(Effect effect, Scope scope) {
         return new Routing.RequestClass(effect, scope, 5 * SECOND, SECOND, 4 * SECOND, 1, 0, false);
     }
@@ -106,6 +116,11 @@
         router.handle(now, new Routing.Arrival(request, 0, 0, key, type, left, false, write, 0));
     }
 
+    /** A client's further try of a read. */
+    void again(long request, long key) {
+        router.handle(now, new Routing.Arrival(request, 0, 0, key, READ, 2 * SECOND, true, false, 0));
+    }
+
     /** A read that its cache answers. */
     void serve(long request, long key) {
         arrive(request, READ, key);
--- /dev/null
+++ b/src/test/java/beaconturn/decision/OtherShapesTest.java
@@ -0,0 +1,90 @@
+package beaconturn.decision;
+
+import static beaconturn.decision.Harness.MS;
+import static beaconturn.decision.Harness.READ;
+import static beaconturn.decision.Harness.SECOND;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.decision.Routing.Ending;
+import beaconturn.decision.Routing.Health;
+import beaconturn.decision.Routing.ListKind;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What does not hold at every deployment: known speeds, told hits, hedges, a pool of routers before all. */
+class OtherShapesTest {
+    @Test
+    void kindsThatTakeLongGetFewerKeysThoughRatingsAreAlike() {
+        Harness h = new Harness(Harness.settings(true));
+        Routing.ServerEntry[] caches = new Routing.ServerEntry[12];
+        for (int i = 0; i < caches.length; i++) {
+            caches[i] = new Routing.ServerEntry(i + 1, 0, i % 2, 0, Health.READY, 1, 0);
+        }
+        h.list(ListKind.CACHED, caches);
+        int slow = 0;
+        for (int i = 0; i < 2000; i++) {
+            h.now += 200 * MS;
+            h.arrive(i, READ, 100 + i);
+            boolean toSlow = h.last().server() % 2 == 0;
+            slow += toSlow && i >= 1000 ? 1 : 0;
+            h.hit((toSlow ? 90 : 30) * MS);
+        }
+        assertTrue(slow > 150 && slow < 350, "of 1000 to the slow half: " + slow);
+    }
+
+    @Test
+    void aFurtherTryKeepsTheAimOfTheFirstAndIsGivenUpAtOnceWhenThatIsOver() {
+        Harness h = Harness.aside(4);
+        h.arrive(1, READ, 5);
+        h.now += 400 * MS;
+        h.close(h.last(), 0, Ending.TIMEOUT, false);
+        h.now = h.now + 600 * MS;
+        h.close(h.last(), h.sends.size() - 1, Ending.TIMEOUT, false);
+        assertEquals(List.of(1L), h.refused);
+        int sent = h.sends.size();
+        h.again(2, 5);
+        assertEquals(List.of(1L, 2L), h.refused);
+        assertEquals(sent, h.sends.size());
+        h.again(3, 6);
+        assertEquals(sent + 1, h.sends.size());
+    }
+
+    @Test
+    void aLateAttemptIsCalledOffAndSentOnWhereTwoMayNotBeOut() {
+        Harness h = new Harness(Harness.alone(Harness.settings(true)));
+        h.caches(6);
+        for (int i = 0; i < 50; i++) {
+            h.serve(i, 1000 + i);
+        }
+        h.arrive(100, READ, 5);
+        long home = h.last().server();
+        int sent = h.sends.size();
+        h.pass(SECOND / 2);
+        assertEquals("cancel 100 0", h.actions.get(h.actions.size() - 1));
+        assertEquals(sent, h.sends.size());
+        h.close(h.last(), 0, Ending.CANCELLED, false);
+        assertEquals(sent + 1, h.sends.size());
+        assertNotEquals(home, h.last().server());
+    }
+
+    @Test
+    void whereFetchesAreNotToldReadsAreNotHeldToTheLimitOfFetches() {
+        for (boolean told : List.of(true, false)) {
+            Routing.Settings settings = Harness.settings(false, 100, List.of());
+            Harness h = new Harness(told ? settings : Harness.alone(settings));
+            h.caches(6);
+            for (int i = 0; i < 60; i++) {
+                h.now += 100 * MS;
+                h.arrive(i, Harness.KEYED_ALL, i);
+                h.close(h.last(), 0, Ending.TIMEOUT, false);
+            }
+            int before = h.sends.size();
+            for (int i = 100; i < 110; i++) {
+                h.arrive(i, READ, 500 + i);
+            }
+            assertEquals(!told, h.sends.size() - before == 10, "sent: " + (h.sends.size() - before));
+        }
+    }
+}
