--- a/src/test/java/beaconturn/decision/OtherShapesTest.java
+++ b/src/test/java/beaconturn/decision/OtherShapesTest.java
@@ -77,8 +77,8 @@
             h.caches(6);
             for (int i = 0; i < 60; i++) {
                 h.now += 100 * MS;
-                h.arrive(i, Harness.KEYED_ALL, i);
-                h.close(h.last(), 0, Ending.TIMEOUT, false);
+                h.arrive(i, Harness.UNSAFE, i);
+                h.close(h.last(), 0, Ending.ERROR, false);
             }
             int before = h.sends.size();
             for (int i = 100; i < 110; i++) {
