Reports count longer but not against a busy origin; while dials fail open connections go first

Lines at fault: pick (no word of connections), crowded (age of a report), spread (half a cache for one key).

--- a/src/main/java/beaconturn/core/SettingsReader.java
+++ b/src/main/java/beaconturn/core/SettingsReader.java
@@ -72,7 +72,7 @@
         return new Routing.Permissions(flag(at + "cancel", false), flag(at + "peers", false),
             flag(at + "probes", false), flag(at + "retry_after", false), flag(at + "second_copies", false),
             (int) whole(at + "most_tries", 1), whole(at + "max_retry_after", 0),
-            (int) whole(at + "multiplex", 1), whole(at + "dial_timeout", 0));
+            (int) whole(at + "multiplex", 1), whole(at + "dial_timeout", 0), whole(at + "conn_idle", NEVER));
     }
 
     private Routing.Origin origin() throws SettingsException {
--- a/src/main/java/beaconturn/decision/Attempt.java
+++ b/src/main/java/beaconturn/decision/Attempt.java
@@ -10,6 +10,8 @@
     boolean open = true;
     boolean neverRan;
     boolean judged;
+    /** Needs a new connection, as far as the router knows. */
+    boolean dials;
 
     Attempt(Server server, long sentAt, boolean onRing, boolean fetches) {
         this.server = server;
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -30,8 +30,14 @@
     private static final double LATE_DEVIATIONS = 4;
     /** Loads are smoothed over this many mean answer times. */
     private static final double SMOOTHING = 8;
-    /** A cache that reports this many times the mean in hand is passed: under it, chance and delay rule. */
-    private static final double REPORTED = 2.5;
+    /** A cache that reports this many times the mean in hand, and one, is passed. */
+    private static final double REPORTED = 1.2;
+    /** A report counts for this many smoothing times: many routers hear of one cache but now and then. */
+    private static final double REPORT_MEMORY = 16;
+    /** A key's even part of a cache that it may fill, as homes of hot keys hold others too. */
+    private static final double HOT_FILLS = 0.5;
+    /** The same where the origin is asked beside the caches, so that a spread key costs few fetches. */
+    private static final double HOT_FILLS_ASIDE = 0.125;
     /** Requests of late that tell a key's part of them: this many for each cache. */
     private static final double RECENT = 1;
     /** Sick: this share of bad samples above the fleet's own; three in a row reach it. */
@@ -104,6 +110,8 @@
     private long walk;
     private double retryBudget;
     private double fleetSick;
+    /** Part of the connections newly asked for, of late, that were not had. */
+    private double dialsFailing;
     private long judgedAt;
     private long watchBackoff;
 
@@ -271,6 +279,7 @@
         Server leastLoaded = null;
         Server lastResort = null;
         int skip = random.nextInt(spread(r));
+        boolean mayDial = dialsFailing == 0 || random.nextDouble() >= dialsFailing;
         walk++;
         for (int i = 0, seen = 0; seen < ring.size(); i++) {
             Server s = ring.get((int) points[(start + i) % points.length] & 0xffff);
@@ -282,7 +291,7 @@
             if (!legal(r, s) || r.tried(s) || !coldBudgetLeft(s)) {
                 continue;
             }
-            if (passedOver(s, r)) {
+            if (passedOver(s, r) || !mayDial && now >= s.openUntil) {
                 lastResort = lessLoaded(lastResort, s);
             } else if (s.inFlight < cap && !crowded(s) && skip-- <= 0) {
                 return s;
@@ -299,20 +308,23 @@
      * is a fetch, on the mean if that is more. One that said lately that it holds far more gets none.
      */
     private boolean crowded(Server s) {
-        boolean full = s.reported > REPORTED * (reportedLoad.mean + 1) && now - s.reportedAt < smoothing();
+        // A spill is a fetch: reports pass nobody where the origin has no room for it.
+        boolean full = origin.slowness.now < BUSY && s.reported > REPORTED * (reportedLoad.mean + 1)
+            && now - s.reportedAt < REPORT_MEMORY * smoothing();
         double even = (double) LEAST_CAP / settings.routers();
         double mean = settings.origin().aside() ? 0 : all.settle(now, smoothing()) / ring.size();
         return full || s.inFlight > 0 && s.settle(now, smoothing()) > (1 + epsilon) * Math.max(even, mean);
     }
 
     /**
-     * Over how many caches clockwise a key is spread: each then holds at most half an even part by this key,
-     * as homes of hot keys hold others too; never over more caches than half the routers.
+     * Over how many caches clockwise a key is spread: each then holds at most a part of an even one by this
+     * key, as homes of hot keys hold others too; never over more caches than half the routers.
      * With few requests in flight a hot key's home is never at its cap; hundreds of routers would bury it.
      */
     private int spread(Request r) {
         int most = Math.min(ring.size(), settings.routers() / LEAST_CAP);
-        return Math.max(1, Math.min(most, (int) Math.ceil(2 * r.keyPart * ring.size())));
+        double fills = settings.origin().aside() ? HOT_FILLS_ASIDE : HOT_FILLS;
+        return Math.max(1, Math.min(most, (int) Math.ceil(r.keyPart / fills * ring.size())));
     }
 
     private double smoothing() {
@@ -463,6 +475,7 @@
             return;
         }
         Attempt a = new Attempt(s, now, !isOrigin(s), fetches);
+        a.dials = now >= s.openUntil;
         r.attempts.add(a);
         r.queued = false;
         s.load(1, now, smoothing());
@@ -474,7 +487,9 @@
         caches.inFlight++;
         all.load(1, now, smoothing());
         s.cold.tokens -= 1;
-        long lateAfter = lateAfter(r, fetches);
+        // Where a late attempt is given up for another, what it waited is lost: not before half of its aim.
+        long least = settings.origin().aside() && !may.secondCopies() ? r.type.aim() / 2 : 0;
+        long lateAfter = Math.max(least, lateAfter(r, fetches));
         if (now + lateAfter < r.due) {
             out.timer(lateAfter, r.id << 8 | (r.attempts.size() - 1) << 2 | LATE);
         }
@@ -499,6 +514,9 @@
         if (ending.ownDoing()) {
             return;
         }
+        boolean refused = ending == Routing.Ending.CONNECT_FAILED;
+        dialsFailing += a.dials || refused ? NEWEST * ((refused ? 1 : 0) - dialsFailing) : 0;
+        a.server.openUntil = refused ? 0 : ending.spoke() ? now + may.connIdle() : a.server.openUntil;
         if (answered) {
             answers.count(now);
         }
--- a/src/main/java/beaconturn/decision/Routing.java
+++ b/src/main/java/beaconturn/decision/Routing.java
@@ -57,9 +57,10 @@
     public record Rules(long answerSlack, long askWithin, double coldShare, long cold, long drainGrace,
             double fallMultiple, long overloadFor) { }
 
-    /** What the site allows a router to do. */
+    /** What the site allows a router to do; a connection that is idle for {@code connIdle} is closed. */
     public record Permissions(boolean cancel, boolean peers, boolean probes, boolean retryAfter,
-            boolean secondCopies, int maxTries, long maxRetryAfter, int multiplex, long connectTimeout) { }
+            boolean secondCopies, int maxTries, long maxRetryAfter, int multiplex, long connectTimeout,
+            long connIdle) { }
 
     /**
      * Where the origin stands: {@code aside} misses go to servers of {@code kind}; else caches fetch, and
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -17,6 +17,8 @@
     long heard;
     double reported;
     long reportedAt;
+    /** Until when a connection to it should be open, as long as nothing else closes it. */
+    long openUntil;
     double sick;
     long judgedAt;
     boolean ejected;
--- a/src/test/java/beaconturn/decision/Harness.java
+++ b/src/test/java/beaconturn/decision/Harness.java
@@ -58,7 +58,7 @@
         Routing.Rules rules = new Routing.Rules(20 * MS, 10 * SECOND, 0.2, 20 * SECOND, 250 * MS, 3,
             SECOND);
         Routing.Permissions may = new Routing.Permissions(true, false, false, true, true, tries,
-            2 * SECOND, 32, 250 * MS);
+            2 * SECOND, 32, 250 * MS, 10 * SECOND);
         return new Routing.Settings(0, routers, 0, true, false, false, 0.1, 5 * MS, classes, tenants, rules,
             may, new Routing.Origin(aside, aside ? ORIGIN_KIND : -1, false, true, 0, 0), List.of());
     }
@@ -72,7 +72,7 @@
     /** The same where no request may have two attempts out, and where caches that fetch do not say so. */
     static Routing.Settings alone(Routing.Settings s) {
         Routing.Permissions may = new Routing.Permissions(true, false, false, true, false, 3, 2 * SECOND, 32,
-            250 * MS);
+            250 * MS, 10 * SECOND);
         Routing.Origin origin = new Routing.Origin(s.origin().aside(), s.origin().kind(), false, false, 0, 0);
         return new Routing.Settings(s.index(), s.routers(), s.zone(), s.askForList(), s.ratingStable(),
             s.worthByWork(), s.overShareWorth(), s.tick(), s.classes(), s.tenants(), s.rules(), may, origin,
--- a/src/test/java/beaconturn/decision/OtherShapesTest.java
+++ b/src/test/java/beaconturn/decision/OtherShapesTest.java
@@ -87,4 +87,50 @@
             assertEquals(!told, h.sends.size() - before == 10, "sent: " + (h.sends.size() - before));
         }
     }
+
+    @Test
+    void whileDialsFailOnlyCachesWithAnOpenConnectionAreAskedButForAFew() {
+        Harness h = new Harness(Harness.alone(Harness.settings(false)));
+        h.caches(10);
+        int dialled = 0;
+        for (int i = 0; i < 400; i++) {
+            h.now += 20 * MS;
+            h.arrive(i, READ, 100 + i);
+            while (!h.refused.contains((long) i) && h.last().request() == i) {
+                long request = i;
+                int attempt = (int) h.sends.stream().filter(s -> s.request() == request).count() - 1;
+                boolean open = h.last().server() <= 3;
+                dialled += open || i < 200 ? 0 : 1;
+                h.close(h.last(), attempt, open ? Ending.OK : Ending.CONNECT_FAILED, open);
+                if (open) {
+                    break;
+                }
+            }
+        }
+        assertTrue(dialled > 0 && dialled < 100, "dials that failed in 200 requests: " + dialled);
+    }
+
+    @Test
+    void aReportPassesItsCacheOnlyWhileTheOriginHasRoomForTheFetchOfASpill() {
+        for (boolean busy : List.of(false, true)) {
+            Harness h = new Harness(Harness.reporting(Harness.settings(true), "busy_reqs"));
+            h.caches(6);
+            h.list(ListKind.DELTA, Harness.origin(50));
+            h.arrive(1, READ, 5);
+            long home = h.last().server();
+            h.hit(50 * MS, 60);
+            for (int i = 0; i < 60; i++) {
+                h.arrive(500 + i, READ, 5000 + i);
+                h.hit(50 * MS, h.last().server() == home ? 60 : 2);
+            }
+            for (int i = 0; i < 20; i++) {
+                h.now += 10 * MS;
+                h.miss(100 + i, 1000 + i);
+                h.router.handle(h.now, new Routing.AttemptClosed(100 + i, (busy ? 900 : 50) * MS, true, 50,
+                    Ending.OK, Routing.Note.NONE, 1, new float[0]));
+            }
+            h.arrive(2, READ, 5);
+            assertEquals(busy, h.last().server() == home);
+        }
+    }
 }
