Further attempts follow the tries allowed; caches that lately gave no connection are passed

Lines at fault: RETRY_RATIO (0.2 of arrivals whatever the site allows), furtherAttemptEarned (a quarter bad), pick (all without a connection passed alike).

--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -47,8 +47,8 @@
     /** A sick cache gets a first trial after this many mean answer times, then twice as long each time. */
     private static final double TRIAL_AFTER = 8;
     private static final double LONGEST_TRIAL = 64;
-    /** Further attempts earned by each arrival; keeps retries and hedges a small part of the load. */
-    private static final double RETRY_RATIO = 0.2;
+    /** Further attempts earned by each arrival, for each that is allowed: a small part of the load. */
+    private static final double RETRY_RATIO = 0.05;
     /** Part of the fall multiple that is spent on a cold cache; the rest is for chance and heavy requests. */
     private static final double COLD_SAFETY = 0.8;
     /** Crowded: answers take this part of their aim; beyond it the rest of the way leaves no time. */
@@ -179,7 +179,7 @@
         Request r = new Request(e, type, now, aimEnds, ask, overQuota(e.tenant()), cutAtAim);
         requests.put(r.id, r);
         r.keyPart = r.key == 0 || r.write ? 0 : popularity.count(r.key, RECENT * Math.max(1, ring.size()));
-        retryBudget = Math.min(Math.max(1, ring.size()), retryBudget + RETRY_RATIO);
+        retryBudget = Math.min(Math.max(1, ring.size()), retryBudget + RETRY_RATIO * (may.maxTries() - 1));
         boolean toOrigin = settings.origin().aside() && r.write;
         boolean worthless = aimEnds <= now && type.lateWorth() <= 0 && type.effect() == Routing.Effect.SAFE;
         if (worthless || !admitted(r, toOrigin ? origin : caches)) {
@@ -279,7 +279,7 @@
         Server leastLoaded = null;
         Server lastResort = null;
         int skip = random.nextInt(spread(r));
-        boolean mayDial = dialsFailing == 0 || random.nextDouble() >= dialsFailing;
+        boolean mayDial = mayDial(r);
         walk++;
         for (int i = 0, seen = 0; seen < ring.size(); i++) {
             Server s = ring.get((int) points[(start + i) % points.length] & 0xffff);
@@ -291,7 +291,7 @@
             if (!legal(r, s) || r.tried(s) || !coldBudgetLeft(s)) {
                 continue;
             }
-            if (passedOver(s, r) || !mayDial && now >= s.openUntil) {
+            if (passedOver(s, r) || !mayDial && now >= s.openUntil && s.dialFails(now, may.connIdle())) {
                 lastResort = lessLoaded(lastResort, s);
             } else if (s.inFlight < cap && !crowded(s) && skip-- <= 0) {
                 return s;
@@ -327,6 +327,15 @@
         return Math.max(1, Math.min(most, (int) Math.ceil(r.keyPart / fills * ring.size())));
     }
 
+    /**
+     * While new connections are had by chance only, a cache that lately gave none is asked where one is open.
+     * A first attempt may still try, by seeded chance; a further one has no time for that.
+     */
+    private boolean mayDial(Request r) {
+        return r.attempts.isEmpty()
+            ? dialsFailing == 0 || random.nextDouble() >= dialsFailing * dialsFailing : dialsFailing < NEWEST;
+    }
+
     private double smoothing() {
         return SMOOTHING * (answerTime.mean + 1);
     }
@@ -516,6 +525,7 @@
         }
         boolean refused = ending == Routing.Ending.CONNECT_FAILED;
         dialsFailing += a.dials || refused ? NEWEST * ((refused ? 1 : 0) - dialsFailing) : 0;
+        a.server.dialFailedAt = refused ? now : a.server.dialFailedAt;
         a.server.openUntil = refused ? 0 : ending.spoke() ? now + may.connIdle() : a.server.openUntil;
         if (answered) {
             answers.count(now);
@@ -578,9 +588,12 @@
         }
     }
 
-    /** When the whole fleet does badly another cache is no better, and more attempts only add to it. */
+    /**
+     * When the whole fleet does badly another cache is no better, and more attempts only add to it: sooner
+     * so where a further attempt follows a failed one and cannot race a late one.
+     */
     private boolean furtherAttemptEarned() {
-        return retryBudget >= 1 && fleetSick < SICK;
+        return retryBudget >= 1 && fleetSick < (may.secondCopies() ? SICK : SICK / 2);
     }
 
     private void retry(Request r, Attempt a) {
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -19,6 +19,7 @@
     long reportedAt;
     /** Until when a connection to it should be open, as long as nothing else closes it. */
     long openUntil;
+    long dialFailedAt;
     double sick;
     long judgedAt;
     boolean ejected;
@@ -44,6 +45,11 @@
         return smoothLoad;
     }
 
+    /** Whether a connection to it was asked for in vain within the given time. */
+    boolean dialFails(long now, long memory) {
+        return dialFailedAt != 0 && now - dialFailedAt < memory;
+    }
+
     void update(Routing.ServerEntry e, boolean useRating) {
         if (e.bootTime() != bootTime) {
             sick = 0;
--- a/src/test/java/beaconturn/decision/OtherShapesTest.java
+++ b/src/test/java/beaconturn/decision/OtherShapesTest.java
@@ -59,14 +59,18 @@
             h.serve(i, 1000 + i);
         }
         h.arrive(100, READ, 5);
-        long home = h.last().server();
-        int sent = h.sends.size();
-        h.pass(SECOND / 2);
+        Harness.Send first = h.last();
+        for (int i = 0; i < 5; i++) {
+            h.pass(99 * MS);
+            h.serve(200 + i, 2000 + i);
+        }
+        assertEquals(List.of(), h.actions.stream().filter(a -> a.startsWith("cancel")).toList());
+        h.pass(10 * MS);
         assertEquals("cancel 100 0", h.actions.get(h.actions.size() - 1));
-        assertEquals(sent, h.sends.size());
-        h.close(h.last(), 0, Ending.CANCELLED, false);
+        int sent = h.sends.size();
+        h.close(first, 0, Ending.CANCELLED, false);
         assertEquals(sent + 1, h.sends.size());
-        assertNotEquals(home, h.last().server());
+        assertNotEquals(first.server(), h.last().server());
     }
 
     @Test
