--- a/src/test/java/beaconturn/decision/OtherShapesTest.java
+++ b/src/test/java/beaconturn/decision/OtherShapesTest.java
@@ -2,7 +2,6 @@
 
 import static beaconturn.decision.Harness.MS;
 import static beaconturn.decision.Harness.READ;
-import static beaconturn.decision.Harness.SECOND;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
