New settings take force on SIGHUP; what means the same of the caches is kept, the rest starts afresh

A module that follows another takes over what is told of servers by id: the list, health, open connections and failed dials, cold budgets (one bucket for both while both send) and reports where their fields are the same. Answer times, limits, paces, quotas and popularity start afresh. Requests that were taken before stay with the old module until they have their answers; a list that failed is asked for again by the new one only. Settings that change how the wire is read wait for a restart, and the log says so. What the module now reads comes from the configuration too, checked: family_info.notes, permissions.conn_idle, flags that are neither true nor false.

--- a/src/main/java/beaconturn/core/Message.java
+++ b/src/main/java/beaconturn/core/Message.java
@@ -1,5 +1,7 @@
 package beaconturn.core;
 
+import beaconturn.decision.Routing;
+
 /** What can be posted to the module's actor. */
 public sealed interface Message {
     /** A request has come in whole. */
@@ -13,4 +15,7 @@
 
     /** Discovery has answered or failed. */
     record News(ListNews news) implements Message { }
+
+    /** Other settings are in force from here on. */
+    record Switched(Routing.Settings settings, long seed) implements Message { }
 }
--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -3,7 +3,12 @@
 import beaconturn.decision.RingRouter;
 import beaconturn.decision.Routing;
 import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
 import java.util.Queue;
+import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -15,7 +20,15 @@
 public final class ModuleHost {
     private static final Logger LOG = Logger.getLogger(ModuleHost.class.getName());
 
-    private final Routing.Settings settings;
+    /** A module, and when another took its place; it goes on with the requests that it has. */
+    private static final class Hosted {
+        private Routing.Router router;
+        private long replacedAt;
+    }
+
+    private record Due(Hosted to, Routing.Event event) { }
+
+    private Routing.Settings settings;
     private final Clock clock;
     private final Fleet fleet;
     private final ListSource list;
@@ -23,8 +36,9 @@
     private final Spell failures = new Spell(LOG, "requests fail", 3);
     private final RequestTable table = new RequestTable();
     private final Timers timers = new Timers();
-    private final Queue<Routing.Event> pending = new ArrayDeque<>();
-    private final Routing.Router router;
+    private final Queue<Due> pending = new ArrayDeque<>();
+    /** Modules by the first request that is theirs. */
+    private final NavigableMap<Long, Hosted> modules = new TreeMap<>();
 
     /** A host whose module starts with the settings and the seed. */
     public ModuleHost(Routing.Settings settings, long seed, Clock clock, Fleet fleet, ListSource list) {
@@ -38,7 +52,29 @@
         this.clock = clock;
         this.fleet = fleet;
         this.list = list;
-        this.router = module.apply(new Actions());
+        host(0, module);
+    }
+
+    private void host(long firstRequest, Function<Routing.Actions, Routing.Router> module) {
+        Hosted next = new Hosted();
+        next.router = module.apply(new Actions(next));
+        modules.put(firstRequest, next);
+    }
+
+    /** A new module for what comes from now on; what it keeps of the old one is the module's affair. */
+    private void switchTo(Message.Switched to) {
+        long now = clock.now();
+        long over = settings.rules().answerSlack() + settings.classes().stream()
+            .mapToLong(Routing.RequestClass::deadline).max().orElse(0);
+        modules.values().removeIf(m -> m.replacedAt != 0 && now - m.replacedAt > over);
+        Hosted last = modules.lastEntry().getValue();
+        if (!(last.router instanceof RingRouter before)) {
+            throw new IllegalStateException("a module of another kind is not replaced");
+        }
+        last.replacedAt = now;
+        settings = to.settings();
+        host(table.nextId(), out -> new RingRouter(settings, to.seed(), now, out, before));
+        LOG.info("new settings are in force");
     }
 
     /** Handles one message and all that follows from it at once. */
@@ -51,10 +87,21 @@
             ended(ended.attempt(), ended.outcome());
         } else if (message instanceof Message.News news) {
             fleet.follow(news.news());
-            deliver(news.news().event());
+            Routing.ServerList event = news.news().event();
+            // A list that failed is asked for again by one module only, the one in force.
+            Collection<Hosted> to = event.kind() == Routing.ListKind.FAILED
+                ? List.of(modules.lastEntry().getValue()) : List.copyOf(modules.values());
+            to.forEach(m -> deliver(m, event));
+        } else if (message instanceof Message.Switched switched) {
+            switchTo(switched);
         }
     }
 
+    private Hosted of(long request) {
+        Map.Entry<Long, Hosted> owner = modules.floorEntry(request);
+        return owner == null ? modules.firstEntry().getValue() : owner.getValue();
+    }
+
     /** Runs the timers that are due. */
     public void runDue() {
         for (Runnable due = timers.takeDue(clock.now()); due != null; due = timers.takeDue(clock.now())) {
@@ -80,7 +127,8 @@
         long last = call.deadline() + settings.rules().answerSlack();
         RequestTable.Entry r = table.add(call, entry -> timers.at(last, () -> overdue(entry)));
         Call.Ask ask = call.ask();
-        deliver(new Routing.Arrival(r.id(), ask.tenant(), ask.hint(), ask.key(), ask.requestClass(),
+        deliver(of(r.id()), new Routing.Arrival(r.id(), ask.tenant(), ask.hint(), ask.key(),
+            ask.requestClass(),
             call.deadline() - now, ask.clientRetry(), ask.write(), ask.size()));
     }
 
@@ -96,7 +144,7 @@
     private void withdraw(RequestTable.Entry r) {
         if (r != null && !r.closed()) {
             table.close(r);
-            deliver(new Routing.Withdrawn(r.id()));
+            deliver(of(r.id()), new Routing.Withdrawn(r.id()));
         }
     }
 
@@ -115,20 +163,21 @@
         }
         boolean closed = r.closed();
         table.ended(r);
-        deliver(new Routing.AttemptClosed(a.request(), Math.max(0, outcome.at() - a.sentAt()), closed,
-            a.server(), outcome.ending(), outcome.note(), a.number(), outcome.report()));
+        deliver(of(a.request()), new Routing.AttemptClosed(a.request(),
+            Math.max(0, outcome.at() - a.sentAt()), closed, a.server(), outcome.ending(),
+            outcome.note(), a.number(), outcome.report()));
     }
 
     /** Hands the event to the module, then the events that its own actions caused. */
-    private void deliver(Routing.Event event) {
-        pending.add(event);
+    private void deliver(Hosted to, Routing.Event event) {
+        pending.add(new Due(to, event));
         if (pending.size() > 1) {
             return;
         }
         while (!pending.isEmpty()) {
-            Routing.Event next = pending.element();
+            Routing.Event next = pending.element().event();
             try {
-                router.handle(clock.now(), next);
+                pending.element().to().router.handle(clock.now(), next);
             } catch (RuntimeException | StackOverflowError e) {
                 // One event that the module fails on must not end the router, nor strand its request.
                 LOG.log(Level.SEVERE, "decision module failed on " + next.getClass().getSimpleName(), e);
@@ -142,14 +191,21 @@
 
     /** What the module does, carried out at once. */
     private final class Actions implements Routing.Actions {
+        private final Hosted module;
+
+        private Actions(Hosted module) {
+            this.module = module;
+        }
+
         @Override
         public void send(long request, long server, long allowFor) {
             RequestTable.Entry r = table.get(request);
             if (r == null || r.closed() || r.attempts().size() >= settings.permissions().maxTries()) {
                 LOG.warning("send for request " + request + ", which may not have it: not sent");
                 int number = r == null ? 0 : r.attempts().size();
-                pending.add(new Routing.AttemptClosed(request, 0, r == null || r.closed(), server,
-                    Routing.Ending.MOOT, Routing.Note.NONE, number, Outcome.NO_REPORT));
+                pending.add(new Due(module,
+                    new Routing.AttemptClosed(request, 0, r == null || r.closed(), server,
+                    Routing.Ending.MOOT, Routing.Note.NONE, number, Outcome.NO_REPORT)));
                 return;
             }
             long now = clock.now();
@@ -180,8 +236,9 @@
         private void over(Attempt a, RequestTable.Entry r, Routing.Ending ending) {
             a.end();
             table.ended(r);
-            pending.add(new Routing.AttemptClosed(a.request(), clock.now() - a.sentAt(), r.closed(),
-                a.server(), ending, Routing.Note.NONE, a.number(), Outcome.NO_REPORT));
+            pending.add(new Due(module,
+                new Routing.AttemptClosed(a.request(), clock.now() - a.sentAt(), r.closed(),
+                a.server(), ending, Routing.Note.NONE, a.number(), Outcome.NO_REPORT)));
         }
 
         @Override
@@ -206,7 +263,7 @@
 
         @Override
         public void timer(long delay, long token) {
-            timers.at(clock.now() + delay, () -> deliver(new Routing.Timer(token)));
+            timers.at(clock.now() + delay, () -> deliver(module, new Routing.Timer(token)));
         }
 
         @Override
--- a/src/main/java/beaconturn/core/RequestTable.java
+++ b/src/main/java/beaconturn/core/RequestTable.java
@@ -54,6 +54,11 @@
         return r;
     }
 
+    /** The number that the next request will have. */
+    long nextId() {
+        return lastId + 1;
+    }
+
     /** The request of that number, or null once it is over. */
     Entry get(long id) {
         return entries.get(id);
--- a/src/main/java/beaconturn/core/Settings.java
+++ b/src/main/java/beaconturn/core/Settings.java
@@ -8,4 +8,15 @@
  * names behind the numbers and how long an idle connection to a cache server lives.
  */
 public record Settings(Routing.Settings routing, List<String> classNames, List<String> zones,
-        List<String> kinds, long idleTime) { }
+        List<String> kinds, long idleTime) {
+    /** Whether the wire is read and written alike under both, so that one may follow the other at once. */
+    public boolean sameWire(Settings other) {
+        Routing.Permissions may = routing.permissions();
+        Routing.Permissions others = other.routing.permissions();
+        return classNames.equals(other.classNames) && zones.equals(other.zones) && kinds.equals(other.kinds)
+            && idleTime == other.idleTime && routing.classes().equals(other.routing.classes())
+            && routing.tenants().equals(other.routing.tenants())
+            && routing.reportNames().equals(other.routing.reportNames())
+            && may.connectTimeout() == others.connectTimeout();
+    }
+}
--- a/src/main/java/beaconturn/core/SettingsReader.java
+++ b/src/main/java/beaconturn/core/SettingsReader.java
@@ -18,7 +18,7 @@
     public static Settings read(Map<String, String> values) throws SettingsException {
         SettingsReader reader = new SettingsReader(values);
         return new Settings(reader.routing(), reader.classNames(), reader.words("dcs"),
-            reader.words("flavors"), reader.whole("permissions.conn_idle", NEVER));
+            reader.words("flavors"), reader.idleTime());
     }
 
     private List<String> classNames() throws SettingsException {
@@ -72,17 +72,26 @@
         return new Routing.Permissions(flag(at + "cancel", false), flag(at + "peers", false),
             flag(at + "probes", false), flag(at + "retry_after", false), flag(at + "second_copies", false),
             (int) whole(at + "most_tries", 1), whole(at + "max_retry_after", 0),
-            (int) whole(at + "multiplex", 1), whole(at + "dial_timeout", 0), whole(at + "conn_idle", NEVER));
+            (int) whole(at + "multiplex", 1), whole(at + "dial_timeout", 0), idleTime());
     }
 
     private Routing.Origin origin() throws SettingsException {
         String at = "family_info.";
         return new Routing.Origin(word(at + "mode", "through").equals("aside"),
             (int) whole(at + "origin_kind", -1), flag(at + "ordered", false),
-            !word(at + "notes", "").equals("none"),
+            tellsHits(at + "notes"),
             whole(at + "origin_fall", 0), number(at + "origin_fall_multiple", 0));
     }
 
+    /** {@code none} or what the numbers mean; where nothing is said answers are taken to tell. */
+    private boolean tellsHits(String path) throws SettingsException {
+        String word = word(path, "hit");
+        if (!word.equals("none") && !word.contains("hit")) {
+            throw unreadable(path, word);
+        }
+        return !word.equals("none");
+    }
+
     private List<String> words(String path) {
         String words = word(path, "");
         return words.isEmpty() ? List.of() : List.of(words.split(","));
@@ -116,8 +125,20 @@
         return values.getOrDefault(path, fallback);
     }
 
-    private boolean flag(String path, boolean fallback) {
-        return Boolean.parseBoolean(word(path, Boolean.toString(fallback)));
+    private boolean flag(String path, boolean fallback) throws SettingsException {
+        String word = word(path, Boolean.toString(fallback));
+        if (!word.equals("true") && !word.equals("false")) {
+            throw unreadable(path, word);
+        }
+        return word.equals("true");
+    }
+
+    private long idleTime() throws SettingsException {
+        long idle = whole("permissions.conn_idle", NEVER);
+        if (idle <= 0) {
+            throw unreadable("permissions.conn_idle", Long.toString(idle));
+        }
+        return idle;
     }
 
     private long required(String path) throws SettingsException {
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.stream.Stream;
 
 /**
  * Every decision of one router: consistent hashing with bounded loads, and what it takes to stay sound when
@@ -115,8 +116,26 @@
     private long judgedAt;
     private long watchBackoff;
 
+    /**
+     * A router that follows another in its place. What is told of servers by their ids still means the same:
+     * the list, health, connections, cold budgets, reports of the same fields. All else starts afresh.
+     */
+    public RingRouter(Routing.Settings settings, long seed, long now, Routing.Actions out,
+            RingRouter before) {
+        this(settings, seed, now, out, !before.settings.askForList());
+        boolean sameReports = settings.reportNames().equals(before.settings.reportNames());
+        for (Server s : Stream.concat(before.ring.stream(), before.origins.stream()).toList()) {
+            servers.put(s.id, s.successor(sameReports, settings.ratingStable()));
+            (isOrigin(s) ? origins : ring).add(servers.get(s.id));
+        }
+    }
+
     /** A router that starts empty; its first list follows. */
     public RingRouter(Routing.Settings settings, long seed, long now, Routing.Actions out) {
+        this(settings, seed, now, out, true);
+    }
+
+    private RingRouter(Routing.Settings settings, long seed, long now, Routing.Actions out, boolean watch) {
         this.settings = settings;
         this.rules = settings.rules();
         this.loadField = settings.reportNames().indexOf("busy_reqs");
@@ -140,7 +159,7 @@
         this.watchBackoff = rules.askWithin() / 16;
         long longest = settings.classes().stream().mapToLong(Routing.RequestClass::deadline).max().orElse(0);
         this.held = new KeyMemory(KEYS_REMEMBERED, longest, NEWEST);
-        if (settings.askForList()) {
+        if (settings.askForList() && watch) {
             out.watch(true);
         }
     }
@@ -327,10 +346,7 @@
         return Math.max(1, Math.min(most, (int) Math.ceil(r.keyPart / fills * ring.size())));
     }
 
-    /**
-     * While new connections are had by chance only, a cache that lately gave none is asked where one is open.
-     * A first attempt may still try, by seeded chance; a further one has no time for that.
-     */
+    /** Whether to try a cache that lately gave no connection; a further attempt has no time for that. */
     private boolean mayDial(Request r) {
         return r.attempts.isEmpty()
             ? dialsFailing == 0 || random.nextDouble() >= dialsFailing * dialsFailing : dialsFailing < NEWEST;
@@ -588,10 +604,7 @@
         }
     }
 
-    /**
-     * When the whole fleet does badly another cache is no better, and more attempts only add to it: sooner
-     * so where a further attempt follows a failed one and cannot race a late one.
-     */
+    /** When the whole fleet does badly more attempts only add to it: sooner so where none can race. */
     private boolean furtherAttemptEarned() {
         return retryBudget >= 1 && fleetSick < (may.secondCopies() ? SICK : SICK / 2);
     }
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -3,7 +3,7 @@
 /** What a router knows of one cache or origin. */
 final class Server {
     final long id;
-    final Bucket cold = new Bucket();
+    final Bucket cold;
     int zone;
     int cell;
     int kind;
@@ -28,7 +28,33 @@
     long walk;
 
     Server(long id) {
+        this(id, new Bucket());
+    }
+
+    private Server(long id, Bucket cold) {
         this.id = id;
+        this.cold = cold;
+    }
+
+    /** The same server for a router with other settings; the cold budget is one for both while both send. */
+    Server successor(boolean sameReports, boolean useRating) {
+        Server next = new Server(id, cold);
+        next.zone = zone;
+        next.cell = cell;
+        next.kind = kind;
+        next.health = health;
+        next.rating = useRating ? rating : 1;
+        next.bootTime = bootTime;
+        next.openUntil = openUntil;
+        next.dialFailedAt = dialFailedAt;
+        next.reported = sameReports ? reported : 0;
+        next.reportedAt = sameReports ? reportedAt : 0;
+        next.sick = sick;
+        next.judgedAt = judgedAt;
+        next.ejected = ejected;
+        next.trialGap = trialGap;
+        next.trialAt = trialAt;
+        return next;
     }
 
     /** Counts requests in flight up or down; the smoothed load is brought up to now first. */
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -73,7 +73,7 @@
             inbox, poller, new OpenIds(), new Semaphore(capacity.largeRequests()), clients::remove);
         this.discovery = new Discovery(config.discovery(), new ListReader(config.settings()),
             config.known().version(), module::post);
-        this.reloads = new Reloads(source, discovery);
+        this.reloads = new Reloads(source, discovery, config, module::post);
         Routing.Settings routing = config.settings().routing();
         CacheFleet fleet = new CacheFleet(new CacheServer.Site(clock, inbox,
             new Semaphore(capacity.cacheConnections()), new ReplyReader(routing),
--- a/src/test/java/beaconturn/core/ModuleHostTest.java
+++ b/src/test/java/beaconturn/core/ModuleHostTest.java
@@ -201,45 +201,6 @@
         assertEquals(0, host.open());
     }
 
-    private static final class FakeCall implements Call {
-        private final long deadline;
-        private final List<String> answers = new ArrayList<>();
-
-        FakeCall(long deadline) {
-            this.deadline = deadline;
-        }
-
-        @Override
-        public Ask ask() {
-            return new Ask(0, 1, false, false, 0, 0, 0);
-        }
-
-        @Override
-        public long deadline() {
-            return deadline;
-        }
-
-        @Override
-        public List<Slice> forwarded(long waitMillis) {
-            return List.of();
-        }
-
-        @Override
-        public void served(Slice answer) {
-            answers.add("served " + answer);
-        }
-
-        @Override
-        public void refused(long retryAfter) {
-            answers.add("refused " + retryAfter / MILLI);
-        }
-
-        @Override
-        public void failed() {
-            answers.add("failed");
-        }
-    }
-
     private static final class FakeFleet implements Fleet {
         private final List<Attempt> sent = new ArrayList<>();
         private final List<Attempt> aborted = new ArrayList<>();
--- a/src/test/java/beaconturn/core/SettingsReaderTest.java
+++ b/src/test/java/beaconturn/core/SettingsReaderTest.java
@@ -1,7 +1,9 @@
 package beaconturn.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beaconturn.decision.Routing;
 import java.util.List;
@@ -25,6 +27,23 @@
         refused("classes.1.effect", "sometimes");
         refused("classes.2.target", "soon");
         refused("classes.0.key_scope", "town");
+        refused("permissions.second_copies", "perhaps");
+        refused("permissions.conn_idle", "0");
+        refused("family_info.notes", "some");
+    }
+
+    /** What decides at deployments of another shape leaves one that says nothing of it as it was. */
+    @Test
+    void whatIsNotSaidLeavesTheDecisionsAsTheyWere() throws SettingsException {
+        Map<String, String> values = Samples.settings();
+        assertTrue(SettingsReader.read(values).routing().origin().tellsHits());
+        values.put("family_info.notes", "none");
+        values.put("permissions.second_copies", "false");
+        values.put("permissions.conn_idle", "7000000000");
+        Routing.Settings settings = SettingsReader.read(values).routing();
+        assertFalse(settings.origin().tellsHits());
+        assertFalse(settings.permissions().secondCopies());
+        assertEquals(7_000_000_000L, settings.permissions().connIdle());
     }
 
     private static void refused(String path, String value) {
