Late is told by the expected work; in through mode no late attempt is called off

Tried first: calling off only from silent caches changed nothing, since a router that sends a cache little hears nothing of it in between. Lines at fault: lateAfter (one time for light and heavy), late.

--- a/src/main/java/beaconturn/decision/Average.java
+++ b/src/main/java/beaconturn/decision/Average.java
@@ -12,9 +12,11 @@
         this.newest = newest;
     }
 
-    void add(double sample) {
+    /** Adds a sample and returns the new mean. */
+    double add(double sample) {
         mean = any ? mean + newest * (sample - mean) : sample;
         deviation = any ? deviation + newest * (Math.abs(sample - mean) - deviation) : sample / 2;
         any = true;
+        return mean;
     }
 }
--- a/src/main/java/beaconturn/decision/Request.java
+++ b/src/main/java/beaconturn/decision/Request.java
@@ -21,6 +21,8 @@
     final long due;
     final List<Attempt> attempts = new ArrayList<>(2);
     double keyPart;
+    /** Its expected work, as a part of the usual. */
+    double size = 1;
     Server missedAt;
     Flight flight;
     boolean queued;
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -38,7 +38,7 @@
     /** A key's even part of a cache that it may fill, as homes of hot keys hold others too. */
     private static final double HOT_FILLS = 0.5;
     /** The same where the origin is asked beside the caches, so that a spread key costs few fetches. */
-    private static final double HOT_FILLS_ASIDE = 0.125;
+    private static final double HOT_FILLS_ASIDE = 0.17;
     /** Requests of late that tell a key's part of them: this many for each cache. */
     private static final double RECENT = 1;
     /** Sick: this share of bad samples above the fleet's own; three in a row reach it. */
@@ -91,10 +91,11 @@
     private final List<Request> fetchQueue = new ArrayList<>();
     private final Average[] answerTimes;
     private final Average answerTime = new Average(NEWEST);
+    private final Average work = new Average(NEWEST / 4);
     private final Average fetchTime = new Average(NEWEST);
     private final KeyMemory held;
     private final Popularity popularity = new Popularity(KEYS_REMEMBERED);
-    /** Until when an answer to what was given up would have been in time, for the client's next try. */
+    /** Until when an answer to what was given up is in time, for the client's next try. */
     private final Map<Long, Long> givenUp = new LatestUsed<>(KEYS_REMEMBERED);
     private final Gate caches = new Gate(CROWDED);
     private final Server all = new Server(0);
@@ -197,6 +198,7 @@
         long aimEnds = before == null ? now + type.aim() : Math.min(before, now + type.aim());
         Request r = new Request(e, type, now, aimEnds, ask, overQuota(e.tenant()), cutAtAim);
         requests.put(r.id, r);
+        r.size = e.hint() > 0 ? e.hint() / work.add(e.hint()) : 1;
         r.keyPart = r.key == 0 || r.write ? 0 : popularity.count(r.key, RECENT * Math.max(1, ring.size()));
         retryBudget = Math.min(Math.max(1, ring.size()), retryBudget + RETRY_RATIO * (may.maxTries() - 1));
         boolean toOrigin = settings.origin().aside() && r.write;
@@ -578,7 +580,8 @@
     /** How long an answer of the request's class takes at the most, as a rule; its aim until one is known. */
     private long lateAfter(Request r, boolean fetches) {
         Average times = fetches ? fetchTime : answerTimes[r.classIndex];
-        return times.any ? (long) (times.mean + LATE_DEVIATIONS * times.deviation) : r.type.aim();
+        double usual = times.mean * Math.max(1, r.size);
+        return times.any ? (long) (usual + LATE_DEVIATIONS * times.deviation) : r.type.aim();
     }
 
     /** Out longer than answers take: counts against the cache; hedged unless the origin is what is late. */
@@ -592,15 +595,14 @@
                 || r.type.effect() == Routing.Effect.UNSAFE || a.fetches && !a.unheard()) {
             return;
         }
-        if (!may.secondCopies()) {
-            r.moves = may.cancel();
+        Server s = may.secondCopies() ? pick(r) : null;
+        if (s != null) {
+            retryBudget--;
+            send(r, s, willFetch(r, s));
+        } else if (!may.secondCopies() && may.cancel() && settings.origin().aside()) {
+            // Not where caches fetch: they go on with what is called off, and the work would be done twice.
+            r.moves = true;
             cancelOpen(r, -1);
-        } else {
-            Server s = pick(r);
-            if (s != null) {
-                retryBudget--;
-                send(r, s, willFetch(r, s));
-            }
         }
     }
 
--- a/src/test/java/beaconturn/decision/Harness.java
+++ b/src/test/java/beaconturn/decision/Harness.java
@@ -121,6 +121,15 @@
         router.handle(now, new Routing.Arrival(request, 0, 0, key, READ, 2 * SECOND, true, false, 0));
     }
 
+    /** A read that its cache answers, of the given expected work; returns when it would have been late. */
+    long sized(long request, long hint) {
+        router.handle(now, new Routing.Arrival(request, 0, hint, 10_000 + request, READ, 2 * SECOND, false,
+            false, 0));
+        long late = timers.get(timers.size() - 1)[0] - now;
+        close(last(), 0, Ending.OK, true);
+        return late;
+    }
+
     /** A read that its cache answers. */
     void serve(long request, long key) {
         arrive(request, READ, key);
--- a/src/test/java/beaconturn/decision/OtherShapesTest.java
+++ b/src/test/java/beaconturn/decision/OtherShapesTest.java
@@ -136,4 +136,29 @@
             assertEquals(busy, h.last().server() == home);
         }
     }
+
+    @Test
+    void aHeavyRequestIsLateLaterThanALightOne() {
+        Harness h = new Harness(Harness.settings(false));
+        h.caches(6);
+        for (int i = 0; i < 100; i++) {
+            h.sized(i, 10 * MS);
+            h.now += 20 * MS;
+        }
+        long usual = h.sized(200, 10 * MS);
+        assertTrue(h.sized(201, 80 * MS) > usual + 100 * MS, "usual: " + usual);
+        assertEquals(usual, h.sized(202, MS), MS);
+    }
+
+    @Test
+    void aLateAttemptStaysOutWhereItsCacheGoesOnWithTheFetch() {
+        Harness h = new Harness(Harness.alone(Harness.settings(false)));
+        h.caches(6);
+        for (int i = 0; i < 50; i++) {
+            h.serve(i, 1000 + i);
+        }
+        h.arrive(100, READ, 5);
+        h.pass(1000 * MS);
+        assertEquals(List.of(), h.actions.stream().filter(a -> a.startsWith("cancel")).toList());
+    }
 }
