Idle time, longest deadline and the worth of late answers are each told in one place

Read through: how long an idle connection lives stood in the settings of the wire and in those of the module, both read from permissions.conn_idle; the longest deadline was worked out in RouterServer, ModuleHost and RingRouter; whether a late answer earns anything twice within RingRouter.arrived. Now once each (Permissions.connIdle, Settings.longestDeadline, lateEarnsNothing). In aside mode every answer took two powers and two logarithms to learn a kind's pace: the step is a whole number now, and the power is taken where points are placed. Discovery posts by the same inbox as clients and caches, so that what a test puts between reaches the list too.

--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -64,8 +64,7 @@
     /** A new module for what comes from now on; what it keeps of the old one is the module's affair. */
     private void switchTo(Message.Switched to) {
         long now = clock.now();
-        long over = settings.rules().answerSlack() + settings.classes().stream()
-            .mapToLong(Routing.RequestClass::deadline).max().orElse(0);
+        long over = settings.rules().answerSlack() + settings.longestDeadline();
         modules.values().removeIf(m -> m.replacedAt != 0 && now - m.replacedAt > over);
         Hosted last = modules.lastEntry().getValue();
         if (!(last.router instanceof RingRouter before)) {
@@ -90,7 +89,7 @@
             Routing.ServerList event = news.news().event();
             // A list that failed is asked for again by one module only, the one in force.
             Collection<Hosted> to = event.kind() == Routing.ListKind.FAILED
-                ? List.of(modules.lastEntry().getValue()) : List.copyOf(modules.values());
+                ? List.of(modules.lastEntry().getValue()) : modules.values();
             to.forEach(m -> deliver(m, event));
         } else if (message instanceof Message.Switched switched) {
             switchTo(switched);
@@ -128,8 +127,7 @@
         RequestTable.Entry r = table.add(call, entry -> timers.at(last, () -> overdue(entry)));
         Call.Ask ask = call.ask();
         deliver(of(r.id()), new Routing.Arrival(r.id(), ask.tenant(), ask.hint(), ask.key(),
-            ask.requestClass(),
-            call.deadline() - now, ask.clientRetry(), ask.write(), ask.size()));
+            ask.requestClass(), call.deadline() - now, ask.clientRetry(), ask.write(), ask.size()));
     }
 
     /** A request must not go without an answer, even if the module fails: its client is told so. */
--- a/src/main/java/beaconturn/core/SettingsReader.java
+++ b/src/main/java/beaconturn/core/SettingsReader.java
@@ -18,7 +18,7 @@
     public static Settings read(Map<String, String> values) throws SettingsException {
         SettingsReader reader = new SettingsReader(values);
         return new Settings(reader.routing(), reader.classNames(), reader.words("dcs"),
-            reader.words("flavors"), reader.idleTime());
+            reader.words("flavors"));
     }
 
     private List<String> classNames() throws SettingsException {
--- a/src/main/java/beaconturn/decision/Request.java
+++ b/src/main/java/beaconturn/decision/Request.java
@@ -22,7 +22,7 @@
     final List<Attempt> attempts = new ArrayList<>(2);
     double keyPart;
     /** Its expected work, as a part of the usual. */
-    double size = 1;
+    double size;
     Server missedAt;
     Flight flight;
     boolean queued;
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -158,8 +158,7 @@
         this.quotas = new Bucket[settings.tenants().size()];
         Arrays.setAll(quotas, i -> new Bucket());
         this.watchBackoff = rules.askWithin() / 16;
-        long longest = settings.classes().stream().mapToLong(Routing.RequestClass::deadline).max().orElse(0);
-        this.held = new KeyMemory(KEYS_REMEMBERED, longest, NEWEST);
+        this.held = new KeyMemory(KEYS_REMEMBERED, settings.longestDeadline(), NEWEST);
         if (settings.askForList() && watch) {
             out.watch(true);
         }
@@ -190,9 +189,9 @@
 
     private void arrived(Routing.Arrival e) {
         Routing.RequestClass type = settings.classes().get(e.requestClass());
+        boolean lateEarnsNothing = type.lateWorth() <= 0 && type.effect() == Routing.Effect.SAFE;
         // A cache that goes on with what earns nothing is late for the next; not so where caches fetch.
-        boolean cutAtAim = settings.origin().aside() && type.lateWorth() <= 0
-            && type.effect() == Routing.Effect.SAFE;
+        boolean cutAtAim = settings.origin().aside() && lateEarnsNothing;
         long ask = sameAsk(e);
         Long before = e.clientRetry() ? givenUp.remove(ask) : null;
         long aimEnds = before == null ? now + type.aim() : Math.min(before, now + type.aim());
@@ -202,8 +201,7 @@
         r.keyPart = r.key == 0 || r.write ? 0 : popularity.count(r.key, RECENT * Math.max(1, ring.size()));
         retryBudget = Math.min(Math.max(1, ring.size()), retryBudget + RETRY_RATIO * (may.maxTries() - 1));
         boolean toOrigin = settings.origin().aside() && r.write;
-        boolean worthless = aimEnds <= now && type.lateWorth() <= 0 && type.effect() == Routing.Effect.SAFE;
-        if (worthless || !admitted(r, toOrigin ? origin : caches)) {
+        if (lateEarnsNothing && aimEnds <= now || !admitted(r, toOrigin ? origin : caches)) {
             giveUp(r);
         } else if (toOrigin) {
             askOrigin(r, null);
@@ -375,7 +373,8 @@
         long[] all = new long[4 * POINTS * ring.size()];
         int at = 0;
         for (int i = 0; i < ring.size(); i++) {
-            double size = ring.get(i).rating / unit / pace(ring.get(i).kind);
+            double pace = Math.pow(2, (double) paceStep(ring.get(i).kind) / PACE_STEPS);
+            double size = ring.get(i).rating / unit / pace;
             long count = Math.round(POINTS * Math.max(0.25, Math.min(4, size)));
             for (int k = 0; k < count; k++) {
                 all[at++] = Hash.mix(ring.get(i).id * 4099 + k) & -0x10000L | i;
@@ -389,16 +388,16 @@
      * How long caches of a kind take, as a part of what all take: ratings may tell their cores and not their
      * speed. In steps, so that routers which learn apart place nearly all points alike.
      */
-    private double pace(int kind) {
+    private int paceStep(int kind) {
         double taken = paces.size() < 2 || !paces.containsKey(kind) ? 1 : paces.get(kind).now;
-        return Math.pow(2, Math.rint(PACE_STEPS * Math.log(taken) / Math.log(2)) / PACE_STEPS);
+        return (int) Math.rint(PACE_STEPS * Math.log(taken) / Math.log(2));
     }
 
     /** Learns how long the kind takes; the ring is built anew when that is a step more or less. */
     private void paced(int kind, double ofUsual) {
-        double before = pace(kind);
+        int before = paceStep(kind);
         paces.computeIfAbsent(kind, k -> new Slowness(NEWEST / 2)).add(ofUsual);
-        if (pace(kind) != before) {
+        if (paceStep(kind) != before) {
             points = new long[0];
         }
     }
@@ -560,12 +559,12 @@
         if (ending == Routing.Ending.OK && !r.write && !settings.origin().aside()) {
             held.answered(r.key, a.server.id, missed, now);
         }
-        Average usual = answerTimes[r.classIndex];
-        if (ending == Routing.Ending.OK && !fetched && usual.any && settings.origin().aside()) {
-            paced(a.server.kind, e.elapsed() / usual.mean);
-        }
         if (ending == Routing.Ending.OK && !fetched) {
-            answerTimes[r.classIndex].add(e.elapsed());
+            Average usual = answerTimes[r.classIndex];
+            if (usual.any && settings.origin().aside()) {
+                paced(a.server.kind, e.elapsed() / usual.mean);
+            }
+            usual.add(e.elapsed());
             answerTime.add(e.elapsed());
         }
         if (!a.judged || answered && fetched && !late) {
--- a/src/main/java/beaconturn/decision/Routing.java
+++ b/src/main/java/beaconturn/decision/Routing.java
@@ -73,7 +73,12 @@
     public record Settings(int index, int routers, int zone, boolean askForList, boolean ratingStable,
             boolean worthByWork, double overShareWorth, long tick, List<RequestClass> classes,
             List<Tenant> tenants, Rules rules, Permissions permissions, Origin origin,
-            List<String> reportNames) { }
+            List<String> reportNames) {
+        /** The deadline of the class that has the longest, in nanoseconds; 0 without classes. */
+        public long longestDeadline() {
+            return classes.stream().mapToLong(RequestClass::deadline).max().orElse(0);
+        }
+    }
 
     /** One line of the server list; {@code bootTime} 0 means that it started long ago. */
     public record ServerEntry(long server, int zone, int kind, int cell, Health health, double rating,
--- a/src/main/java/beaconturn/net/Reloads.java
+++ b/src/main/java/beaconturn/net/Reloads.java
@@ -54,7 +54,8 @@
         }
     }
 
-    private void reload() {
+    /** Reads the configuration anew and takes what may change; on the thread that asks. */
+    void reload() {
         try {
             RouterConfig next = source.read();
             take(next);
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -37,7 +37,7 @@
             return new ModuleHost(config.settings().routing(), config.seed(), clock, fleet, list);
         }
 
-        /** Where clients and cache servers post. */
+        /** Where clients, cache servers and discovery post. */
         default Consumer<Message> inbox(Consumer<Message> mailbox) {
             return mailbox;
         }
@@ -72,12 +72,12 @@
         this.site = new ClientConnection.Site(new RequestParser(config.settings()), clock, lifecycle,
             inbox, poller, new OpenIds(), new Semaphore(capacity.largeRequests()), clients::remove);
         this.discovery = new Discovery(config.discovery(), new ListReader(config.settings()),
-            config.known().version(), module::post);
+            config.known().version(), inbox);
         this.reloads = new Reloads(source, discovery, config, module::post);
         Routing.Settings routing = config.settings().routing();
         CacheFleet fleet = new CacheFleet(new CacheServer.Site(clock, inbox,
             new Semaphore(capacity.cacheConnections()), new ReplyReader(routing),
-            routing.permissions().connectTimeout(), config.settings().idleTime() / 2));
+            routing.permissions().connectTimeout(), routing.permissions().connIdle() / 2));
         module.host(hosting.host(config, clock, fleet, discovery));
         this.listener = new Listener(config.listen(), this::accepted);
     }
@@ -114,8 +114,7 @@
         if (!lifecycle.advance(Lifecycle.Phase.DRAINING)) {
             return;
         }
-        long longest = config.settings().routing().classes().stream()
-            .mapToLong(Routing.RequestClass::deadline).max().orElse(0);
+        long longest = config.settings().routing().longestDeadline();
         long began = clock.now();
         Thread.sleep(ACCEPT_ON / MILLI);
         listener.close();
--- a/src/test/java/beaconturn/core/Samples.java
+++ b/src/test/java/beaconturn/core/Samples.java
@@ -37,10 +37,14 @@
         return values;
     }
 
-    /** The same settings, read. */
-    public static Settings read() {
+    /** The same settings, read; each path is followed by its value where that is to be another. */
+    public static Settings read(String... changes) {
+        Map<String, String> values = settings();
+        for (int i = 0; i < changes.length; i += 2) {
+            values.put(changes[i], changes[i + 1]);
+        }
         try {
-            return SettingsReader.read(settings());
+            return SettingsReader.read(values);
         } catch (SettingsException e) {
             throw new IllegalStateException(e);
         }
--- a/src/test/java/beaconturn/core/SettingsReaderTest.java
+++ b/src/test/java/beaconturn/core/SettingsReaderTest.java
@@ -16,7 +16,7 @@
         Settings settings = Samples.read();
         assertEquals(List.of("read", "put", "ack"), settings.classNames());
         assertEquals(List.of("east", "west"), settings.zones());
-        assertEquals(5_000_000_000L, settings.idleTime());
+        assertEquals(5_000_000_000L, settings.routing().permissions().connIdle());
         assertEquals(Routing.Effect.UNSAFE, settings.routing().classes().get(2).effect());
         assertEquals(3, settings.routing().permissions().maxTries());
     }
@@ -34,13 +34,10 @@
 
     /** What decides at deployments of another shape leaves one that says nothing of it as it was. */
     @Test
-    void whatIsNotSaidLeavesTheDecisionsAsTheyWere() throws SettingsException {
-        Map<String, String> values = Samples.settings();
-        assertTrue(SettingsReader.read(values).routing().origin().tellsHits());
-        values.put("family_info.notes", "none");
-        values.put("permissions.second_copies", "false");
-        values.put("permissions.conn_idle", "7000000000");
-        Routing.Settings settings = SettingsReader.read(values).routing();
+    void whatIsNotSaidLeavesTheDecisionsAsTheyWere() {
+        assertTrue(Samples.read().routing().origin().tellsHits());
+        Routing.Settings settings = Samples.read("family_info.notes", "none",
+            "permissions.second_copies", "false", "permissions.conn_idle", "7000000000").routing();
         assertFalse(settings.origin().tellsHits());
         assertFalse(settings.permissions().secondCopies());
         assertEquals(7_000_000_000L, settings.permissions().connIdle());
