Tests share their fakes and loops; three that could not fail now do

Fakes of the host stand once (ModuleHostTest), reads in a row once (Harness.reads), the reload is tested without threads, and the router that ignores drains is deaf in its mailbox, which makes its own fleet needless.

Sixteen planted defects, one at a time. Three passed unseen and are caught now: a sick server that a switch trusts anew (the key's home was another server, so the test could not fail), an old request's events handed to the new module, and a mailbox that does not wake who waits for room (the taker often came first).

--- a/src/test/java/beaconturn/cli/MainTest.java
+++ b/src/test/java/beaconturn/cli/MainTest.java
@@ -14,15 +14,20 @@
         assertEquals(2, Main.run("other"));
         assertEquals(2, Main.run("simhost", "extra"));
         assertEquals(2, Main.run("serve", "--unknown"));
+        assertEquals(2, Main.run("rehearse"));
+        assertEquals(2, Main.run("stand-in", "one.toml", "two.toml"));
     }
 
     @Test
-    void versionSucceeds() {
+    void whatOnlyTellsSucceeds() {
         assertEquals(0, Main.run("version"));
+        assertEquals(0, Main.run("rehearse", "--list"));
     }
 
     @Test
-    void aConfigurationThatIsNotThereExitsWithOne() {
+    void aFileThatIsNotThereExitsWithOne() {
+        assertEquals(1, Main.run("rehearse", "no/such/scenario.toml"));
+        assertEquals(1, Main.run("stand-in", "no/such/scenario.toml"));
         assertEquals(1, Main.run("check-config", "--config", "no/such/file.json"));
         assertEquals(1, Main.run("serve", "--config", "no/such/file.json"));
     }
@@ -34,15 +39,6 @@
         assertEquals(2, Main.run("rehearse", "--help", "more"));
     }
 
-    @Test
-    void theKitTellsWrongUsageFromWrongInput() {
-        assertEquals(2, Main.run("rehearse"));
-        assertEquals(2, Main.run("stand-in", "one.toml", "two.toml"));
-        assertEquals(1, Main.run("rehearse", "no/such/scenario.toml"));
-        assertEquals(1, Main.run("stand-in", "no/such/scenario.toml"));
-        assertEquals(0, Main.run("rehearse", "--list"));
-    }
-
     @Test
     void anAddressThatIsTakenEndsTheStandInsInOneLine() throws IOException {
         try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
--- a/src/test/java/beaconturn/core/MailboxTest.java
+++ b/src/test/java/beaconturn/core/MailboxTest.java
@@ -5,9 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.concurrent.atomic.AtomicReference;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 class MailboxTest {
     @Test
@@ -43,14 +44,18 @@
     }
 
     @Test
-    void aThreadThatPutsIntoAFullMailboxWaitsForRoom() throws InterruptedException {
+    @Timeout(20)
+    void aThreadThatPutsIntoAFullMailboxWaitsForRoom() throws Exception {
         Mailbox<Integer> mailbox = new Mailbox<>(1);
         mailbox.put(1);
-        Thread second = new Thread(() -> put(mailbox, 2));
-        second.start();
+        FutureTask<Boolean> second = new FutureTask<>(() -> {
+            mailbox.put(2);
+            return true;
+        });
+        started(second, Thread.State.WAITING);
         assertEquals(1, mailbox.take());
         assertEquals(2, mailbox.take());
-        second.join();
+        assertTrue(second.get());
     }
 
     /**
@@ -58,34 +63,21 @@
      * ever giving way, until the poster that is just waking it has gone on; on one core that may be never.
      */
     @Test
-    void aTimedWaitIsOnTheMailboxItself() throws InterruptedException {
+    void aTimedWaitIsOnTheMailboxItself() throws Exception {
         Mailbox<Integer> mailbox = new Mailbox<>(1);
-        AtomicReference<Integer> taken = new AtomicReference<>();
-        Thread waiting = new Thread(() -> taken.set(poll(mailbox)));
-        waiting.start();
-        while (waiting.getState() != Thread.State.TIMED_WAITING) {
-            Thread.onSpinWait();
-        }
-        Object blocker = LockSupport.getBlocker(waiting);
+        FutureTask<Integer> taken = new FutureTask<>(() -> mailbox.poll(60_000_000_000L));
+        Object blocker = LockSupport.getBlocker(started(taken, Thread.State.TIMED_WAITING));
         mailbox.put(7);
-        waiting.join();
-        assertNull(blocker);
         assertEquals(7, taken.get());
+        assertNull(blocker);
     }
 
-    private static Integer poll(Mailbox<Integer> mailbox) {
-        try {
-            return mailbox.poll(60_000_000_000L);
-        } catch (InterruptedException e) {
-            return null;
-        }
-    }
-
-    private static void put(Mailbox<Integer> mailbox, int message) {
-        try {
-            mailbox.put(message);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+    private static Thread started(FutureTask<?> task, Thread.State until) {
+        Thread thread = new Thread(task);
+        thread.start();
+        while (thread.getState() != until) {
+            Thread.onSpinWait();
         }
+        return thread;
     }
 }
--- a/src/test/java/beaconturn/core/ModuleHostTest.java
+++ b/src/test/java/beaconturn/core/ModuleHostTest.java
@@ -1,6 +1,7 @@
 package beaconturn.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beaconturn.decision.Routing;
@@ -9,6 +10,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -19,10 +21,11 @@
     private final Routing.Settings settings = Samples.read().routing();
     private final List<Routing.Event> events = new ArrayList<>();
     private final FakeFleet fleet = new FakeFleet();
+    private final ListAskedFor asked = new ListAskedFor(1);
     private Consumer<Routing.Event> module = e -> { };
     private Routing.Actions actions;
     private long now = 1000 * MILLI;
-    private final ModuleHost host = new ModuleHost(settings, () -> now, fleet, new NoList(), out -> {
+    private final ModuleHost host = new ModuleHost(settings, () -> now, fleet, new ListAskedFor(0), out -> {
         actions = out;
         return (clock, event) -> {
             events.add(event);
@@ -40,11 +43,36 @@
     }
 
     private FakeCall arrive() {
+        return arrive(host);
+    }
+
+    private FakeCall arrive(ModuleHost at) {
         FakeCall call = new FakeCall(now + 400 * MILLI);
-        host.handle(new Message.Arrived(call));
+        at.handle(new Message.Arrived(call));
         return call;
     }
 
+    private Attempt last() {
+        return fleet.sent.get(fleet.sent.size() - 1);
+    }
+
+    /** A host of the real module, which knows this many servers. */
+    private ModuleHost real(int servers) {
+        ModuleHost real = new ModuleHost(settings, 5, () -> now, fleet, asked);
+        long[] ids = LongStream.rangeClosed(1, servers).toArray();
+        list(real, Routing.ListKind.FULL, Routing.Health.READY, ids);
+        return real;
+    }
+
+    private static void list(ModuleHost to, Routing.ListKind kind, Routing.Health health, long... servers) {
+        to.handle(new Message.News(new ListNews(1, kind, LongStream.of(servers).mapToObj(id ->
+            new ListNews.Member(new Routing.ServerEntry(id, 0, 0, 0, health, 1, 0), "", "")).toList())));
+    }
+
+    private static void switchSettings(ModuleHost of) {
+        of.handle(new Message.Switched(Samples.read("permissions.second_copies", "false").routing(), 6));
+    }
+
     private Outcome ok(String answer) {
         return new Outcome(Routing.Ending.OK, now, Routing.Note.HIT, new float[0], Slice.of(answer));
     }
@@ -201,6 +229,98 @@
         assertEquals(0, host.open());
     }
 
+    @Test
+    void afterASwitchOldRequestsAreAnsweredAndNewOnesServedWithoutANewList() {
+        ModuleHost real = real(3);
+        FakeCall before = arrive(real);
+        switchSettings(real);
+        FakeCall after = arrive(real);
+        assertEquals(2, fleet.sent.size());
+        real.handle(new Message.Ended(fleet.sent.get(1), ok("new")));
+        real.handle(new Message.Ended(fleet.sent.get(0), ok("old")));
+        assertEquals(List.of("served old"), before.answers);
+        assertEquals(List.of("served new"), after.answers);
+        assertEquals(0, asked.left);
+    }
+
+    @Test
+    void aServerThatDrainsAfterASwitchGetsNothingFromEitherModule() {
+        ModuleHost real = real(2);
+        FakeCall before = arrive(real);
+        Attempt first = last();
+        switchSettings(real);
+        list(real, Routing.ListKind.DELTA, Routing.Health.DRAINING, first.server());
+        real.handle(new Message.Ended(first, Outcome.of(Routing.Ending.FULL, now)));
+        assertEquals(1, before.answers.size());
+        for (int i = 0; i < 20; i++) {
+            now += 10 * MILLI;
+            arrive(real);
+        }
+        assertEquals(0, fleet.sent.stream().filter(a -> a.server() == first.server()).count());
+        assertNotEquals(0, fleet.sent.size());
+    }
+
+    @Test
+    void aSickServerIsNotTrustedAnewBecauseSettingsChanged() {
+        ModuleHost real = real(4);
+        arrive(real);
+        long home = last().server();
+        for (int i = 0; i < 20; i++) {
+            now += 20 * MILLI;
+            arrive(real);
+            real.handle(new Message.Ended(last(), last().server() == home
+                ? Outcome.of(Routing.Ending.ERROR, now) : ok("x")));
+        }
+        switchSettings(real);
+        int until = fleet.sent.size();
+        for (int i = 0; i < 20; i++) {
+            arrive(real);
+            real.handle(new Message.Ended(last(), ok("x")));
+        }
+        long toSick = fleet.sent.stream().skip(until).filter(a -> a.server() == home).count();
+        assertTrue(toSick <= 1, "sent to the sick server: " + toSick);
+        assertNotEquals(0, fleet.sent.size() - until);
+    }
+
+    private static final class FakeCall implements Call {
+        private final long deadline;
+        private final List<String> answers = new ArrayList<>();
+
+        FakeCall(long deadline) {
+            this.deadline = deadline;
+        }
+
+        @Override
+        public Ask ask() {
+            return new Ask(0, 1, false, false, 0, 0, 0);
+        }
+
+        @Override
+        public long deadline() {
+            return deadline;
+        }
+
+        @Override
+        public List<Slice> forwarded(long waitMillis) {
+            return List.of();
+        }
+
+        @Override
+        public void served(Slice answer) {
+            answers.add("served " + answer);
+        }
+
+        @Override
+        public void refused(long retryAfter) {
+            answers.add("refused " + retryAfter / MILLI);
+        }
+
+        @Override
+        public void failed() {
+            answers.add("failed");
+        }
+    }
+
     private static final class FakeFleet implements Fleet {
         private final List<Attempt> sent = new ArrayList<>();
         private final List<Attempt> aborted = new ArrayList<>();
@@ -227,10 +347,17 @@
         }
     }
 
-    private static final class NoList implements ListSource {
+    /** May be watched so often and not more. */
+    private static final class ListAskedFor implements ListSource {
+        private int left;
+
+        ListAskedFor(int left) {
+            this.left = left;
+        }
+
         @Override
         public void watch(boolean on) {
-            throw new AssertionError("not asked for here");
+            assertTrue(left-- > 0, "not asked for here");
         }
 
         @Override
--- a/src/test/java/beaconturn/decision/Harness.java
+++ b/src/test/java/beaconturn/decision/Harness.java
@@ -7,6 +7,7 @@
 import beaconturn.decision.Routing.Scope;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.ObjIntConsumer;
 
 /** Drives one module by its interface and keeps what it did, as text, in order. */
 final class Harness implements Routing.Actions {
@@ -64,9 +65,7 @@
     }
 
     static Routing.Settings reporting(Routing.Settings s, String name) {
-        return new Routing.Settings(s.index(), s.routers(), s.zone(), s.askForList(), s.ratingStable(),
-            s.worthByWork(), s.overShareWorth(), s.tick(), s.classes(), s.tenants(), s.rules(),
-            s.permissions(), s.origin(), List.of(name));
+        return with(s, s.permissions(), s.origin(), List.of(name));
     }
 
     /** The same where no request may have two attempts out, and where caches that fetch do not say so. */
@@ -74,9 +73,14 @@
         Routing.Permissions may = new Routing.Permissions(true, false, false, true, false, 3, 2 * SECOND, 32,
             250 * MS, 10 * SECOND);
         Routing.Origin origin = new Routing.Origin(s.origin().aside(), s.origin().kind(), false, false, 0, 0);
+        return with(s, may, origin, s.reportNames());
+    }
+
+    private static Routing.Settings with(Routing.Settings s, Routing.Permissions may, Routing.Origin origin,
+            List<String> reportNames) {
         return new Routing.Settings(s.index(), s.routers(), s.zone(), s.askForList(), s.ratingStable(),
             s.worthByWork(), s.overShareWorth(), s.tick(), s.classes(), s.tenants(), s.rules(), may, origin,
-            s.reportNames());
+            reportNames);
     }
 
     private static Routing.RequestClass type(Effect effect, Scope scope) {
@@ -116,15 +120,26 @@
         router.handle(now, new Routing.Arrival(request, 0, 0, key, type, left, false, write, 0));
     }
 
-    /** A client's further try of a read. */
-    void again(long request, long key) {
-        router.handle(now, new Routing.Arrival(request, 0, 0, key, READ, 2 * SECOND, true, false, 0));
+    /** Reads of new keys so far apart; each send, with the attempt's number, is answered as told. */
+    void reads(int from, int to, long apart, ObjIntConsumer<Send> answer) {
+        for (int i = from; i < to; i++) {
+            now += apart;
+            int first = sends.size();
+            arrive(i, READ, 10_000 + i);
+            for (int k = first; k < sends.size(); k++) {
+                answer.accept(sends.get(k), k - first);
+            }
+        }
+    }
+
+    /** A read of the given expected work (0: none told), or a client's further try of one. */
+    void read(long request, long key, long hint, boolean again) {
+        router.handle(now, new Routing.Arrival(request, 0, hint, key, READ, 2 * SECOND, again, false, 0));
     }
 
     /** A read that its cache answers, of the given expected work; returns when it would have been late. */
     long sized(long request, long hint) {
-        router.handle(now, new Routing.Arrival(request, 0, hint, 10_000 + request, READ, 2 * SECOND, false,
-            false, 0));
+        read(request, 10_000 + request, hint, false);
         long late = timers.get(timers.size() - 1)[0] - now;
         close(last(), 0, Ending.OK, true);
         return late;
@@ -143,7 +158,11 @@
     }
 
     void close(Send send, int attempt, Ending ending, boolean closed) {
-        router.handle(now, new Routing.AttemptClosed(send.request(), 50 * MS, closed, send.server(), ending,
+        close(send, attempt, ending, closed, 50 * MS);
+    }
+
+    void close(Send send, int attempt, Ending ending, boolean closed, long elapsed) {
+        router.handle(now, new Routing.AttemptClosed(send.request(), elapsed, closed, send.server(), ending,
             Routing.Note.NONE, attempt, new float[0]));
     }
 
--- a/src/test/java/beaconturn/net/BrokenRouter.java
+++ b/src/test/java/beaconturn/net/BrokenRouter.java
@@ -1,6 +1,5 @@
 package beaconturn.net;
 
-import beaconturn.core.Attempt;
 import beaconturn.core.Clock;
 import beaconturn.core.Fleet;
 import beaconturn.core.Lifecycle;
@@ -69,6 +68,11 @@
         if (message instanceof Message.Arrived && defect == Defect.LOSES) {
             return ++count % SOME == 0 ? null : message;
         }
+        if (message instanceof Message.News news && defect == Defect.IGNORES_DRAINS) {
+            // The sockets too: they would hold a send back that the module should not have made.
+            return new Message.News(new ListNews(news.news().version(), news.news().kind(),
+                news.news().members().stream().map(BrokenRouter::undrained).toList()));
+        }
         if (!(message instanceof Message.Ended ended) || ended.outcome().ending() != Routing.Ending.OK) {
             return message;
         }
@@ -85,6 +89,13 @@
         };
     }
 
+    private static ListNews.Member undrained(ListNews.Member m) {
+        Routing.ServerEntry e = m.entry();
+        return e.health() != Routing.Health.DRAINING ? m : new ListNews.Member(
+            new Routing.ServerEntry(e.server(), e.zone(), e.kind(), e.cell(), Routing.Health.READY,
+            e.rating(), e.bootTime()), m.host(), m.dial());
+    }
+
     private static Outcome with(Outcome outcome, Slice answer) {
         return new Outcome(outcome.ending(), outcome.at(), outcome.note(), outcome.report(), answer);
     }
@@ -99,60 +110,24 @@
     @Override
     public ModuleHost host(RouterConfig config, Clock clock, Fleet fleet, ListSource list) {
         Routing.Settings settings = config.settings().routing();
-        Fleet told = defect == Defect.IGNORES_DRAINS ? new DeafFleet(fleet) : fleet;
-        return new ModuleHost(settings, clock, told, list, out -> {
+        return new ModuleHost(settings, clock, fleet, list, out -> {
             Routing.Router module = new RingRouter(settings, config.seed(), clock.now(), out);
             return switch (defect) {
-                case IGNORES_DRAINS, OVERRUNS_COLD -> (now, event) -> module.handle(now, unheard(event));
+                case OVERRUNS_COLD -> (now, event) -> module.handle(now, warm(event));
                 case REPEATS_UNSAFE -> new Repeater(settings, module, out);
                 default -> module;
             };
         });
     }
 
-    private Routing.Event unheard(Routing.Event event) {
+    private static Routing.Event warm(Routing.Event event) {
         if (!(event instanceof Routing.ServerList list)) {
             return event;
         }
-        return new Routing.ServerList(list.version(), list.kind(),
-            list.entries().stream().map(this::unheard).toList());
-    }
-
-    private Routing.ServerEntry unheard(Routing.ServerEntry e) {
-        boolean deaf = defect == Defect.IGNORES_DRAINS;
-        return new Routing.ServerEntry(e.server(), e.zone(), e.kind(), e.cell(),
-            deaf && e.health() == Routing.Health.DRAINING ? Routing.Health.READY : e.health(), e.rating(),
-            deaf ? e.bootTime() : 0);
-    }
-
-    /** The sockets would hold a send back that the module should not have made: they do not hear either. */
-    private final class DeafFleet implements Fleet {
-        private final Fleet fleet;
-
-        private DeafFleet(Fleet fleet) {
-            this.fleet = fleet;
-        }
-
-        @Override
-        public boolean send(Attempt attempt) {
-            return fleet.send(attempt);
-        }
-
-        @Override
-        public void abort(Attempt attempt) {
-            fleet.abort(attempt);
-        }
-
-        @Override
-        public void closeIdle(long server) {
-            fleet.closeIdle(server);
-        }
-
-        @Override
-        public void follow(ListNews news) {
-            fleet.follow(new ListNews(news.version(), news.kind(), news.members().stream()
-                .map(m -> new ListNews.Member(unheard(m.entry()), m.host(), m.dial())).toList()));
-        }
+        List<Routing.ServerEntry> entries = list.entries().stream()
+            .map(e -> new Routing.ServerEntry(e.server(), e.zone(), e.kind(), e.cell(), e.health(),
+            e.rating(), 0)).toList();
+        return new Routing.ServerList(list.version(), list.kind(), entries);
     }
 
     /** Sends unsafe requests again after a reset, behind the module's back. */
--- a/src/test/java/beaconturn/net/RouterConfigTest.java
+++ b/src/test/java/beaconturn/net/RouterConfigTest.java
@@ -6,11 +6,16 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beaconturn.core.Message;
 import beaconturn.decision.Routing;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -96,6 +101,23 @@
         refused(SOUND.replace("\"sockets\":512", "\"sockets\":10"), "sockets");
     }
 
+    /** Classes that the parser doesn't know must not reach the module; other settings do at once. */
+    @Test
+    void aReloadTakesSettingsThatLeaveTheWireAloneAndNoOthers() throws ConfigException {
+        RouterConfig first = read(SOUND, Map.of());
+        RouterConfig other = read(SOUND.replace("1500000000", "900000000"), Map.of());
+        RouterConfig last = read(SOUND.replace("\"dcs\"", "\"zone\":1,\"dcs\""), Map.of());
+        Queue<RouterConfig> files = new ArrayDeque<>(List.of(other, last));
+        List<Message> posted = new ArrayList<>();
+        Reloads reloads = new Reloads(files::remove, new Discovery(first.discovery(),
+            new ListReader(first.settings()), 1, posted::add), first, posted::add);
+        reloads.reload();
+        assertEquals(List.of(), posted);
+        reloads.reload();
+        assertEquals(List.of(new Message.Switched(last.settings().routing(), last.seed())), posted);
+        assertTrue(files.isEmpty());
+    }
+
     private void refused(String text, String reason) {
         String message = assertThrows(ConfigException.class, () -> read(text, Map.of())).getMessage();
         assertTrue(message.contains(reason), message);
