--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -21,7 +21,10 @@
     unset IFS
 done 2> /dev/null < "${PROXY_CONFIG:-/dev/null}"
 set +f
-heap=$((${memory:-192} * 3 / 10))
+# Where the listening socket is inherited two processes of one router may run: each keeps to half.
+memory=${memory:-192}
+[ -z "$PROXY_FD" ] || memory=$((memory / 2))
+heap=$((memory * 3 / 10))
 [ "$heap" -le 64 ] || heap=64
 [ "$heap" -ge 16 ] || heap=16
 # Few arenas: else each thread's small allocations outside the heap spread over memory that is never given back.
--- a/src/main/java/beaconturn/core/Call.java
+++ b/src/main/java/beaconturn/core/Call.java
@@ -1,5 +1,6 @@
 package beaconturn.core;
 
+import beaconturn.decision.Routing;
 import beaconturn.protocol.Slice;
 import java.util.List;
 
@@ -11,6 +12,11 @@
     /** What the request says of itself. */
     Ask ask();
 
+    /** The settings that it was read under, which tell its class; null means those in force. */
+    default Routing.Settings settings() {
+        return null;
+    }
+
     /** When the client stops waiting. */
     long deadline();
 
--- a/src/main/java/beaconturn/core/Fleet.java
+++ b/src/main/java/beaconturn/core/Fleet.java
@@ -13,4 +13,13 @@
 
     /** Follows news of the list. */
     void follow(ListNews news);
+
+    /**
+     * Begins nothing new at a cache server that is out by hand, whatever the list says, until it is back;
+     * false, and nothing happens, if nobody has that number, unless it {@code mayCome}.
+     */
+    boolean byHand(long server, boolean out, boolean mayCome);
+
+    /** How many cache servers the list names. */
+    int listed();
 }
--- a/src/main/java/beaconturn/core/Message.java
+++ b/src/main/java/beaconturn/core/Message.java
@@ -1,6 +1,7 @@
 package beaconturn.core;
 
 import beaconturn.decision.Routing;
+import java.util.function.Consumer;
 
 /** What can be posted to the module's actor. */
 public sealed interface Message {
@@ -16,6 +17,13 @@
     /** Discovery has answered or failed. */
     record News(ListNews news) implements Message { }
 
+    /**
+     * An operator takes a cache server out, or back as one started at {@code at}; {@code known} hears whether
+     * anybody has that number. What is {@code told} from elsewhere holds even if nobody has it yet.
+     */
+    record ByHand(long server, boolean out, long at, boolean told, Consumer<Boolean> known)
+        implements Message { }
+
     /** Other settings are in force from here on. */
     record Switched(Routing.Settings settings, long seed) implements Message { }
 }
--- a/src/main/java/beaconturn/core/ModuleActor.java
+++ b/src/main/java/beaconturn/core/ModuleActor.java
@@ -1,5 +1,6 @@
 package beaconturn.core;
 
+import beaconturn.stats.Tally;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -9,11 +10,20 @@
     private static final Logger LOG = Logger.getLogger(ModuleActor.class.getName());
     private static final int MOST_MESSAGES = 8192;
     private static final long LONGEST_WAIT = 1_000_000_000;
+    /** Figures of the fleet are to be half a second old at most. */
+    private static final long TELL_EVERY = 200_000_000;
 
     private final Mailbox<Message> mailbox = new Mailbox<>(MOST_MESSAGES);
     private final AtomicBoolean stopped = new AtomicBoolean();
+    private final Tally tally;
     private volatile int open;
     private ModuleHost host;
+    private long toldAt;
+
+    /** An actor whose module's view of the fleet is told to the tally, unless that counts nothing. */
+    public ModuleActor(Tally tally) {
+        this.tally = tally;
+    }
 
     /** Says whom to run; called once, before the thread starts. */
     public void host(ModuleHost toRun) {
@@ -23,10 +33,12 @@
     /**
      * Posts a message, waiting for room: never called by the module's own thread. News of the list go first:
      * the time in which sends to a draining server must end runs while they wait behind a start's arrivals.
+     * So do operators' calls and new settings, which bind soon whatever the load.
      */
     public void post(Message message) {
         try {
-            if (message instanceof Message.News) {
+            if (message instanceof Message.News || message instanceof Message.ByHand
+                    || message instanceof Message.Switched) {
                 mailbox.putFirst(message);
             } else {
                 mailbox.put(message);
@@ -50,9 +62,14 @@
     public void run() {
         try {
             while (!stopped.get()) {
-                Message message = mailbox.poll(host.untilNext(LONGEST_WAIT));
+                Message message = mailbox.poll(
+                    host.untilNext(tally == Tally.NONE ? LONGEST_WAIT : TELL_EVERY));
                 step(message);
                 open = host.open();
+                if (tally != Tally.NONE && System.nanoTime() - toldAt >= TELL_EVERY) {
+                    toldAt = System.nanoTime();
+                    host.tell(tally);
+                }
             }
         } catch (InterruptedException e) {
             LOG.fine("module actor interrupted");
--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -2,13 +2,12 @@
 
 import beaconturn.decision.RingRouter;
 import beaconturn.decision.Routing;
+import beaconturn.stats.Tally;
 import java.util.ArrayDeque;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.List;
-import java.util.Map;
-import java.util.NavigableMap;
 import java.util.Queue;
-import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -21,14 +20,18 @@
     private static final Logger LOG = Logger.getLogger(ModuleHost.class.getName());
 
     /** A module, and when another took its place; it goes on with the requests that it has. */
-    private static final class Hosted {
+    static final class Hosted {
+        private final Routing.Settings settings;
         private Routing.Router router;
         private long replacedAt;
+
+        private Hosted(Routing.Settings settings) {
+            this.settings = settings;
+        }
     }
 
     private record Due(Hosted to, Routing.Event event) { }
 
-    private Routing.Settings settings;
     private final Clock clock;
     private final Fleet fleet;
     private final ListSource list;
@@ -37,8 +40,8 @@
     private final RequestTable table = new RequestTable();
     private final Timers timers = new Timers();
     private final Queue<Due> pending = new ArrayDeque<>();
-    /** Modules by the first request that is theirs. */
-    private final NavigableMap<Long, Hosted> modules = new TreeMap<>();
+    /** The module in force last; those before it go on with the requests that were read under theirs. */
+    private final Deque<Hosted> modules = new ArrayDeque<>();
 
     /** A host whose module starts with the settings and the seed. */
     public ModuleHost(Routing.Settings settings, long seed, Clock clock, Fleet fleet, ListSource list) {
@@ -48,34 +51,35 @@
     /** A host of any module. */
     public ModuleHost(Routing.Settings settings, Clock clock, Fleet fleet, ListSource list,
             Function<Routing.Actions, Routing.Router> module) {
-        this.settings = settings;
         this.clock = clock;
         this.fleet = fleet;
         this.list = list;
-        host(0, module);
+        host(settings, module);
     }
 
-    private void host(long firstRequest, Function<Routing.Actions, Routing.Router> module) {
-        Hosted next = new Hosted();
+    private void host(Routing.Settings settings, Function<Routing.Actions, Routing.Router> module) {
+        Hosted next = new Hosted(settings);
         next.router = module.apply(new Actions(next));
-        modules.put(firstRequest, next);
+        modules.add(next);
     }
 
     /** A new module for what comes from now on; what it keeps of the old one is the module's affair. */
     private void switchTo(Message.Switched to) {
         long now = clock.now();
-        long over = settings.rules().answerSlack() + settings.longestDeadline();
-        modules.values().removeIf(m -> m.replacedAt != 0 && now - m.replacedAt > over);
-        Hosted last = modules.lastEntry().getValue();
+        modules.removeIf(m -> m.replacedAt != 0 && now - m.replacedAt > 2 * longest(m.settings));
+        Hosted last = modules.getLast();
         if (!(last.router instanceof RingRouter before)) {
             throw new IllegalStateException("a module of another kind is not replaced");
         }
         last.replacedAt = now;
-        settings = to.settings();
-        host(table.nextId(), out -> new RingRouter(settings, to.seed(), now, out, before));
+        host(to.settings(), out -> new RingRouter(to.settings(), to.seed(), now, out, before));
         LOG.info("new settings are in force");
     }
 
+    private static long longest(Routing.Settings settings) {
+        return settings.rules().answerSlack() + settings.longestDeadline();
+    }
+
     /** Handles one message and all that follows from it at once. */
     public void handle(Message message) {
         if (message instanceof Message.Arrived arrived) {
@@ -89,16 +93,36 @@
             Routing.ServerList event = news.news().event();
             // A list that failed is asked for again by one module only, the one in force.
             Collection<Hosted> to = event.kind() == Routing.ListKind.FAILED
-                ? List.of(modules.lastEntry().getValue()) : modules.values();
+                ? List.of(modules.getLast()) : modules;
             to.forEach(m -> deliver(m, event));
+        } else if (message instanceof Message.ByHand call) {
+            byHand(call);
         } else if (message instanceof Message.Switched switched) {
             switchTo(switched);
         }
     }
 
-    private Hosted of(long request) {
-        Map.Entry<Long, Hosted> owner = modules.floorEntry(request);
-        return owner == null ? modules.firstEntry().getValue() : owner.getValue();
+    private void byHand(Message.ByHand call) {
+        boolean known = fleet.byHand(call.server(), call.out(), call.told());
+        if (known) {
+            modules.forEach(m -> deliver(m, new Routing.ByHand(call.server(), call.out(), call.at())));
+        }
+        call.known().accept(known);
+    }
+
+    /** Tells what the module in force makes of the list. */
+    public void tell(Tally tally) {
+        tally.fleet(fleet.listed(), modules.getLast().router.avoided());
+    }
+
+    /** The module that the request was read for: one that crosses new settings keeps its class's rules. */
+    private Hosted of(Call call) {
+        for (Hosted m : modules) {
+            if (m.settings == call.settings()) {
+                return m;
+            }
+        }
+        return modules.getLast();
     }
 
     /** Runs the timers that are due. */
@@ -123,10 +147,11 @@
 
     private void arrived(Call call) {
         long now = clock.now();
-        long last = call.deadline() + settings.rules().answerSlack();
-        RequestTable.Entry r = table.add(call, entry -> timers.at(last, () -> overdue(entry)));
+        Hosted module = of(call);
+        long last = call.deadline() + module.settings.rules().answerSlack();
+        RequestTable.Entry r = table.add(call, module, entry -> timers.at(last, () -> overdue(entry)));
         Call.Ask ask = call.ask();
-        deliver(of(r.id()), new Routing.Arrival(r.id(), ask.tenant(), ask.hint(), ask.key(),
+        deliver(module, new Routing.Arrival(r.id(), ask.tenant(), ask.hint(), ask.key(),
             ask.requestClass(), call.deadline() - now, ask.clientRetry(), ask.write(), ask.size()));
     }
 
@@ -142,7 +167,7 @@
     private void withdraw(RequestTable.Entry r) {
         if (r != null && !r.closed()) {
             table.close(r);
-            deliver(of(r.id()), new Routing.Withdrawn(r.id()));
+            deliver(r.module(), new Routing.Withdrawn(r.id()));
         }
     }
 
@@ -161,7 +186,7 @@
         }
         boolean closed = r.closed();
         table.ended(r);
-        deliver(of(a.request()), new Routing.AttemptClosed(a.request(),
+        deliver(r.module(), new Routing.AttemptClosed(a.request(),
             Math.max(0, outcome.at() - a.sentAt()), closed, a.server(), outcome.ending(),
             outcome.note(), a.number(), outcome.report()));
     }
@@ -198,7 +223,7 @@
         @Override
         public void send(long request, long server, long allowFor) {
             RequestTable.Entry r = table.get(request);
-            if (r == null || r.closed() || r.attempts().size() >= settings.permissions().maxTries()) {
+            if (r == null || r.closed() || r.attempts().size() >= module.settings.permissions().maxTries()) {
                 LOG.warning("send for request " + request + ", which may not have it: not sent");
                 int number = r == null ? 0 : r.attempts().size();
                 pending.add(new Due(module,
--- a/src/main/java/beaconturn/core/RequestTable.java
+++ b/src/main/java/beaconturn/core/RequestTable.java
@@ -17,14 +17,21 @@
     static final class Entry {
         private final long id;
         private final Call call;
+        private final ModuleHost.Hosted module;
         private final List<Attempt> attempts = new ArrayList<>(2);
         private Timers.Timer overdue;
         private boolean closed;
         private int out;
 
-        private Entry(long id, Call call) {
+        private Entry(long id, Call call, ModuleHost.Hosted module) {
             this.id = id;
             this.call = call;
+            this.module = module;
+        }
+
+        /** The module that decides on it to its end. */
+        ModuleHost.Hosted module() {
+            return module;
         }
 
         long id() {
@@ -46,19 +53,14 @@
     }
 
     /** Adds a request; {@code timer} makes the one that ends it if nothing else does. */
-    Entry add(Call call, Function<Entry, Timers.Timer> timer) {
-        Entry r = new Entry(++lastId, call);
+    Entry add(Call call, ModuleHost.Hosted module, Function<Entry, Timers.Timer> timer) {
+        Entry r = new Entry(++lastId, call, module);
         r.overdue = timer.apply(r);
         entries.put(r.id, r);
         byCall.put(call, r);
         return r;
     }
 
-    /** The number that the next request will have. */
-    long nextId() {
-        return lastId + 1;
-    }
-
     /** The request of that number, or null once it is over. */
     Entry get(long id) {
         return entries.get(id);
--- a/src/main/java/beaconturn/core/Settings.java
+++ b/src/main/java/beaconturn/core/Settings.java
@@ -9,12 +9,15 @@
  */
 public record Settings(Routing.Settings routing, List<String> classNames, List<String> zones,
         List<String> kinds) {
-    /** Whether the wire is read and written alike under both, so that one may follow the other at once. */
+    /**
+     * Whether lists, answers and connections mean the same under both, so that one may follow the other at
+     * once. Classes may differ: a request keeps the settings that it was read under.
+     */
     public boolean sameWire(Settings other) {
         Routing.Permissions may = routing.permissions();
         Routing.Permissions others = other.routing.permissions();
-        return classNames.equals(other.classNames) && zones.equals(other.zones) && kinds.equals(other.kinds)
-            && may.connIdle() == others.connIdle() && routing.classes().equals(other.routing.classes())
+        return zones.equals(other.zones) && kinds.equals(other.kinds)
+            && may.connIdle() == others.connIdle()
             && routing.tenants().equals(other.routing.tenants())
             && routing.reportNames().equals(other.routing.reportNames())
             && may.connectTimeout() == others.connectTimeout();
--- a/src/main/java/beaconturn/core/SettingsReader.java
+++ b/src/main/java/beaconturn/core/SettingsReader.java
@@ -45,7 +45,7 @@
         for (int i = 0; i < count; i++) {
             String at = "classes." + i + ".";
             classes.add(new Routing.RequestClass(effect(at + "effect"), scope(at + "key_scope"),
-                whole(at + "window", 0), required(at + "target"), required(at + "hard_limit"),
+                whole(at + "window", 0), positive(at + "target"), positive(at + "hard_limit"),
                 number(at + "worth", 1), number(at + "late_worth", 0), flag(at + "stream", false)));
         }
         return List.copyOf(classes);
@@ -71,7 +71,7 @@
         String at = "permissions.";
         return new Routing.Permissions(flag(at + "cancel", false), flag(at + "peers", false),
             flag(at + "probes", false), flag(at + "retry_after", false), flag(at + "second_copies", false),
-            (int) whole(at + "most_tries", 1), whole(at + "max_retry_after", 0),
+            (int) tries(at + "most_tries"), whole(at + "max_retry_after", 0),
             (int) whole(at + "multiplex", 1), whole(at + "dial_timeout", 0), idleTime());
     }
 
@@ -141,6 +141,18 @@
         return idle;
     }
 
+    private long tries(String path) throws SettingsException {
+        return values.containsKey(path) ? positive(path) : 1;
+    }
+
+    private long positive(String path) throws SettingsException {
+        long value = required(path);
+        if (value <= 0) {
+            throw new SettingsException("setting " + path + ": must be over 0, is " + value);
+        }
+        return value;
+    }
+
     private long required(String path) throws SettingsException {
         if (!values.containsKey(path)) {
             throw new SettingsException("setting " + path + ": missing");
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -6,10 +6,10 @@
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.stream.Stream;
 
 /**
  * Every decision of one router: consistent hashing with bounded loads, and what it takes to stay sound when
@@ -83,7 +83,8 @@
     private final SplittableRandom random;
     private final double highestWorth;
     private final double epsilon;
-    private final Map<Long, Server> servers = new HashMap<>();
+    /** In the order in which they became known. */
+    private final Map<Long, Server> servers = new LinkedHashMap<>();
     private final Map<Long, Request> requests = new HashMap<>();
     private final Map<Long, Flight> flights = new HashMap<>();
     private final List<Server> ring = new ArrayList<>();
@@ -125,10 +126,8 @@
             RingRouter before) {
         this(settings, seed, now, out, !before.settings.askForList());
         boolean sameReports = settings.reportNames().equals(before.settings.reportNames());
-        for (Server s : Stream.concat(before.ring.stream(), before.origins.stream()).toList()) {
-            servers.put(s.id, s.successor(sameReports, settings.ratingStable()));
-            (isOrigin(s) ? origins : ring).add(servers.get(s.id));
-        }
+        before.servers.forEach((id, s) -> servers.put(id, s.successor(sameReports, settings.ratingStable())));
+        place();
     }
 
     /** A router that starts empty; its first list follows. */
@@ -175,15 +174,16 @@
             attemptClosed(closed);
         } else if (event instanceof Routing.Timer timer) {
             timer(timer.token());
-        } else if (event instanceof Routing.Withdrawn withdrawn) {
-            Request r = requests.get(withdrawn.request());
-            if (r != null) {
-                conclude(r, false);
-            }
-        } else if (event instanceof Routing.FirstByte first) {
-            firstByte(first);
+        } else if (event instanceof Routing.Withdrawn left && requests.containsKey(left.request())) {
+            conclude(requests.get(left.request()), false);
+        } else if (event instanceof Routing.FirstByte first && requests.containsKey(first.request())) {
+            requests.get(first.request()).streaming = true;
+            cancelOpen(requests.get(first.request()), first.attempt());
         } else if (event instanceof Routing.ServerList list) {
             serverList(list);
+        } else if (event instanceof Routing.ByHand call) {
+            servers.computeIfAbsent(call.server(), Server::new).byHand(call.out(), call.at());
+            place();
         }
     }
 
@@ -227,7 +227,7 @@
         a.neverRan = e.ending().neverRan();
         a.server.heard += e.ending().spoke() ? 1 : 0;
         a.server.load(-1, now, smoothing());
-        forgetIfGone(a.server);
+        servers.computeIfPresent(a.server.id, (id, s) -> s.forgotten() ? null : s);
         if (a.onRing) {
             cacheClosed(r, a, e);
         }
@@ -277,12 +277,9 @@
         }
     }
 
-    private void firstByte(Routing.FirstByte e) {
-        Request r = requests.get(e.request());
-        if (r != null) {
-            r.streaming = true;
-            cancelOpen(r, e.attempt());
-        }
+    @Override
+    public int avoided() {
+        return (int) servers.values().stream().filter(s -> s.avoided()).count();
     }
 
     // ---- ordinary path: ring, bounded loads, clockwise walk
@@ -466,7 +463,7 @@
 
     /** The one guard before every send: the request is alive, the server takes work, a repeat is allowed. */
     private boolean legal(Request r, Server s) {
-        return !r.done && !r.streaming && s.health == Routing.Health.READY && now < r.deadline
+        return !r.done && !r.streaming && s.usable() && now < r.deadline
             && r.attempts.size() < may.maxTries() && (may.secondCopies() || !r.anyOpen())
             && repeatAllowed(r, s);
     }
@@ -836,24 +833,18 @@
         if (list.kind() != Routing.ListKind.CACHED) {
             watchBackoff = rules.askWithin() / 16;
         }
-        for (Routing.ServerEntry e : list.entries()) {
-            servers.computeIfAbsent(e.server(), Server::new).update(e, settings.ratingStable());
-            Server s = servers.get(e.server());
-            List<Server> home = isOrigin(s) ? origins : ring;
-            if (!home.contains(s)) {
-                home.add(s);
-            }
-        }
-        points = new long[0];
-        ring.removeIf(s -> s.health != Routing.Health.READY);
-        origins.removeIf(s -> s.health != Routing.Health.READY);
-        List.copyOf(servers.values()).forEach(this::forgetIfGone);
+        list.entries().forEach(e ->
+            servers.computeIfAbsent(e.server(), Server::new).update(e, settings.ratingStable()));
+        place();
     }
 
-    private void forgetIfGone(Server s) {
-        if (s.health == Routing.Health.GONE && s.inFlight == 0) {
-            servers.remove(s.id);
-        }
+    /** What is listed as ready has its place, but for what operators have left out. */
+    private void place() {
+        servers.values().removeIf(Server::forgotten);
+        ring.clear();
+        origins.clear();
+        servers.values().stream().filter(Server::usable).forEach(s -> (isOrigin(s) ? origins : ring).add(s));
+        points = new long[0];
     }
 
     /** Limits in flight, learned from how long answers take against their aim: for all, and for the rest. */
--- a/src/main/java/beaconturn/decision/Routing.java
+++ b/src/main/java/beaconturn/decision/Routing.java
@@ -86,7 +86,13 @@
 
     /** Everything that can happen to a router. */
     public sealed interface Event permits ServerList, Arrival, FirstByte, AttemptClosed, Withdrawn, Timer,
-            Probed, PeerMessage { }
+            Probed, PeerMessage, ByHand { }
+
+    /**
+     * An operator takes a server out, whatever the list says, until {@code out} is false again; it then comes
+     * back as one that has started at {@code at}.
+     */
+    public record ByHand(long server, boolean out, long at) implements Event { }
 
     /** News of the server list. */
     public record ServerList(long version, ListKind kind, List<ServerEntry> entries) implements Event { }
@@ -154,5 +160,10 @@
     public interface Router {
         /** Handles one event at the given clock time. */
         void handle(long now, Event event);
+
+        /** How many of the listed servers are avoided now, by hand or by choice. */
+        default int avoided() {
+            return 0;
+        }
     }
 }
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -9,7 +9,12 @@
     int kind;
     Routing.Health health = Routing.Health.GONE;
     double rating;
+    /** When it last started, by the list or by an operator who brought it back. */
     long bootTime;
+    private long listedBoot;
+    private long returnedAt;
+    /** Left out by an operator. */
+    boolean out;
     int inFlight;
     double smoothLoad;
     long settledAt;
@@ -45,6 +50,9 @@
         next.health = health;
         next.rating = useRating ? rating : 1;
         next.bootTime = bootTime;
+        next.listedBoot = listedBoot;
+        next.returnedAt = returnedAt;
+        next.out = out;
         next.openUntil = openUntil;
         next.dialFailedAt = dialFailedAt;
         next.reported = sameReports ? reported : 0;
@@ -77,16 +85,51 @@
     }
 
     void update(Routing.ServerEntry e, boolean useRating) {
-        if (e.bootTime() != bootTime) {
-            sick = 0;
-            ejected = false;
-            cold.reset();
+        if (e.bootTime() != listedBoot) {
+            restarted();
         }
         zone = e.zone();
         cell = e.cell();
         kind = e.kind();
         health = e.health();
         rating = useRating && e.rating() > 0 ? e.rating() : 1;
-        bootTime = e.bootTime();
+        listedBoot = e.bootTime();
+        bootTime = Math.max(returnedAt, listedBoot);
+    }
+
+    /**
+     * Left out, or used again: it then counts as started at that time, also if the list does not know it
+     * yet.
+     */
+    void byHand(boolean leftOut, long at) {
+        if (!leftOut && (out || health == Routing.Health.GONE)) {
+            restarted();
+            returnedAt = at;
+            bootTime = Math.max(returnedAt, listedBoot);
+        }
+        out = leftOut;
+    }
+
+    /** Whether new requests may go to it. */
+    boolean usable() {
+        return health == Routing.Health.READY && !out;
+    }
+
+    /** Whether it is listed and yet nothing, or only a trial, goes to it. */
+    boolean avoided() {
+        return health != Routing.Health.GONE && (ejected || !usable());
+    }
+
+    /** Whether nothing is to be remembered of it: what is out by hand stays so when it is listed again. */
+    boolean forgotten() {
+        return health == Routing.Health.GONE && inFlight == 0 && !out && returnedAt == 0;
+    }
+
+    /** Nothing that was learned of it holds any more. */
+    private void restarted() {
+        sick = 0;
+        ejected = false;
+        dialFailedAt = 0;
+        cold.reset();
     }
 }
--- a/src/main/java/beaconturn/net/CacheConnection.java
+++ b/src/main/java/beaconturn/net/CacheConnection.java
@@ -31,6 +31,9 @@
 
         void ended(CacheConnection connection, Attempt attempt, Outcome outcome, boolean reusable);
 
+        /** An attempt has been written whole. */
+        void sent();
+
         /** What came is no answer, or came with none asked for. */
         void spoilt();
 
@@ -129,6 +132,7 @@
             try {
                 Sockets.write(socket.getOutputStream(), a.call().forwarded(wait));
                 written = true;
+                owner.sent();
             } catch (IOException e) {
                 Sockets.close(socket);
             }
--- a/src/main/java/beaconturn/net/CacheFleet.java
+++ b/src/main/java/beaconturn/net/CacheFleet.java
@@ -17,6 +17,8 @@
     private static final Logger LOG = Logger.getLogger(CacheFleet.class.getName());
     private final CacheServer.Site site;
     private final Map<Long, Known> servers = new HashMap<>();
+    /** Those that operators have left out, listed or not. */
+    private final Set<Long> out = new HashSet<>();
     /** How many are gone but still have attempts or connections out. */
     private int leaving;
 
@@ -92,8 +94,33 @@
             // What was connected before the restart is dead, even where the peer's end was never heard of.
             actor.closeIdle();
         }
-        actor.wanted(entry.health() == Routing.Health.READY);
         servers.put(entry.server(), new Known(actor, member.host(), entry.health(), entry.bootTime()));
+        want(entry.server());
+    }
+
+    private void want(long server) {
+        Known known = servers.get(server);
+        known.actor().wanted(known.health() == Routing.Health.READY && !out.contains(server));
+    }
+
+    @Override
+    public boolean byHand(long server, boolean leftOut, boolean mayCome) {
+        boolean listed = servers.containsKey(server) && servers.get(server).health() != Routing.Health.GONE;
+        if (!listed && !mayCome && !out.contains(server)) {
+            return false;
+        }
+        boolean changes = leftOut ? out.add(server) : out.remove(server);
+        if (changes && listed) {
+            // Operators restart it while it is out: what is connected now does not live until its return.
+            servers.get(server).actor().closeIdle();
+            want(server);
+        }
+        return true;
+    }
+
+    @Override
+    public int listed() {
+        return (int) servers.values().stream().filter(k -> k.health() != Routing.Health.GONE).count();
     }
 
     private CacheServer start(ListNews.Member member) {
--- a/src/main/java/beaconturn/net/CacheServer.java
+++ b/src/main/java/beaconturn/net/CacheServer.java
@@ -7,6 +7,7 @@
 import beaconturn.core.Outcome;
 import beaconturn.core.Spell;
 import beaconturn.decision.Routing;
+import beaconturn.stats.Tally;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -27,7 +28,7 @@
 
     /** What the actor needs of the router round it. */
     record Site(Clock clock, Consumer<Message> module, Semaphore places, ReplyReader replies,
-            long connectTimeout, long idleTime) { }
+            long connectTimeout, long idleTime, Tally tally) { }
 
     private sealed interface Task {
         record Send(Attempt attempt) implements Task { }
@@ -274,6 +275,11 @@
             site.module().accept(new Message.Ended(attempt, outcome));
         }
 
+        @Override
+        public void sent() {
+            site.tally().sent();
+        }
+
         @Override
         public void spoilt() {
             post(new Task.Spoilt());
--- a/src/main/java/beaconturn/net/ClientCall.java
+++ b/src/main/java/beaconturn/net/ClientCall.java
@@ -1,8 +1,10 @@
 package beaconturn.net;
 
 import beaconturn.core.Call;
+import beaconturn.decision.Routing;
 import beaconturn.protocol.RespWriter;
 import beaconturn.protocol.Slice;
+import beaconturn.stats.Tally;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -12,16 +14,39 @@
     private final Call.Ask ask;
     private final long deadline;
     private final RequestParser.Parts parts;
+    private final Reading reading;
     private final Runnable whenOver;
 
+    /**
+     * What it was read under: its class is one of the settings', and it is counted under the class's name.
+     */
+    record Reading(Routing.Settings settings, String className, Tally tally) { }
+
     /** A call that says when it has its answer, or nobody waits for one. */
-    ClientCall(Call.Ask ask, long deadline, RequestParser.Parts parts, Runnable whenOver) {
+    ClientCall(Call.Ask ask, long deadline, RequestParser.Parts parts, Reading reading, Runnable whenOver) {
         this.ask = ask;
         this.deadline = deadline;
         this.parts = parts;
+        this.reading = reading;
         this.whenOver = whenOver;
     }
 
+    /** From now on an answer is owed. */
+    void taken() {
+        reading.tally().taken();
+    }
+
+    /** Nobody waits for the answer any more. */
+    void abandoned() {
+        end(Tally.End.ABANDONED, ClientWriter.END);
+    }
+
+    private void end(Tally.End how, Slice answer) {
+        if (fill(answer)) {
+            reading.tally().ended(reading.className(), how);
+        }
+    }
+
     @Override
     void over() {
         whenOver.run();
@@ -32,6 +57,11 @@
         return ask;
     }
 
+    @Override
+    public Routing.Settings settings() {
+        return reading.settings();
+    }
+
     @Override
     public long deadline() {
         return deadline;
@@ -51,17 +81,18 @@
 
     @Override
     public void served(Slice answer) {
-        fill(answer);
+        end(Tally.End.ANSWERED, answer);
     }
 
     /** Rounded up, so that no client comes again before it should. */
     @Override
     public void refused(long retryAfter) {
-        fill(RespWriter.failure(retryAfter <= 0 ? "BUSY" : "BUSY " + (retryAfter + MILLI - 1) / MILLI));
+        end(Tally.End.DEFERRED, RespWriter.failure(
+            retryAfter <= 0 ? "BUSY" : "BUSY " + (retryAfter + MILLI - 1) / MILLI));
     }
 
     @Override
     public void failed() {
-        fill(RespWriter.failure("ERR failed"));
+        end(Tally.End.ERRORED, RespWriter.failure("ERR failed"));
     }
 }
--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -36,7 +37,7 @@
     private static final long NEVER = Long.MAX_VALUE;
 
     /** What a connection needs of the router round it. */
-    record Site(RequestParser parser, Clock clock, Lifecycle lifecycle, Consumer<Message> module,
+    record Site(Supplier<RequestParser> parser, Clock clock, Lifecycle lifecycle, Consumer<Message> module,
             ClientPoller poller, OpenIds ids, Semaphore largeRequests,
             Consumer<ClientConnection> whenClosed) { }
 
@@ -127,7 +128,7 @@
         for (ClientCall call : open) {
             if (!call.isFilled()) {
                 site.module().accept(new Message.Left(call));
-                call.fill(ClientWriter.END);
+                call.abandoned();
             }
         }
         giveBackLarge();
@@ -243,7 +244,7 @@
             spoke = true;
             return;
         }
-        ClientCall call = site.parser().parse(array.items(), site.clock().now(), site.ids());
+        ClientCall call = site.parser().get().parse(array.items(), site.clock().now(), site.ids());
         largeInHand = false;
         spoke = true;
         if (writer.take(call)) {
@@ -251,6 +252,7 @@
                 calls.removeIf(Reply::isFilled);
                 calls.add(call);
             }
+            call.taken();
             site.module().accept(new Message.Arrived(call));
         } else {
             call.fill(ClientWriter.END);
--- /dev/null
+++ b/src/main/java/beaconturn/net/Operators.java
@@ -0,0 +1,78 @@
+package beaconturn.net;
+
+import beaconturn.core.Clock;
+import beaconturn.core.Lifecycle;
+import beaconturn.core.Message;
+import beaconturn.net.control.ControlAddress;
+import beaconturn.net.control.Hand;
+import beaconturn.net.control.HandFile;
+import beaconturn.net.control.Office;
+import beaconturn.protocol.Slice;
+import beaconturn.stats.Counters;
+import beaconturn.stats.Tally;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.function.Consumer;
+
+/** What a router has for its operators where a second address is set; else none of it is loaded. */
+final class Operators implements Office {
+    private static final long MILLI = 1_000_000;
+    private final Counters counters = new Counters();
+    private final Lifecycle lifecycle;
+    private final Consumer<Message> module;
+    private final HandFile file;
+    private final ControlAddress address;
+
+    /** Binds the second address. */
+    Operators(RouterConfig config, Lifecycle lifecycle, Clock clock, Consumer<Message> module)
+            throws IOException {
+        this.lifecycle = lifecycle;
+        this.module = module;
+        // One file for each router: names come from operators, and must not lead out of the folder.
+        String name = config.name().replaceAll("[^A-Za-z0-9-]", "_");
+        Path kept = config.folder() == null ? null : config.folder().resolve("beaconturn-" + name + ".hand");
+        this.file = new HandFile(kept, config.shared());
+        this.address = new ControlAddress(config.control(), this, file, clock::now);
+    }
+
+    Tally tally() {
+        return counters;
+    }
+
+    /** Answers calls from here on; what operators said before this process began is posted first. */
+    void start() {
+        file.read().forEach(h -> hand(h, true, known -> { }));
+        Threads.start("operators", address);
+    }
+
+    InetSocketAddress address() {
+        return address.address();
+    }
+
+    void close() {
+        address.close();
+    }
+
+    @Override
+    public String notReady() {
+        return switch (lifecycle.phase()) {
+            case STARTING -> "starting";
+            case SERVING -> null;
+            case DRAINING, STOPPED -> "stopping";
+        };
+    }
+
+    @Override
+    public Counters figures() {
+        return counters;
+    }
+
+    @Override
+    public void hand(Hand hand, boolean told, Consumer<Boolean> known) {
+        byte[] id = hand.id().getBytes(StandardCharsets.UTF_8);
+        module.accept(new Message.ByHand(NameHash.of(new Slice(id, 0, id.length)), hand.out(),
+            hand.atMillis() * MILLI, told, known));
+    }
+}
--- a/src/main/java/beaconturn/net/Reloads.java
+++ b/src/main/java/beaconturn/net/Reloads.java
@@ -3,6 +3,7 @@
 import beaconturn.core.Mailbox;
 import beaconturn.core.Message;
 import beaconturn.core.Settings;
+import beaconturn.stats.Tally;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -13,15 +14,21 @@
     private final RouterConfig.Source source;
     private final Discovery discovery;
     private final Consumer<Message> module;
-    private Settings settings;
+    private final Consumer<Settings> inForce;
+    private final Tally tally;
+    private RouterConfig taken;
     /** One reading that is yet to begin covers all that ask for it. */
     private final Mailbox<Boolean> asked = new Mailbox<>(1);
 
-    Reloads(RouterConfig.Source source, Discovery discovery, RouterConfig now, Consumer<Message> module) {
+    /** {@code inForce} hears of new settings right after the module was told. */
+    Reloads(RouterConfig.Source source, Discovery discovery, RouterConfig now, Consumer<Message> module,
+            Consumer<Settings> inForce, Tally tally) {
         this.source = source;
         this.discovery = discovery;
-        this.settings = now.settings();
+        this.taken = now;
         this.module = module;
+        this.inForce = inForce;
+        this.tally = tally;
     }
 
     void start() {
@@ -43,15 +50,22 @@
         }
     }
 
-    /** New settings are in force at once where the wire stays the same; else they wait for a restart. */
-    private void take(RouterConfig next) {
-        if (!settings.sameWire(next.settings())) {
-            LOG.warning("settings of classes, tenants, reports, places or connections have changed: "
-                + "they need a restart, the old settings stay in force");
-        } else if (!settings.equals(next.settings())) {
-            settings = next.settings();
-            module.accept(new Message.Switched(settings.routing(), next.seed()));
+    /** All of a file or nothing: it is checked whole before any of it is in force. */
+    private void take(RouterConfig next) throws ConfigException {
+        String missing = next.lacks(taken);
+        if (missing != null) {
+            throw new ConfigException(missing + ": is missing, or of another type than in the file in force");
         }
+        if (!taken.settings().sameWire(next.settings())) {
+            throw new ConfigException("settings: tenants, reports, places or times of connections have "
+                + "changed, which needs a restart");
+        }
+        if (!taken.settings().equals(next.settings())) {
+            // The module first: it must know the classes of the requests that are read under them.
+            module.accept(new Message.Switched(next.settings().routing(), next.seed()));
+            inForce.accept(next.settings());
+        }
+        taken = next;
     }
 
     /** Reads the configuration anew and takes what may change; on the thread that asks. */
@@ -60,9 +74,12 @@
             RouterConfig next = source.read();
             take(next);
             discovery.move(next.discovery());
+            tally.reloaded(true);
         } catch (ConfigException e) {
+            tally.reloaded(false);
             LOG.warning("new configuration not taken, the old one stays in force: " + e.getMessage());
         } catch (RuntimeException | Error e) {
+            tally.reloaded(false);
             LOG.log(Level.SEVERE, "reading the new configuration failed, the old one stays in force", e);
         }
     }
--- a/src/main/java/beaconturn/net/Reply.java
+++ b/src/main/java/beaconturn/net/Reply.java
@@ -14,18 +14,19 @@
         return reply;
     }
 
-    /** Fills in the answer; one that comes second is dropped. */
-    final void fill(Slice answer) {
+    /** Fills in the answer; false for one that comes second, which is dropped. */
+    final boolean fill(Slice answer) {
         Runnable then;
         synchronized (this) {
             if (bytes != null) {
-                return;
+                return false;
             }
             over();
             bytes = answer;
             then = next;
         }
         then.run();
+        return true;
     }
 
     /** Says what to do once the answer is there, which may be now. */
--- a/src/main/java/beaconturn/net/RequestParser.java
+++ b/src/main/java/beaconturn/net/RequestParser.java
@@ -6,6 +6,7 @@
 import beaconturn.protocol.ProtocolException;
 import beaconturn.protocol.RespValue;
 import beaconturn.protocol.Slice;
+import beaconturn.stats.Tally;
 import java.util.List;
 import java.util.Map;
 import java.util.LinkedHashMap;
@@ -24,9 +25,13 @@
     /** A wait of more than so many times its class's deadline is a mistake of the client's. */
     private static final double LONGEST_WAIT = 2;
     private final Settings settings;
+    private final Tally tally;
 
-    RequestParser(Settings settings) {
+    /** A parser of requests under these settings, which are counted in the tally. */
+    RequestParser(Settings settings, Tally tally) {
         this.settings = settings;
+        this.tally = tally;
+        settings.classNames().forEach(tally::names);
     }
 
     /** The parts that go on to a cache server: {@code head} is the command, the key and the id as read. */
@@ -77,7 +82,7 @@
             throw new ProtocolException("a request of this id is open");
         }
         return new ClientCall(ask, readAt + (long) wait, new Parts(head, attributes, value),
-            () -> ids.close(id));
+            new ClientCall.Reading(settings.routing(), attributes.get("c"), tally), () -> ids.close(id));
     }
 
     /** A key or an id: not empty, not endless, and of bytes that can be seen. */
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -7,9 +7,11 @@
 import beaconturn.core.Message;
 import beaconturn.core.ModuleActor;
 import beaconturn.core.ModuleHost;
+import beaconturn.core.Settings;
 import beaconturn.core.Spell;
 import beaconturn.decision.Routing;
 import beaconturn.protocol.ProtocolException;
+import beaconturn.stats.Tally;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
@@ -46,13 +48,18 @@
     private final RouterConfig config;
     private final Clock clock = Clock.system();
     private final Lifecycle lifecycle;
-    private final ModuleActor module = new ModuleActor();
+    /** Null where no second address is set. */
+    private final Operators operators;
+    private final Tally tally;
+    private final ModuleActor module;
     private final ClientConnections clients;
     private final ClientPoller poller = new ClientPoller();
     private final ClientConnection.Site site;
     private final Listener listener;
     private final Discovery discovery;
     private final Reloads reloads;
+    private volatile Settings settings;
+    private volatile RequestParser parser;
     private final Spell turnedAway = new Spell(LOG, "new client connections are turned away", 1);
 
     /** Binds the address; nothing is served before {@link #start}. A reload reads from the source. */
@@ -66,24 +73,43 @@
             throws IOException {
         this.config = config;
         this.lifecycle = lifecycle;
+        this.operators = config.control() == null ? null
+            : new Operators(config, lifecycle, clock, this::post);
+        this.tally = operators == null ? Tally.NONE : operators.tally();
+        this.module = new ModuleActor(tally);
+        follow(config.settings());
         Capacity capacity = Capacity.of(config.sockets(), config.memoryMb());
         this.clients = new ClientConnections(capacity.clients(), capacity.easyClients());
         Consumer<Message> inbox = hosting.inbox(module::post);
-        this.site = new ClientConnection.Site(new RequestParser(config.settings()), clock, lifecycle,
+        this.site = new ClientConnection.Site(() -> parser, clock, lifecycle,
             inbox, poller, new OpenIds(), new Semaphore(capacity.largeRequests()), clients::remove);
         this.discovery = new Discovery(config.discovery(), new ListReader(config.settings()),
             config.known().version(), inbox);
-        this.reloads = new Reloads(source, discovery, config, module::post);
+        this.reloads = new Reloads(source, discovery, config, module::post, this::follow, tally);
         Routing.Settings routing = config.settings().routing();
         CacheFleet fleet = new CacheFleet(new CacheServer.Site(clock, inbox,
             new Semaphore(capacity.cacheConnections()), new ReplyReader(routing),
-            routing.permissions().connectTimeout(), routing.permissions().connIdle() / 2));
+            routing.permissions().connectTimeout(), routing.permissions().connIdle() / 2, tally));
         module.host(hosting.host(config, clock, fleet, discovery));
-        this.listener = new Listener(config.listen(), this::accepted);
+        this.listener = config.shared() ? Listener.inherited(this::accepted)
+            : Listener.bound(config.listen(), this::accepted);
+    }
+
+    private void post(Message message) {
+        module.post(message);
+    }
+
+    /** Requests are read under these settings from here on. */
+    private void follow(Settings next) {
+        settings = next;
+        parser = new RequestParser(next, tally);
     }
 
     /** Starts all actors; clients are told that the router is ready. */
     public void start() {
+        if (operators != null) {
+            operators.start();
+        }
         warmUp();
         Threads.start("module", module);
         module.post(new Message.News(config.known()));
@@ -101,6 +127,11 @@
         reloads.ask();
     }
 
+    /** Where operators call, or null where they cannot. */
+    public InetSocketAddress control() {
+        return operators == null ? null : operators.address();
+    }
+
     /** Where clients connect. */
     public InetSocketAddress address() {
         return listener.address();
@@ -114,17 +145,22 @@
         if (!lifecycle.advance(Lifecycle.Phase.DRAINING)) {
             return;
         }
-        long longest = config.settings().routing().longestDeadline();
+        long longest = settings.routing().longestDeadline();
         long began = clock.now();
-        Thread.sleep(ACCEPT_ON / MILLI);
+        // What is shared another process accepts from; else nobody does, and new connections still come.
+        long acceptOn = config.shared() ? 0 : ACCEPT_ON;
+        Thread.sleep(acceptOn / MILLI);
         listener.close();
-        while (clients.count() > 0 && clock.now() < began + ACCEPT_ON + longest) {
+        while (clients.count() > 0 && clock.now() < began + acceptOn + longest) {
             clients.finishQuiet();
             clients.sweep(clock.now());
             Thread.sleep(STEP_MILLIS);
         }
         LOG.info("drained in " + (clock.now() - began) / MILLI + " ms, " + module.open() + " unanswered");
         module.stop();
+        if (operators != null) {
+            operators.close();
+        }
         lifecycle.advance(Lifecycle.Phase.STOPPED);
     }
 
--- a/src/main/java/beaconturn/net/WarmUp.java
+++ b/src/main/java/beaconturn/net/WarmUp.java
@@ -13,6 +13,7 @@
 import beaconturn.protocol.RespReader;
 import beaconturn.protocol.RespValue;
 import beaconturn.protocol.Slice;
+import beaconturn.stats.Tally;
 import java.util.ArrayDeque;
 import java.util.Queue;
 
@@ -38,7 +39,7 @@
 
     WarmUp(RouterConfig config) {
         this.settings = config.settings();
-        this.requests = new RequestParser(settings);
+        this.requests = new RequestParser(settings, Tally.NONE);
         this.replies = new ReplyReader(settings.routing());
         this.host = new ModuleHost(settings.routing(), config.seed(), () -> now, new NoFleet(), new NoList());
         host.handle(new Message.News(config.known()));
@@ -99,6 +100,16 @@
         public void follow(ListNews news) {
             sent.clear();
         }
+
+        @Override
+        public boolean byHand(long server, boolean out, boolean mayCome) {
+            return mayCome;
+        }
+
+        @Override
+        public int listed() {
+            return 0;
+        }
     }
 
     /** The warm-up's module keeps to the list that it was given. */
--- /dev/null
+++ b/src/main/java/beaconturn/stats/Tally.java
@@ -0,0 +1,28 @@
+package beaconturn.stats;
+
+/** Where the work of one process is counted; any thread may call, and no call waits. */
+public interface Tally {
+    /** Counts nothing: for a router whose figures nobody can ask for. */
+    Tally NONE = new Tally() { };
+
+    /** How a request ended, each in exactly one way. */
+    enum End { ANSWERED, DEFERRED, ERRORED, ABANDONED }
+
+    /** A request has been taken. */
+    default void taken() { }
+
+    /** A request that had been taken is over; {@code requestClass} is the class it was taken with. */
+    default void ended(String requestClass, End how) { }
+
+    /** An attempt has been written whole to a cache server. */
+    default void sent() { }
+
+    /** So many cache servers are listed, and so many of them are avoided, by hand or by choice. */
+    default void fleet(int listed, int avoided) { }
+
+    /** A configuration was taken at a reload, or turned down. */
+    default void reloaded(boolean taken) { }
+
+    /** The settings in force name this class, which is shown from now on though it has counted nothing. */
+    default void names(String requestClass) { }
+}
--- a/src/test/java/beaconturn/core/ModuleHostTest.java
+++ b/src/test/java/beaconturn/core/ModuleHostTest.java
@@ -345,6 +345,16 @@
         public void follow(ListNews news) {
             sent.clear();
         }
+
+        @Override
+        public boolean byHand(long server, boolean out, boolean mayCome) {
+            return mayCome || server != 0;
+        }
+
+        @Override
+        public int listed() {
+            return 1;
+        }
     }
 
     /** May be watched so often and not more. */
--- a/src/test/java/beaconturn/decision/FourRulesTest.java
+++ b/src/test/java/beaconturn/decision/FourRulesTest.java
@@ -7,6 +7,7 @@
 import static beaconturn.decision.Harness.SECOND;
 import static beaconturn.decision.Harness.UNSAFE;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beaconturn.decision.Routing.Ending;
@@ -101,6 +102,71 @@
         }
     }
 
+    /** Whatever the list says meanwhile: a new boot time, gone and listed again, a whole list. */
+    @Test
+    void aCacheThatIsOutByHandGetsNothingUntilItIsCalledBack() {
+        Harness h = through();
+        long out = h.home(5);
+        h.byHand(out, true);
+        h.byHand(out, true);
+        assertEquals(1, h.router.avoided());
+        h.list(ListKind.DELTA, Harness.entry(out, Health.READY, h.now));
+        h.list(ListKind.DELTA, Harness.entry(out, Health.GONE, 0));
+        h.list(ListKind.DELTA, Harness.entry(out, Health.READY, h.now + 1));
+        h.caches(6);
+        h.reads(200, 400, 10 * MS, (send, attempt) -> {
+            assertNotEquals(out, send.server());
+            h.close(send, attempt, Ending.OK, true);
+        });
+        h.byHand(out, false);
+        assertEquals(0, h.router.avoided());
+        h.reads(400, 900, 10 * MS, (send, attempt) -> h.close(send, attempt, Ending.OK, true));
+        assertTrue(h.sends.stream().anyMatch(s -> s.request() >= 400 && s.server() == out), "not used again");
+    }
+
+    /** Its operators restart it while it is out: it comes back cold, and past whatever had it ejected. */
+    @Test
+    void aCacheThatIsBackIsHeldToItsBudgetAsAfterAStart() {
+        Harness h = through();
+        long server = h.home(5);
+        h.reads(200, 300, 10 * MS, (send, attempt) -> h.close(send, attempt,
+            send.server() == server ? Ending.RESET : Ending.OK, send.server() != server));
+        assertEquals(1, h.router.avoided());
+        h.byHand(server, true);
+        h.now += SECOND;
+        h.byHand(server, false);
+        assertEquals(0, h.router.avoided());
+        int before = h.sends.size();
+        h.reads(300, 1300, MS, (send, attempt) -> h.close(send, attempt, Ending.OK, true));
+        long got = h.sends.subList(before, h.sends.size()).stream().filter(s -> s.server() == server).count();
+        assertTrue(got > 0 && got < 120, got + " of 1000 sends, an even part is 167");
+    }
+
+    @Test
+    void withAllCachesOutByHandARequestIsRefusedAtOnceWithATimeToComeBack() {
+        Harness h = through();
+        for (int i = 1; i <= 6; i++) {
+            h.byHand(i, true);
+        }
+        h.arrive(100, READ, 5);
+        assertTrue(h.actions.get(h.actions.size() - 1).matches("refuse 100 [1-9][0-9]*"));
+    }
+
+    /** Told before the first list, as to a new process of the same router. */
+    @Test
+    void whatIsOutBeforeItIsListedStaysOutAndSoItDoesUnderNewSettings() {
+        Harness h = new Harness(Harness.settings(false));
+        h.byHand(1, true);
+        h.caches(2);
+        RingRouter next = new RingRouter(Harness.settings(false), 1, h.now, h, h.router);
+        assertEquals(1, next.avoided());
+        for (int key = 1; key < 50; key++) {
+            next.handle(h.now, new Routing.Arrival(key, 0, 0, key, READ, SECOND, false, false, 0));
+        }
+        assertEquals(List.of(), h.sends.stream().filter(s -> s.server() == 1).toList());
+        assertTrue(h.sends.size() > 10);
+    }
+
     @Test
     void aWaitingRequestIsNotSentWhereItsObjectIsStoredOnceThatCacheDrains() {
         Harness h = Harness.aside(2);
--- a/src/test/java/beaconturn/decision/Harness.java
+++ b/src/test/java/beaconturn/decision/Harness.java
@@ -103,6 +103,16 @@
         router.handle(now, new Routing.ServerList(1, kind, List.of(entries)));
     }
 
+    /** The cache that the key goes to first. */
+    long home(long key) {
+        serve(99, key);
+        return last().server();
+    }
+
+    void byHand(long server, boolean out) {
+        router.handle(now, new Routing.ByHand(server, out, now));
+    }
+
     void caches(int count) {
         Routing.ServerEntry[] entries = new Routing.ServerEntry[count];
         for (int i = 0; i < count; i++) {
--- /dev/null
+++ b/src/test/java/beaconturn/net/control/ControlAddressTest.java
@@ -0,0 +1,196 @@
+package beaconturn.net.control;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.stats.Counters;
+import beaconturn.stats.Tally;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Calls on the second address; the clock is the test's, and so is what the calls reach. */
+@Timeout(30)
+class ControlAddressTest {
+    private static final long SECOND = 1_000_000_000;
+    @TempDir
+    private Path folder;
+    private final AtomicLong now = new AtomicLong(SECOND);
+    private final FakeOffice office = new FakeOffice();
+    private ControlAddress address;
+
+    /** Knows server {@code s-1}; one that is called {@code s-slow} is never heard of again. */
+    private static final class FakeOffice implements Office {
+        private final Counters counters = new Counters();
+        private final BlockingQueue<Hand> hands = new LinkedBlockingQueue<>();
+        private volatile String notReady;
+
+        @Override
+        public String notReady() {
+            return notReady;
+        }
+
+        @Override
+        public Counters figures() {
+            return counters;
+        }
+
+        @Override
+        public void hand(Hand hand, boolean told, Consumer<Boolean> known) {
+            hands.add(hand);
+            if (!hand.id().equals("s-slow")) {
+                known.accept(told || hand.id().equals("s-1"));
+            }
+        }
+    }
+
+    private ControlAddress open(boolean shared) throws IOException {
+        ControlAddress opened = new ControlAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+            office, new HandFile(folder.resolve("hand"), shared), now::get);
+        Thread thread = new Thread(opened);
+        thread.setDaemon(true);
+        thread.start();
+        return opened;
+    }
+
+    @BeforeEach
+    void open() throws IOException {
+        address = open(false);
+    }
+
+    @AfterEach
+    void close() {
+        address.close();
+    }
+
+    private Socket connect() throws IOException {
+        return new Socket(address.address().getAddress(), address.address().getPort());
+    }
+
+    private static String answer(Socket caller) throws IOException {
+        return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+
+    private String call(String text) throws IOException {
+        try (Socket caller = connect()) {
+            caller.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+            return answer(caller);
+        }
+    }
+
+    @Test
+    void readySaysYesOnceTheRouterServesAndWhyNotBefore() throws IOException {
+        office.notReady = "starting";
+        assertEquals("NAK starting\n", call("ready\n"));
+        office.notReady = null;
+        assertEquals("ACK\n", call("ready\r\n"));
+    }
+
+    @Test
+    void aCallInSingleBytesOrEndedByItsCallersEndIsACall() throws IOException {
+        try (Socket caller = connect()) {
+            for (byte b : "ready\n".getBytes(StandardCharsets.US_ASCII)) {
+                caller.getOutputStream().write(b);
+                caller.getOutputStream().flush();
+            }
+            assertEquals("ACK\n", answer(caller));
+        }
+        try (Socket caller = connect()) {
+            caller.getOutputStream().write("ready".getBytes(StandardCharsets.US_ASCII));
+            caller.shutdownOutput();
+            assertEquals("ACK\n", answer(caller));
+        }
+    }
+
+    @Test
+    void whatIsNoCallGetsANoWithTheReason() throws IOException {
+        assertEquals("NAK no such call\n", call("\n"));
+        assertEquals("NAK no such call\n", call("GET / HTTP/1.1\n"));
+        assertEquals("NAK an id is missing\n", call("disable-server\n"));
+        assertEquals("NAK more words than the call takes\n", call("enable-server s-1 s-2\n"));
+        assertEquals("NAK more words than the call takes\n", call("ready now\n"));
+        assertEquals("NAK the id is too long or of odd characters\n", call("disable-server "
+            + "x".repeat(200) + "\n"));
+        assertEquals("NAK the call is too long\n", call("x".repeat(512)));
+        assertEquals("NAK no cache server has this id\n", call("disable-server s-2\n"));
+        assertEquals(1, office.hands.size());
+    }
+
+    @Test
+    void aHundredSilentCallersHoldUpNobody() throws IOException {
+        List<Socket> silent = new ArrayList<>();
+        try {
+            for (int i = 0; i < 100; i++) {
+                Socket caller = connect();
+                silent.add(caller);
+                caller.getOutputStream().write('r');
+            }
+            assertEquals("ACK\n", call("ready\n"));
+            // The oldest made room long ago.
+            assertEquals("", answer(silent.get(0)));
+            now.addAndGet(6 * SECOND);
+            assertEquals("", answer(silent.get(99)));
+        } finally {
+            for (Socket caller : silent) {
+                caller.close();
+            }
+        }
+    }
+
+    @Test
+    void aCallThatTheModuleDoesNotTakeInTimeIsAnsweredAllTheSame() throws Exception {
+        try (Socket caller = connect()) {
+            caller.getOutputStream().write("disable-server s-slow\n".getBytes(StandardCharsets.US_ASCII));
+            office.hands.take();
+            now.addAndGet(SECOND);
+            assertEquals("ACK\n", answer(caller));
+        }
+        assertTrue(Files.readString(folder.resolve("hand")).contains("out s-slow "));
+    }
+
+    @Test
+    void figuresAreLinesThatEndWithTheirMark() throws IOException {
+        office.counters.names("read");
+        office.counters.taken();
+        office.counters.taken();
+        office.counters.ended("put", Tally.End.DEFERRED);
+        office.counters.sent();
+        office.counters.fleet(10, 2);
+        assertEquals(List.of("app.answered.put:0|c", "app.answered.read:0|c", "app.deferred.put:1|c",
+            "app.deferred.read:0|c", "app.errored.put:0|c", "app.errored.read:0|c", "app.sends:1|c",
+            "app.current:1|g", "app.cluster_size:10|g", "app.cluster_unhealthy:2|g", "app.conf_loaded:0|c",
+            "app.conf_invalid:0|c", "--"), call("show-stat\n").lines().toList());
+    }
+
+    @Test
+    void whatOneProcessOfARouterIsToldTheOtherFollows() throws Exception {
+        ControlAddress other = open(true);
+        try {
+            assertEquals("ACK\n", call("disable-server s-1\n"));
+            Hand said = office.hands.take();
+            now.addAndGet(SECOND);
+            assertEquals(said, office.hands.take());
+            assertEquals("ACK\n", call("enable-server s-1\n"));
+            assertEquals(false, office.hands.take().out());
+            now.addAndGet(SECOND);
+            assertEquals(false, office.hands.take().out());
+        } finally {
+            other.close();
+        }
+    }
+}
