Seats tell who is alone in an upgrade, and the new process begins with learned figures

Now a lock on one of two bytes of a file in TMPDIR tells whether another process runs, and six figures are left to it; a module that follows another at SIGHUP begins with them too. Ruled out: the list, the door (0 requests ended there), memory (125 of 208 MB).

--- a/src/main/java/beaconturn/core/Message.java
+++ b/src/main/java/beaconturn/core/Message.java
@@ -1,5 +1,6 @@
 package beaconturn.core;
 
+import beaconturn.decision.Learned;
 import beaconturn.decision.Routing;
 import java.util.function.Consumer;
 
@@ -24,6 +25,9 @@
     record ByHand(long server, boolean out, long at, boolean told, Consumer<Boolean> known)
         implements Message { }
 
+    /** What another process of this router had learned. */
+    record Begun(Learned learned) implements Message { }
+
     /** Other settings are in force from here on. */
     record Switched(Routing.Settings settings, long seed) implements Message { }
 }
--- a/src/main/java/beaconturn/core/ModuleActor.java
+++ b/src/main/java/beaconturn/core/ModuleActor.java
@@ -1,7 +1,7 @@
 package beaconturn.core;
 
-import beaconturn.stats.Tally;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -11,18 +11,18 @@
     private static final int MOST_MESSAGES = 8192;
     private static final long LONGEST_WAIT = 1_000_000_000;
     /** Figures of the fleet are to be half a second old at most. */
-    private static final long TELL_EVERY = 200_000_000;
+    private static final long LOOK_EVERY = 200_000_000;
 
     private final Mailbox<Message> mailbox = new Mailbox<>(MOST_MESSAGES);
     private final AtomicBoolean stopped = new AtomicBoolean();
-    private final Tally tally;
+    private final Consumer<ModuleHost> look;
     private volatile int open;
     private ModuleHost host;
-    private long toldAt;
+    private long lookedAt;
 
-    /** An actor whose module's view of the fleet is told to the tally, unless that counts nothing. */
-    public ModuleActor(Tally tally) {
-        this.tally = tally;
+    /** An actor whose module is looked at now and then, on its own thread; null for never. */
+    public ModuleActor(Consumer<ModuleHost> look) {
+        this.look = look;
     }
 
     /** Says whom to run; called once, before the thread starts. */
@@ -63,12 +63,12 @@
         try {
             while (!stopped.get()) {
                 Message message = mailbox.poll(
-                    host.untilNext(tally == Tally.NONE ? LONGEST_WAIT : TELL_EVERY));
+                    host.untilNext(look == null ? LONGEST_WAIT : LOOK_EVERY));
                 step(message);
                 open = host.open();
-                if (tally != Tally.NONE && System.nanoTime() - toldAt >= TELL_EVERY) {
-                    toldAt = System.nanoTime();
-                    host.tell(tally);
+                if (look != null && System.nanoTime() - lookedAt >= LOOK_EVERY) {
+                    lookedAt = System.nanoTime();
+                    look.accept(host);
                 }
             }
         } catch (InterruptedException e) {
--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -1,5 +1,6 @@
 package beaconturn.core;
 
+import beaconturn.decision.Learned;
 import beaconturn.decision.RingRouter;
 import beaconturn.decision.Routing;
 import beaconturn.stats.Tally;
@@ -97,6 +98,8 @@
             to.forEach(m -> deliver(m, event));
         } else if (message instanceof Message.ByHand call) {
             byHand(call);
+        } else if (message instanceof Message.Begun begun) {
+            deliver(modules.getLast(), new Routing.Begun(begun.learned()));
         } else if (message instanceof Message.Switched switched) {
             switchTo(switched);
         }
@@ -115,6 +118,11 @@
         tally.fleet(fleet.listed(), modules.getLast().router.avoided());
     }
 
+    /** What the module in force has learned, for one that follows it. */
+    public Learned learned() {
+        return modules.getLast().router.learned();
+    }
+
     /** The module that the request was read for: one that crosses new settings keeps its class's rules. */
     private Hosted of(Call call) {
         for (Hosted m : modules) {
--- a/src/main/java/beaconturn/decision/Average.java
+++ b/src/main/java/beaconturn/decision/Average.java
@@ -12,6 +12,13 @@
         this.newest = newest;
     }
 
+    /** Begins with a mean that was found elsewhere; 0 is none. */
+    void begin(double found) {
+        if (!any && found > 0) {
+            add(found);
+        }
+    }
+
     /** Adds a sample and returns the new mean. */
     double add(double sample) {
         mean = any ? mean + newest * (sample - mean) : sample;
--- a/src/main/java/beaconturn/decision/Rate.java
+++ b/src/main/java/beaconturn/decision/Rate.java
@@ -29,6 +29,19 @@
         return Math.max(0, peak - Math.sqrt(peak)) / memory;
     }
 
+    /** Goes on from a rate and a peak that were counted elsewhere. */
+    void begin(double perNano, double highest, long now) {
+        age(now);
+        count = Math.max(count, perNano * memory);
+        peak = Math.max(Math.max(peak, count), highest * memory);
+    }
+
+    /** The highest rate of late, as it was counted. */
+    double highest(long now) {
+        age(now);
+        return peak / memory;
+    }
+
     private void age(long now) {
         double passed = (now - at) / memory;
         count *= Math.exp(-passed);
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -128,6 +128,7 @@
         boolean sameReports = settings.reportNames().equals(before.settings.reportNames());
         before.servers.forEach((id, s) -> servers.put(id, s.successor(sameReports, settings.ratingStable())));
         place();
+        begin(before.learned());
     }
 
     /** A router that starts empty; its first list follows. */
@@ -184,9 +185,25 @@
         } else if (event instanceof Routing.ByHand call) {
             servers.computeIfAbsent(call.server(), Server::new).byHand(call.out(), call.at());
             place();
+        } else if (event instanceof Routing.Begun begun) {
+            begin(begun.learned());
         }
     }
 
+    private void begin(Learned l) {
+        answers.begin(l.answers(), l.peak(), now);
+        answerTime.begin(l.answerTime());
+        fetchTime.begin(l.fetchTime());
+        caches.limit = Math.min(caches.limit, l.limit());
+        origin.limit = Math.min(origin.limit, l.originLimit());
+    }
+
+    @Override
+    public Learned learned() {
+        return new Learned(answers.perNano(now), answers.highest(now), answerTime.mean, fetchTime.mean,
+            caches.limit, origin.limit);
+    }
+
     private void arrived(Routing.Arrival e) {
         Routing.RequestClass type = settings.classes().get(e.requestClass());
         boolean lateEarnsNothing = type.lateWorth() <= 0 && type.effect() == Routing.Effect.SAFE;
@@ -476,12 +493,7 @@
         if (r.type.effect() == Routing.Effect.UNSAFE || now - first.sentAt >= r.type.window()) {
             return false;
         }
-        for (Attempt a : r.attempts) {
-            if (!a.neverRan && !sameGroup(r.type.scope(), a.server, s)) {
-                return false;
-            }
-        }
-        return true;
+        return r.attempts.stream().allMatch(a -> a.neverRan || sameGroup(r.type.scope(), a.server, s));
     }
 
     private static boolean sameGroup(Routing.Scope scope, Server a, Server b) {
@@ -704,9 +716,7 @@
         flights.remove(leader.key);
         List<Request> waiting = List.copyOf(flight.waiting);
         flight.waiting.clear();
-        for (Request w : waiting) {
-            w.flight = null;
-        }
+        waiting.forEach(w -> w.flight = null);
         for (Request w : waiting) {
             if (w.done) {
                 continue;
--- a/src/main/java/beaconturn/decision/Routing.java
+++ b/src/main/java/beaconturn/decision/Routing.java
@@ -86,7 +86,10 @@
 
     /** Everything that can happen to a router. */
     public sealed interface Event permits ServerList, Arrival, FirstByte, AttemptClosed, Withdrawn, Timer,
-            Probed, PeerMessage, ByHand { }
+            Probed, PeerMessage, ByHand, Begun { }
+
+    /** What a router that this one follows had learned; comes before any request. */
+    public record Begun(Learned learned) implements Event { }
 
     /**
      * An operator takes a server out, whatever the list says, until {@code out} is false again; it then comes
@@ -161,6 +164,11 @@
         /** Handles one event at the given clock time. */
         void handle(long now, Event event);
 
+        /** What a router that follows should begin with, or null. */
+        default Learned learned() {
+            return null;
+        }
+
         /** How many of the listed servers are avoided now, by hand or by choice. */
         default int avoided() {
             return 0;
--- a/src/main/java/beaconturn/net/CacheServer.java
+++ b/src/main/java/beaconturn/net/CacheServer.java
@@ -14,7 +14,6 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Semaphore;
 import java.util.function.Consumer;
 import java.util.logging.Level;
 import java.util.logging.Logger;
@@ -27,7 +26,7 @@
     private static final long SETTLED = 5_000_000;
 
     /** What the actor needs of the router round it. */
-    record Site(Clock clock, Consumer<Message> module, Semaphore places, ReplyReader replies,
+    record Site(Clock clock, Consumer<Message> module, Places places, ReplyReader replies,
             long connectTimeout, long idleTime, Tally tally) { }
 
     private sealed interface Task {
--- a/src/main/java/beaconturn/net/ClientConnections.java
+++ b/src/main/java/beaconturn/net/ClientConnections.java
@@ -24,8 +24,8 @@
     private static final long SHORT_QUIET = 100 * MILLI;
 
     private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
-    private final int most;
-    private final int easy;
+    private volatile int most;
+    private volatile int easy;
 
     private record Quiet(ClientConnection connection, long since) { }
 
@@ -35,6 +35,12 @@
         this.easy = easy;
     }
 
+    /** Other bounds from here on. */
+    void bounds(int nowMost, int nowEasy) {
+        most = nowMost;
+        easy = nowEasy;
+    }
+
     void add(ClientConnection connection) {
         open.add(connection);
     }
--- a/src/main/java/beaconturn/net/Operators.java
+++ b/src/main/java/beaconturn/net/Operators.java
@@ -13,7 +13,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.function.Consumer;
 
 /** What a router has for its operators where a second address is set; else none of it is loaded. */
@@ -30,10 +29,7 @@
             throws IOException {
         this.lifecycle = lifecycle;
         this.module = module;
-        // One file for each router: names come from operators, and must not lead out of the folder.
-        String name = config.name().replaceAll("[^A-Za-z0-9-]", "_");
-        Path kept = config.folder() == null ? null : config.folder().resolve("beaconturn-" + name + ".hand");
-        this.file = new HandFile(kept, config.shared());
+        this.file = new HandFile(config.kept("hand"), config.shared());
         this.address = new ControlAddress(config.control(), this, file, clock::now);
     }
 
--- a/src/main/java/beaconturn/net/RouterConfig.java
+++ b/src/main/java/beaconturn/net/RouterConfig.java
@@ -45,9 +45,11 @@
         return surroundings.shared();
     }
 
-    /** The folder for what the next process of this router should find, or null. */
-    public Path folder() {
-        return surroundings.folder();
+    /** The file of that kind which the next process of this router should find; null if no folder is kept. */
+    public Path kept(String kind) {
+        // Names come from operators, and must not lead out of the folder.
+        return surroundings.folder() == null ? null : surroundings.folder()
+            .resolve("beaconturn-" + name.replaceAll("[^A-Za-z0-9-]", "_") + "." + kind);
     }
 
     /** Where a configuration can be read again and again. */
@@ -75,10 +77,11 @@
             throws ProtocolException, SettingsException {
         Settings settings = SettingsReader.read(flat(json.get("settings")));
         Surroundings surroundings = surroundings(json, variables);
-        // Two processes of one router keep to its limits together, so one of them keeps to half.
+        // Two processes of one router keep to its limits together. Memory that is taken is not given back, so
+        // each has half of it from the start; descriptors are shared out as long as there are two.
         int share = surroundings.shared() ? 2 : 1;
-        int sockets = limit(json, "sockets", USUAL_SOCKETS) / share;
-        if (sockets < FEWEST_SOCKETS) {
+        int sockets = limit(json, "sockets", USUAL_SOCKETS);
+        if (sockets < share * FEWEST_SOCKETS) {
             throw new IllegalArgumentException("limits.sockets: at least " + share * FEWEST_SOCKETS
                 + " are needed");
         }
@@ -98,6 +101,9 @@
                 + descriptor + "'");
         }
         String folder = variables.getOrDefault("TMPDIR", "");
+        if (!descriptor.isEmpty() && folder.isEmpty()) {
+            throw new IllegalArgumentException("TMPDIR: needed where PROXY_FD is set");
+        }
         return new Surroundings(control.isEmpty() ? null : address("control", control),
             !descriptor.isEmpty(), folder.isEmpty() ? null : Path.of(folder));
     }
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -9,6 +9,7 @@
 import beaconturn.core.ModuleHost;
 import beaconturn.core.Settings;
 import beaconturn.core.Spell;
+import beaconturn.decision.Learned;
 import beaconturn.decision.Routing;
 import beaconturn.protocol.ProtocolException;
 import beaconturn.stats.Tally;
@@ -58,7 +59,12 @@
     private final Listener listener;
     private final Discovery discovery;
     private final Reloads reloads;
+    /** Null where no other process of this router can run beside this one. */
+    private final Neighbour neighbour;
+    private final Places places;
     private volatile Settings settings;
+    private volatile Learned learned;
+    private volatile boolean beside;
     private volatile RequestParser parser;
     private final Spell turnedAway = new Spell(LOG, "new client connections are turned away", 1);
 
@@ -76,9 +82,11 @@
         this.operators = config.control() == null ? null
             : new Operators(config, lifecycle, clock, this::post);
         this.tally = operators == null ? Tally.NONE : operators.tally();
-        this.module = new ModuleActor(tally);
+        this.module = new ModuleActor(operators == null && !config.shared() ? null : this::look);
+        this.neighbour = config.shared() ? new Neighbour(config) : null;
         follow(config.settings());
-        Capacity capacity = Capacity.of(config.sockets(), config.memoryMb());
+        Capacity capacity = capacity();
+        this.places = new Places(capacity.cacheConnections());
         this.clients = new ClientConnections(capacity.clients(), capacity.easyClients());
         Consumer<Message> inbox = hosting.inbox(module::post);
         this.site = new ClientConnection.Site(() -> parser, clock, lifecycle,
@@ -88,13 +96,27 @@
         this.reloads = new Reloads(source, discovery, config, module::post, this::follow, tally);
         Routing.Settings routing = config.settings().routing();
         CacheFleet fleet = new CacheFleet(new CacheServer.Site(clock, inbox,
-            new Semaphore(capacity.cacheConnections()), new ReplyReader(routing),
+            places, new ReplyReader(routing),
             routing.permissions().connectTimeout(), routing.permissions().connIdle() / 2, tally));
         module.host(hosting.host(config, clock, fleet, discovery));
         this.listener = config.shared() ? Listener.inherited(this::accepted)
             : Listener.bound(config.listen(), this::accepted);
     }
 
+    private Capacity capacity() {
+        beside = neighbour != null && neighbour.beside();
+        int share = beside ? 2 : 1;
+        return Capacity.of(config.sockets() / share, config.memoryMb());
+    }
+
+    /** On the module's thread, now and then. */
+    private void look(ModuleHost host) {
+        host.tell(tally);
+        if (beside) {
+            learned = host.learned();
+        }
+    }
+
     private void post(Message message) {
         module.post(message);
     }
@@ -112,6 +134,10 @@
         }
         warmUp();
         Threads.start("module", module);
+        Learned left = neighbour == null ? null : neighbour.left();
+        if (left != null) {
+            module.post(new Message.Begun(left));
+        }
         module.post(new Message.News(config.known()));
         discovery.start();
         reloads.start();
@@ -188,10 +214,25 @@
         turnedAway.check(clock.now());
     }
 
+    /** Beside another process of this router: keeps to its part, and leaves the other what was learned. */
+    private void share() {
+        Capacity now = capacity();
+        clients.bounds(now.clients(), now.easyClients());
+        places.most(now.cacheConnections());
+        Learned latest = learned;
+        learned = null;
+        if (beside && latest != null && lifecycle.phase() == Lifecycle.Phase.SERVING) {
+            neighbour.leave(latest);
+        }
+    }
+
     private void sweep() {
         try {
             while (lifecycle.phase() != Lifecycle.Phase.STOPPED) {
                 clients.sweep(clock.now());
+                if (neighbour != null) {
+                    share();
+                }
                 Thread.sleep(SWEEP_MILLIS);
             }
         } catch (InterruptedException e) {
--- a/src/test/java/beaconturn/decision/FourRulesTest.java
+++ b/src/test/java/beaconturn/decision/FourRulesTest.java
@@ -142,6 +142,27 @@
         assertTrue(got > 0 && got < 120, got + " of 1000 sends, an even part is 167");
     }
 
+    /**
+     * All caches have just started: without what the one before had counted, a new router refuses nearly
+     * all.
+     */
+    @Test
+    void aRouterThatFollowsAnotherBeginsWithItsPartOfTheColdBudgets() {
+        Harness before = through();
+        before.reads(200, 2200, 5 * MS, (send, attempt) -> before.close(send, attempt, Ending.OK, true));
+        for (boolean told : new boolean[] {false, true}) {
+            Harness h = new Harness(Harness.settings(false));
+            if (told) {
+                h.router.handle(h.now, new Routing.Begun(before.router.learned()));
+            }
+            for (int i = 1; i <= 6; i++) {
+                h.list(ListKind.DELTA, Harness.entry(i, Health.READY, h.now));
+            }
+            h.reads(1, 401, 5 * MS, (send, attempt) -> h.close(send, attempt, Ending.OK, true));
+            assertTrue(told ? h.sends.size() > 120 : h.sends.size() < 60, told + ": " + h.sends.size());
+        }
+    }
+
     @Test
     void withAllCachesOutByHandARequestIsRefusedAtOnceWithATimeToComeBack() {
         Harness h = through();
--- a/src/test/java/beaconturn/net/CacheFleetTest.java
+++ b/src/test/java/beaconturn/net/CacheFleetTest.java
@@ -13,7 +13,6 @@
 import beaconturn.stats.Tally;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.Semaphore;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -22,7 +21,7 @@
     private static final ClientCall.Reading READ = new ClientCall.Reading(null, "read", Tally.NONE);
     private final Clock clock = Clock.system();
     private final CacheFleet fleet = new CacheFleet(new CacheServer.Site(clock, message -> { },
-        new Semaphore(9), new ReplyReader(Samples.read().routing()), SECOND, SECOND / 100, Tally.NONE));
+        new Places(9), new ReplyReader(Samples.read().routing()), SECOND, SECOND / 100, Tally.NONE));
 
     private static ListNews.Member member(long id, Routing.Health health, Peer peer) {
         return new ListNews.Member(new Routing.ServerEntry(id, 0, 0, 0, health, 1, 0), "fleet-" + id,
--- a/src/test/java/beaconturn/net/CacheServerTest.java
+++ b/src/test/java/beaconturn/net/CacheServerTest.java
@@ -21,7 +21,6 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
@@ -39,7 +38,7 @@
 
     private CacheServer server(InetSocketAddress dial, int connections, long idleTime) {
         CacheServer server = new CacheServer(new CacheServer.Site(clock, module::add,
-            new Semaphore(connections), new ReplyReader(Samples.read().routing()), SECOND, idleTime,
+            new Places(connections), new ReplyReader(Samples.read().routing()), SECOND, idleTime,
             Tally.NONE), "s-1", dial);
         server.start();
         return server;
