Answers up to 4 MiB go through as they come, with 32 KB between cache server and client

Ruled out: clients' commands (none turned away), memory, slow heads. The first bytes claim the request (FirstByte, which the module knew already), time limits end with them, a timer of a late attempt no longer counts against a cache server that is answering.

--- a/src/main/java/beaconturn/core/Attempt.java
+++ b/src/main/java/beaconturn/core/Attempt.java
@@ -41,6 +41,11 @@
         timeOut = timer;
     }
 
+    /** Its answer has begun: no time limit for answers that do not come holds any more. */
+    void begun() {
+        timeOut.cancel();
+    }
+
     long request() {
         return request;
     }
--- a/src/main/java/beaconturn/core/Call.java
+++ b/src/main/java/beaconturn/core/Call.java
@@ -23,6 +23,14 @@
     /** The request's bytes for a cache server that is told to answer within so many milliseconds. */
     List<Slice> forwarded(long waitMillis);
 
+    /**
+     * The client gets the answer of a cache server as it comes. What follows is {@link #served} with no bytes
+     * once it is whole, or one of the other answers, at which what was begun is broken off.
+     */
+    default void begun(Body body) {
+        throw new UnsupportedOperationException("answers of this protocol come whole");
+    }
+
     /** The client gets the answer of a cache server. */
     void served(Slice answer);
 
--- a/src/main/java/beaconturn/core/Message.java
+++ b/src/main/java/beaconturn/core/Message.java
@@ -15,6 +15,9 @@
     /** An attempt has ended. */
     record Ended(Attempt attempt, Outcome outcome) implements Message { }
 
+    /** The answer to an attempt has begun, and goes on as a body; {@code at} is when its first bytes came. */
+    record FirstBytes(Attempt attempt, long at, Body body) implements Message { }
+
     /** Discovery has answered or failed. */
     record News(ListNews news) implements Message { }
 
--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -89,6 +89,8 @@
             withdraw(table.of(left.call()));
         } else if (message instanceof Message.Ended ended) {
             ended(ended.attempt(), ended.outcome());
+        } else if (message instanceof Message.FirstBytes first) {
+            firstBytes(first);
         } else if (message instanceof Message.News news) {
             fleet.follow(news.news());
             Routing.ServerList event = news.news().event();
@@ -179,6 +181,21 @@
         }
     }
 
+    /** The first attempt whose answer begins has the request; for any other the answer is called off. */
+    private void firstBytes(Message.FirstBytes first) {
+        Attempt a = first.attempt();
+        RequestTable.Entry r = table.get(a.request());
+        if (a.over() || r.closed() || r.answering() != null) {
+            first.body().cancel();
+            return;
+        }
+        a.begun();
+        r.answering(a);
+        r.call().begun(first.body());
+        deliver(r.module(), new Routing.FirstByte(a.request(), Math.max(0, first.at() - a.sentAt()),
+            a.server(), a.number()));
+    }
+
     private void ended(Attempt a, Outcome outcome) {
         if (!a.end()) {
             return;
--- a/src/main/java/beaconturn/core/RequestTable.java
+++ b/src/main/java/beaconturn/core/RequestTable.java
@@ -21,6 +21,7 @@
         private final List<Attempt> attempts = new ArrayList<>(2);
         private Timers.Timer overdue;
         private boolean closed;
+        private Attempt answering;
         private int out;
 
         private Entry(long id, Call call, ModuleHost.Hosted module) {
@@ -46,6 +47,17 @@
             return attempts;
         }
 
+        /** The attempt whose answer is being passed on, or null. */
+        Attempt answering() {
+            return answering;
+        }
+
+        /** The attempt's answer is passed on from here on, however long that takes. */
+        void answering(Attempt attempt) {
+            answering = attempt;
+            overdue.cancel();
+        }
+
         /** Whether it has its answer, or nobody waits for one. */
         boolean closed() {
             return closed;
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -596,12 +596,12 @@
 
     /** Out longer than answers take: counts against the cache; hedged unless the origin is what is late. */
     private void late(Request r, Attempt a) {
-        if (!a.open) {
+        if (!a.open || r.streaming) {
             return;
         }
         a.judged = true;
         judge(a.server, true);
-        if (!furtherAttemptEarned() || r.streaming || r.openCount() > 1
+        if (!furtherAttemptEarned() || r.openCount() > 1
                 || r.type.effect() == Routing.Effect.UNSAFE || a.fetches && !a.unheard()) {
             return;
         }
--- a/src/main/java/beaconturn/net/CacheConnection.java
+++ b/src/main/java/beaconturn/net/CacheConnection.java
@@ -23,12 +23,17 @@
     private static final long MILLI = 1_000_000;
     /** A whole request fits into the kernel's buffer, so that writing one to a silent peer never blocks. */
     private static final int SEND_BUFFER = 128 * 1024;
+    /** A cache server that says nothing for so long in the middle of an answer will not end it. */
+    private static final int LONGEST_SILENCE_MILLIS = 10_000;
 
     /** What a connection tells its actor, on its own thread, and what it asks of it, on any. */
     interface Owner {
         /** Whether the server still takes requests, as far as the list says. */
         boolean wanted();
 
+        /** The answer has begun at this time and goes on as a flow. */
+        void begun(Attempt attempt, long at, Flow flow);
+
         void ended(CacheConnection connection, Attempt attempt, Outcome outcome, boolean reusable);
 
         /** An attempt has been written whole. */
@@ -144,6 +149,10 @@
         RespReader reader = new RespReader(RespReader.LONGEST_VALUE);
         while (Sockets.read(socket.getInputStream(), in)) {
             expected();
+            LargeAnswer large = LargeAnswer.at(in);
+            if (large != null) {
+                passOn(large, in);
+            }
             for (RespValue v = reader.next(in); v != null; v = reader.next(in)) {
                 answered(replies.read(v, clock.now()), in.size() == 0);
                 if (in.size() > 0) {
@@ -153,6 +162,25 @@
         }
     }
 
+    /** Only its connection's thread touches the attempt's answer: nothing else of it can come meanwhile. */
+    private void passOn(LargeAnswer large, InputBuffer in) throws IOException, ProtocolException {
+        long now = clock.now();
+        Flow flow = new Flow();
+        Attempt answered;
+        synchronized (this) {
+            answered = attempt;
+        }
+        owner.begun(answered, now, flow);
+        socket.setSoTimeout(LONGEST_SILENCE_MILLIS);
+        try {
+            Outcome outcome = large.passOn(socket.getInputStream(), in, replies, flow, now);
+            socket.setSoTimeout(0);
+            answered(outcome, in.size() == 0);
+        } finally {
+            flow.breakOff();
+        }
+    }
+
     /** Half an answer on an idle connection must not stay there as the beginning of the next one. */
     private synchronized void expected() throws ProtocolException {
         if (attempt == null) {
--- a/src/main/java/beaconturn/net/CacheServer.java
+++ b/src/main/java/beaconturn/net/CacheServer.java
@@ -274,6 +274,11 @@
             site.module().accept(new Message.Ended(attempt, outcome));
         }
 
+        @Override
+        public void begun(Attempt attempt, long at, Flow flow) {
+            site.module().accept(new Message.FirstBytes(attempt, at, flow));
+        }
+
         @Override
         public void sent() {
             site.tally().sent();
--- a/src/main/java/beaconturn/net/ClientCall.java
+++ b/src/main/java/beaconturn/net/ClientCall.java
@@ -1,5 +1,6 @@
 package beaconturn.net;
 
+import beaconturn.core.Body;
 import beaconturn.core.Call;
 import beaconturn.decision.Routing;
 import beaconturn.protocol.RespWriter;
@@ -41,9 +42,15 @@
         end(Tally.End.ABANDONED, ClientWriter.END);
     }
 
+    /** What had begun and is not whole is broken off: the client has part of it, and can only fail. */
     private void end(Tally.End how, Slice answer) {
+        boolean part = flow() != null && how != Tally.End.ANSWERED;
         if (fill(answer)) {
-            reading.tally().ended(reading.className(), how);
+            reading.tally().ended(reading.className(),
+                part && how != Tally.End.ABANDONED ? Tally.End.ERRORED : how);
+            if (part) {
+                flow().breakOff();
+            }
         }
     }
 
@@ -79,9 +86,14 @@
         return pieces;
     }
 
+    @Override
+    public void begun(Body body) {
+        flow((Flow) body);
+    }
+
     @Override
     public void served(Slice answer) {
-        end(Tally.End.ANSWERED, answer);
+        end(Tally.End.ANSWERED, answer == null ? ClientWriter.END : answer);
     }
 
     /** Rounded up, so that no client comes again before it should. */
--- a/src/main/java/beaconturn/net/ClientWriter.java
+++ b/src/main/java/beaconturn/net/ClientWriter.java
@@ -7,6 +7,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Objects;
 
 /**
  * Writes a client's answers in the order of the commands, on whatever thread has the next one. Never waits:
@@ -32,6 +33,8 @@
     // Guarded by this:
     private final Deque<Reply> replies = new ArrayDeque<>(2);
     private ByteBuffer pending;
+    /** Whether what is pending ends its answer. */
+    private boolean wholeWithPiece;
     private long writingSince = NEVER;
     private int unanswered;
     private boolean ending;
@@ -119,6 +122,7 @@
     /** The connection is closed: nothing of what waits will be written. */
     synchronized void abandon() {
         ending = true;
+        replies.stream().map(Reply::flow).filter(Objects::nonNull).forEach(Flow::cancel);
         replies.clear();
         pending = null;
         writingSince = NEVER;
@@ -146,24 +150,58 @@
     }
 
     private void flush() throws IOException {
-        while (pending != null || !replies.isEmpty() && replies.peek().isFilled()) {
-            if (pending == null) {
-                Slice next = replies.poll().bytes();
-                if (next == END) {
-                    endOutput();
-                    return;
-                }
-                pending = ByteBuffer.wrap(next.array(), next.from(), next.length());
-                writingSince = clock.now();
-            }
-            if (!Sockets.writeSome(channel, pending)) {
+        while (pending != null || nextPiece()) {
+            int from = pending.position();
+            boolean all = Sockets.writeSome(channel, pending);
+            // From the last byte that the client took: a large answer may take long as long as it goes on.
+            writingSince = pending.position() > from || writingSince == NEVER ? clock.now() : writingSince;
+            if (!all) {
                 return;
             }
             pending = null;
             writingSince = NEVER;
-            unanswered--;
-            quietSince = clock.now();
+            if (wholeWithPiece) {
+                answered();
+            }
+        }
+    }
+
+    private void answered() {
+        unanswered--;
+        quietSince = clock.now();
+    }
+
+    /**
+     * Takes what is to be written next, if it is there; answers that come by and by give a piece at a time.
+     */
+    private boolean nextPiece() throws IOException {
+        while (!replies.isEmpty()) {
+            Reply head = replies.peek();
+            // In this order: an answer that comes by and by has its flow before it is filled in.
+            boolean filled = head.isFilled();
+            Flow flow = head.flow();
+            Slice piece = flow != null ? flow.next() : filled ? head.bytes() : null;
+            if (piece == null) {
+                return false;
+            }
+            if (piece == Flow.BROKEN) {
+                throw new IOException("the answer broke off");
+            }
+            if (flow == null || piece == Flow.END) {
+                replies.poll();
+            }
+            if (piece == END) {
+                endOutput();
+                return false;
+            }
+            if (piece != Flow.END) {
+                pending = ByteBuffer.wrap(piece.array(), piece.from(), piece.length());
+                wholeWithPiece = flow == null;
+                return true;
+            }
+            answered();
         }
+        return false;
     }
 
     private void endOutput() {
--- a/src/main/java/beaconturn/net/Reply.java
+++ b/src/main/java/beaconturn/net/Reply.java
@@ -5,6 +5,7 @@
 /** The place of one answer in the order of a client's connection: filled once, by any thread. */
 class Reply {
     private volatile Slice bytes;
+    private volatile Flow flow;
     private Runnable next = () -> { };
 
     /** A place whose answer is there from the start. */
@@ -14,6 +15,26 @@
         return reply;
     }
 
+    /** The answer comes by and by; it is over, as before, when it is filled in. */
+    final void flow(Flow begun) {
+        Runnable then;
+        synchronized (this) {
+            if (bytes != null) {
+                begun.cancel();
+                return;
+            }
+            flow = begun;
+            then = next;
+        }
+        begun.whenMore(then);
+        then.run();
+    }
+
+    /** What the answer comes by, or null if it comes whole. */
+    final Flow flow() {
+        return flow;
+    }
+
     /** Fills in the answer; false for one that comes second, which is dropped. */
     final boolean fill(Slice answer) {
         Runnable then;
--- a/src/main/java/beaconturn/net/ReplyReader.java
+++ b/src/main/java/beaconturn/net/ReplyReader.java
@@ -36,6 +36,14 @@
         throw new ProtocolException("an answer that is no value, error or refusal");
     }
 
+    /** The outcome of an answer whose value has gone on already. */
+    Outcome served(RespValue how, RespValue report, long at) throws ProtocolException {
+        if (!(how instanceof RespValue.Bulk word)) {
+            throw new ProtocolException("an answer that is not made of a value, a word and a load report");
+        }
+        return new Outcome(Routing.Ending.OK, at, note(word), report(report), null);
+    }
+
     /** The value or receipt, how it went or null, the load report or null; only the last may be anything. */
     private Outcome served(List<RespValue> items, long now) throws ProtocolException {
         if (items.size() != PARTS || !(items.get(0) instanceof RespValue.Bulk value)
