--- a/src/test/java/beaconturn/net/RouterConfigTest.java
+++ b/src/test/java/beaconturn/net/RouterConfigTest.java
@@ -18,6 +18,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -125,6 +127,43 @@
         assertTrue(counters.read().contains(new Counters.Figure("conf_invalid", 1, false)));
     }
 
+    /** Empty, cut anywhere, short of any key, of another type, or with nothing to wait or to try. */
+    @Test
+    void aFileThatIsNotWholeChangesNothing() throws ConfigException {
+        String sound = SOUND.replace("\"tenants\"", "\"permissions\":{\"most_tries\":3},\"tenants\"").strip();
+        RouterConfig first = read(sound, Map.of());
+        List<Message> posted = new ArrayList<>();
+        Counters counters = new Counters();
+        Queue<String> files = new ArrayDeque<>();
+        Reloads reloads = new Reloads(() -> read(files.remove(), Map.of()),
+            new Discovery(first.discovery(), new ListReader(first.settings()), 1, posted::add), first,
+            posted::add, taken -> posted.add(null), counters);
+        String other = sound.replace("1500000000", "900000000").replace("8500", "8501");
+        for (int i = 0; i < other.length(); i++) {
+            files.add(other.substring(0, i));
+        }
+        String settings = other.substring(other.indexOf("\"settings\""));
+        Matcher key = Pattern.compile("\"([a-z_]+)\":").matcher(settings);
+        while (key.find()) {
+            files.add(other.replace("\"" + key.group(1) + "\":", "\"x_" + key.group(1) + "\":"));
+        }
+        for (String wrong : new String[] {"\"most_tries\":0", "\"most_tries\":-1", "\"most_tries\":\"x\"",
+            "\"most_tries\":\"3\"", "\"most_tries\":null"}) {
+            files.add(other.replace("\"most_tries\":3", wrong));
+        }
+        files.add(other.replace("900000000", "0"));
+        files.add(other.replace("\"classes\":[", "\"classes\":[{\"name\":\"new\"},"));
+        int wrong = files.size();
+        while (!files.isEmpty()) {
+            reloads.reload();
+        }
+        assertEquals(List.of(), posted);
+        assertTrue(counters.read().contains(new Counters.Figure("conf_invalid", wrong, false)));
+        files.add(other);
+        reloads.reload();
+        assertEquals(2, posted.size());
+    }
+
     private void refused(String text, String reason) {
         String message = assertThrows(ConfigException.class, () -> read(text, Map.of())).getMessage();
         assertTrue(message.contains(reason), message);
--- a/src/test/java/beaconturn/net/RouterServerTest.java
+++ b/src/test/java/beaconturn/net/RouterServerTest.java
@@ -230,6 +230,28 @@
         }
     }
 
+    /** New clients name the new class at once; what is open ends under the class that it was taken with. */
+    @Test
+    void aClassThatIsDroppedKeepsItsOpenRequestsAndItsFigures() throws Exception {
+        surroundings = new RouterConfig.Surroundings(new InetSocketAddress("127.0.0.1", 0), false, null);
+        CountDownLatch slow = new CountDownLatch(1);
+        try (Peer cache = answeringAfter(slow); Peer.Line client = start(cache, silentRegistry)) {
+            client.write(GET);
+            assertEquals("begun", cache.note());
+            RouterConfig old = config(cache, silentRegistry);
+            newConfigs.add(new RouterConfig(old.name(), old.listen(), old.discovery(), 2, SOCKETS, MEMORY_MB,
+                old.known(), Samples.read("classes.0.name", "fresh"), surroundings, new Json.Nothing()));
+            router.reload();
+            while (!figure("conf_loaded").equals("1")) {
+                Thread.onSpinWait();
+            }
+            refusedAsMalformed("a", "i2", "c=read,d=100");
+            slow.countDown();
+            assertEquals("$2\r\nva", client.answer());
+            assertEquals("1 0", figure("answered.read") + " " + figure("answered.fresh"));
+        }
+    }
+
     private static String write(String id) {
         return "*5\r\n$5\r\nC.SET\r\n$16\r\n00000000000000a1\r\n" + RespWriter.bulk(id)
             + "$17\r\nc=ack,d=1500,k=k7\r\n$1\r\nx\r\n";
