A cache server that is back by hand is as old as the list says if it started while it was out

Cause: the cold budget counted from the call back, though the list had told of the start four seconds earlier (log: list at 9.8 s, call at 12.9 s).

--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -13,6 +13,7 @@
     long bootTime;
     private long listedBoot;
     private long returnedAt;
+    private long outAt;
     /** Left out by an operator. */
     boolean out;
     int inFlight;
@@ -52,6 +53,7 @@
         next.bootTime = bootTime;
         next.listedBoot = listedBoot;
         next.returnedAt = returnedAt;
+        next.outAt = outAt;
         next.out = out;
         next.openUntil = openUntil;
         next.dialFailedAt = dialFailedAt;
@@ -98,15 +100,16 @@
     }
 
     /**
-     * Left out, or used again: it then counts as started at that time, also if the list does not know it
-     * yet.
+     * Left out, or used again: it then counts as started when the list says that it did while it was out,
+     * else at that time, also if the list does not know it yet.
      */
     void byHand(boolean leftOut, long at) {
         if (!leftOut && (out || health == Routing.Health.GONE)) {
             restarted();
-            returnedAt = at;
+            returnedAt = listedBoot > outAt ? 0 : at;
             bootTime = Math.max(returnedAt, listedBoot);
         }
+        outAt = leftOut && !out ? at : outAt;
         out = leftOut;
     }
 
