--- a/deploy/archive.sh
+++ b/deploy/archive.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.." || exit 1
 log=target/archive.log
 rm -f target/beaconturn.jsa
-PROXY_LISTEN=127.0.0.1:0 java -XX:ArchiveClassesAtExit=target/beaconturn.jsa -XX:+UseSerialGC \
+PROXY_LISTEN=127.0.0.1:0 PROXY_CONTROL=127.0.0.1:0 java -XX:ArchiveClassesAtExit=target/beaconturn.jsa -XX:+UseSerialGC \
     -XX:TieredStopAtLevel=1 -jar target/beaconturn.jar serve --config examples/config.json > "$log" 2>&1 &
 router=$!
 tries=0
--- a/src/main/java/beaconturn/net/WarmUp.java
+++ b/src/main/java/beaconturn/net/WarmUp.java
@@ -22,7 +22,7 @@
  * writers are then compiled when the first client comes. All in memory, nothing is sent to anybody.
  */
 final class WarmUp {
-    private static final int ROUNDS = 400;
+    private static final int ROUNDS = 120;
     private static final long STEP = 5_000_000;
     private static final long MILLI = 1_000_000;
     private static final int KEYS = 500;
--- a/src/test/java/beaconturn/decision/FourRulesTest.java
+++ b/src/test/java/beaconturn/decision/FourRulesTest.java
@@ -142,6 +142,29 @@
         assertTrue(got > 0 && got < 120, got + " of 1000 sends, an even part is 167");
     }
 
+    /** The list tells when it was restarted while it was out: it is as warm as that. */
+    @Test
+    void aCacheThatIsBackIsAsOldAsTheListSaysIfItStartedWhileItWasOut() {
+        long[] got = new long[2];
+        for (int listed = 0; listed < 2; listed++) {
+            Harness h = through();
+            long server = h.home(5);
+            h.reads(200, 1200, 10 * MS, (send, attempt) -> h.close(send, attempt, Ending.OK, true));
+            h.byHand(server, true);
+            h.now += SECOND;
+            if (listed == 1) {
+                h.list(ListKind.DELTA, Harness.entry(server, Health.READY, h.now));
+            }
+            h.reads(1200, 2200, 10 * MS, (send, attempt) -> h.close(send, attempt, Ending.OK, true));
+            h.byHand(server, false);
+            int before = h.sends.size();
+            h.reads(2200, 2500, 10 * MS, (send, attempt) -> h.close(send, attempt, Ending.OK, true));
+            got[listed] = h.sends.subList(before, h.sends.size()).stream()
+                .filter(s -> s.server() == server).count();
+        }
+        assertTrue(got[0] < got[1], got[0] + " and " + got[1]);
+    }
+
     /**
      * All caches have just started: without what the one before had counted, a new router refuses nearly
      * all.
