--- a/src/main/java/beaconturn/core/Fleet.java
+++ b/src/main/java/beaconturn/core/Fleet.java
@@ -19,7 +19,4 @@
      * false, and nothing happens, if nobody has that number, unless it {@code mayCome}.
      */
     boolean byHand(long server, boolean out, boolean mayCome);
-
-    /** How many cache servers the list names. */
-    int listed();
 }
--- a/src/main/java/beaconturn/core/Message.java
+++ b/src/main/java/beaconturn/core/Message.java
@@ -6,6 +6,9 @@
 
 /** What can be posted to the module's actor. */
 public sealed interface Message {
+    /** What goes ahead of requests: it binds soon, whatever waits. */
+    sealed interface Urgent extends Message { }
+
     /** A request has come in whole. */
     record Arrived(Call call) implements Message { }
 
@@ -19,18 +22,18 @@
     record FirstBytes(Attempt attempt, long at, Body body) implements Message { }
 
     /** Discovery has answered or failed. */
-    record News(ListNews news) implements Message { }
+    record News(ListNews news) implements Urgent { }
 
     /**
      * An operator takes a cache server out, or back as one started at {@code at}; {@code known} hears whether
      * anybody has that number. What is {@code told} from elsewhere holds even if nobody has it yet.
      */
     record ByHand(long server, boolean out, long at, boolean told, Consumer<Boolean> known)
-        implements Message { }
+        implements Urgent { }
 
     /** What another process of this router had learned. */
     record Begun(Learned learned) implements Message { }
 
     /** Other settings are in force from here on. */
-    record Switched(Routing.Settings settings, long seed) implements Message { }
+    record Switched(Routing.Settings settings, long seed) implements Urgent { }
 }
--- a/src/main/java/beaconturn/core/ModuleActor.java
+++ b/src/main/java/beaconturn/core/ModuleActor.java
@@ -37,8 +37,7 @@
      */
     public void post(Message message) {
         try {
-            if (message instanceof Message.News || message instanceof Message.ByHand
-                    || message instanceof Message.Switched) {
+            if (message instanceof Message.Urgent) {
                 mailbox.putFirst(message);
             } else {
                 mailbox.put(message);
--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -117,7 +117,8 @@
 
     /** Tells what the module in force makes of the list. */
     public void tell(Tally tally) {
-        tally.fleet(fleet.listed(), modules.getLast().router.avoided());
+        Routing.View view = modules.getLast().router.view();
+        tally.fleet(view.listed(), view.avoided());
     }
 
     /** What the module in force has learned, for one that follows it. */
--- a/src/main/java/beaconturn/core/SettingsReader.java
+++ b/src/main/java/beaconturn/core/SettingsReader.java
@@ -45,7 +45,7 @@
         for (int i = 0; i < count; i++) {
             String at = "classes." + i + ".";
             classes.add(new Routing.RequestClass(effect(at + "effect"), scope(at + "key_scope"),
-                whole(at + "window", 0), positive(at + "target"), positive(at + "hard_limit"),
+                whole(at + "window", 0), positive(at + "target", 0), positive(at + "hard_limit", 0),
                 number(at + "worth", 1), number(at + "late_worth", 0), flag(at + "stream", false)));
         }
         return List.copyOf(classes);
@@ -71,8 +71,9 @@
         String at = "permissions.";
         return new Routing.Permissions(flag(at + "cancel", false), flag(at + "peers", false),
             flag(at + "probes", false), flag(at + "retry_after", false), flag(at + "second_copies", false),
-            (int) tries(at + "most_tries"), whole(at + "max_retry_after", 0),
-            (int) whole(at + "multiplex", 1), whole(at + "dial_timeout", 0), idleTime());
+            (int) positive(at + "most_tries", 1), whole(at + "max_retry_after", 0),
+            (int) whole(at + "multiplex", 1), whole(at + "dial_timeout", 0),
+            positive(at + "conn_idle", NEVER));
     }
 
     private Routing.Origin origin() throws SettingsException {
@@ -133,20 +134,9 @@
         return word.equals("true");
     }
 
-    private long idleTime() throws SettingsException {
-        long idle = whole("permissions.conn_idle", NEVER);
-        if (idle <= 0) {
-            throw unreadable("permissions.conn_idle", Long.toString(idle));
-        }
-        return idle;
-    }
-
-    private long tries(String path) throws SettingsException {
-        return values.containsKey(path) ? positive(path) : 1;
-    }
-
-    private long positive(String path) throws SettingsException {
-        long value = required(path);
+    /** A number over 0; a fallback that is not makes it one that must be there. */
+    private long positive(String path, long fallback) throws SettingsException {
+        long value = fallback > 0 ? whole(path, fallback) : required(path);
         if (value <= 0) {
             throw new SettingsException("setting " + path + ": must be over 0, is " + value);
         }
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -295,8 +295,9 @@
     }
 
     @Override
-    public int avoided() {
-        return (int) servers.values().stream().filter(s -> s.avoided()).count();
+    public Routing.View view() {
+        return new Routing.View((int) servers.values().stream().filter(Server::listed).count(),
+            (int) servers.values().stream().filter(Server::avoided).count());
     }
 
     // ---- ordinary path: ring, bounded loads, clockwise walk
@@ -456,7 +457,7 @@
 
     /** Part of its capacity that a cache has for certain: an even rise from the cold share. */
     private double warmth(Server s) {
-        double age = s.bootTime == 0 ? 1 : Math.max(0, now - s.bootTime) / (double) rules.cold();
+        double age = s.bootTime() == 0 ? 1 : Math.max(0, now - s.bootTime()) / (double) rules.cold();
         return age >= 1 ? 1 : rules.coldShare() + (1 - rules.coldShare()) * age;
     }
 
--- a/src/main/java/beaconturn/decision/Routing.java
+++ b/src/main/java/beaconturn/decision/Routing.java
@@ -123,6 +123,9 @@
     /** A message from another router. */
     public record PeerMessage(int from, byte[] body) implements Event { }
 
+    /** How many servers are listed, and how many of them are avoided, by hand or by choice. */
+    public record View(int listed, int avoided) { }
+
     /** What a router may do; every call takes effect at the time of the event being handled. */
     public interface Actions {
         /** Starts the request's next attempt; it is timed out after {@code allowFor}. */
@@ -169,9 +172,9 @@
             return null;
         }
 
-        /** How many of the listed servers are avoided now, by hand or by choice. */
-        default int avoided() {
-            return 0;
+        /** What it makes of the list now. */
+        default View view() {
+            return new View(0, 0);
         }
     }
 }
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -9,8 +9,6 @@
     int kind;
     Routing.Health health = Routing.Health.GONE;
     double rating;
-    /** When it last started, by the list or by an operator who brought it back. */
-    long bootTime;
     private long listedBoot;
     private long returnedAt;
     private long outAt;
@@ -50,7 +48,6 @@
         next.kind = kind;
         next.health = health;
         next.rating = useRating ? rating : 1;
-        next.bootTime = bootTime;
         next.listedBoot = listedBoot;
         next.returnedAt = returnedAt;
         next.outAt = outAt;
@@ -96,7 +93,6 @@
         health = e.health();
         rating = useRating && e.rating() > 0 ? e.rating() : 1;
         listedBoot = e.bootTime();
-        bootTime = Math.max(returnedAt, listedBoot);
     }
 
     /**
@@ -104,15 +100,19 @@
      * else at that time, also if the list does not know it yet.
      */
     void byHand(boolean leftOut, long at) {
-        if (!leftOut && (out || health == Routing.Health.GONE)) {
+        if (!leftOut && (out || !listed())) {
             restarted();
             returnedAt = listedBoot > outAt ? 0 : at;
-            bootTime = Math.max(returnedAt, listedBoot);
         }
         outAt = leftOut && !out ? at : outAt;
         out = leftOut;
     }
 
+    /** When it last started, by the list or by an operator who brought it back; 0 for long ago. */
+    long bootTime() {
+        return Math.max(returnedAt, listedBoot);
+    }
+
     /** Whether new requests may go to it. */
     boolean usable() {
         return health == Routing.Health.READY && !out;
@@ -120,12 +120,16 @@
 
     /** Whether it is listed and yet nothing, or only a trial, goes to it. */
     boolean avoided() {
-        return health != Routing.Health.GONE && (ejected || !usable());
+        return listed() && (ejected || !usable());
+    }
+
+    boolean listed() {
+        return health != Routing.Health.GONE;
     }
 
     /** Whether nothing is to be remembered of it: what is out by hand stays so when it is listed again. */
     boolean forgotten() {
-        return health == Routing.Health.GONE && inFlight == 0 && !out && returnedAt == 0;
+        return !listed() && inFlight == 0 && !out && returnedAt == 0;
     }
 
     /** Nothing that was learned of it holds any more. */
--- a/src/main/java/beaconturn/net/CacheFleet.java
+++ b/src/main/java/beaconturn/net/CacheFleet.java
@@ -118,11 +118,6 @@
         return true;
     }
 
-    @Override
-    public int listed() {
-        return (int) servers.values().stream().filter(k -> k.health() != Routing.Health.GONE).count();
-    }
-
     private CacheServer start(ListNews.Member member) {
         CacheServer actor = new CacheServer(site, member.host(), Sockets.address(member.dial()));
         actor.start();
--- a/src/main/java/beaconturn/net/ClientWriter.java
+++ b/src/main/java/beaconturn/net/ClientWriter.java
@@ -33,8 +33,6 @@
     // Guarded by this:
     private final Deque<Reply> replies = new ArrayDeque<>(2);
     private ByteBuffer pending;
-    /** Whether what is pending ends its answer. */
-    private boolean wholeWithPiece;
     private long writingSince = NEVER;
     private int unanswered;
     private boolean ending;
@@ -160,13 +158,15 @@
             }
             pending = null;
             writingSince = NEVER;
-            if (wholeWithPiece) {
+            if (replies.peek().flow() == null) {
                 answered();
             }
         }
     }
 
+    /** The first answer has gone out whole. */
     private void answered() {
+        replies.poll();
         unanswered--;
         quietSince = clock.now();
     }
@@ -176,27 +176,20 @@
      */
     private boolean nextPiece() throws IOException {
         while (!replies.isEmpty()) {
-            Reply head = replies.peek();
-            // In this order: an answer that comes by and by has its flow before it is filled in.
-            boolean filled = head.isFilled();
-            Flow flow = head.flow();
-            Slice piece = flow != null ? flow.next() : filled ? head.bytes() : null;
+            Slice piece = replies.peek().nextPiece();
             if (piece == null) {
                 return false;
             }
             if (piece == Flow.BROKEN) {
                 throw new IOException("the answer broke off");
             }
-            if (flow == null || piece == Flow.END) {
-                replies.poll();
-            }
             if (piece == END) {
+                replies.poll();
                 endOutput();
                 return false;
             }
             if (piece != Flow.END) {
                 pending = ByteBuffer.wrap(piece.array(), piece.from(), piece.length());
-                wholeWithPiece = flow == null;
                 return true;
             }
             answered();
--- a/src/main/java/beaconturn/net/ListReader.java
+++ b/src/main/java/beaconturn/net/ListReader.java
@@ -5,8 +5,6 @@
 import beaconturn.decision.Routing;
 import beaconturn.protocol.Json;
 import beaconturn.protocol.ProtocolException;
-import beaconturn.protocol.Slice;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.logging.Logger;
@@ -48,7 +46,6 @@
         return new ListNews((long) number(answer, "seq", 0), kind, List.copyOf(members));
     }
 
-    /** The number that stands for a cache server comes from its name, which is the same at every router. */
     private ListNews.Member member(Json line) throws ProtocolException {
         String host = line.get("host").word("");
         Routing.Health health = health(line.get("health").word(""));
@@ -59,8 +56,7 @@
         if (health != Routing.Health.GONE) {
             checkAddress(dial);
         }
-        byte[] name = host.getBytes(StandardCharsets.UTF_8);
-        Routing.ServerEntry entry = new Routing.ServerEntry(NameHash.of(new Slice(name, 0, name.length)),
+        Routing.ServerEntry entry = new Routing.ServerEntry(NameHash.of(host),
             settings.zones().indexOf(line.get("site").word("")),
             settings.kinds().indexOf(line.get("class").word("")), (int) number(line, "block", 0), health,
             number(line, "share", 1), (long) number(line, "born_ms", 0) * MILLI);
--- a/src/main/java/beaconturn/net/NameHash.java
+++ b/src/main/java/beaconturn/net/NameHash.java
@@ -1,6 +1,7 @@
 package beaconturn.net;
 
 import beaconturn.protocol.Slice;
+import java.nio.charset.StandardCharsets;
 
 /** The number that stands for a name; FNV-1a, so that every router and every start finds the same one. */
 final class NameHash {
@@ -10,6 +11,12 @@
     private NameHash() {
     }
 
+    /** The number of a cache server comes from its name, which is the same at every router. */
+    static long of(String host) {
+        byte[] name = host.getBytes(StandardCharsets.UTF_8);
+        return of(new Slice(name, 0, name.length));
+    }
+
     static long of(Slice name) {
         long hash = BASIS;
         for (int i = 0; i < name.length(); i++) {
--- a/src/main/java/beaconturn/net/Operators.java
+++ b/src/main/java/beaconturn/net/Operators.java
@@ -7,12 +7,10 @@
 import beaconturn.net.control.Hand;
 import beaconturn.net.control.HandFile;
 import beaconturn.net.control.Office;
-import beaconturn.protocol.Slice;
 import beaconturn.stats.Counters;
 import beaconturn.stats.Tally;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.function.Consumer;
 
 /** What a router has for its operators where a second address is set; else none of it is loaded. */
@@ -30,7 +28,7 @@
         this.lifecycle = lifecycle;
         this.module = module;
         this.file = new HandFile(config.kept("hand"), config.shared());
-        this.address = new ControlAddress(config.control(), this, file, clock::now);
+        this.address = new ControlAddress(config.control(), this, counters, file, clock::now);
     }
 
     Tally tally() {
@@ -60,15 +58,9 @@
         };
     }
 
-    @Override
-    public Counters figures() {
-        return counters;
-    }
-
     @Override
     public void hand(Hand hand, boolean told, Consumer<Boolean> known) {
-        byte[] id = hand.id().getBytes(StandardCharsets.UTF_8);
-        module.accept(new Message.ByHand(NameHash.of(new Slice(id, 0, id.length)), hand.out(),
-            hand.atMillis() * MILLI, told, known));
+        module.accept(new Message.ByHand(NameHash.of(hand.id()), hand.out(), hand.atMillis() * MILLI, told,
+            known));
     }
 }
--- a/src/main/java/beaconturn/net/Reply.java
+++ b/src/main/java/beaconturn/net/Reply.java
@@ -35,6 +35,13 @@
         return flow;
     }
 
+    /** What of it goes out next: all of it, or a piece of its flow; null if that is not there yet. */
+    final Slice nextPiece() {
+        // In this order: an answer that comes by and by has its flow before it is filled in.
+        Slice whole = bytes;
+        return flow != null ? flow.next() : whole;
+    }
+
     /** Fills in the answer; false for one that comes second, which is dropped. */
     final boolean fill(Slice answer) {
         Runnable then;
--- a/src/main/java/beaconturn/net/RequestParser.java
+++ b/src/main/java/beaconturn/net/RequestParser.java
@@ -31,7 +31,6 @@
     RequestParser(Settings settings, Tally tally) {
         this.settings = settings;
         this.tally = tally;
-        settings.classNames().forEach(tally::names);
     }
 
     /** The parts that go on to a cache server: {@code head} is the command, the key and the id as read. */
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -84,6 +84,7 @@
         this.tally = operators == null ? Tally.NONE : operators.tally();
         this.module = new ModuleActor(operators == null && !config.shared() ? null : this::look);
         this.neighbour = config.shared() ? new Neighbour(config) : null;
+        this.beside = neighbour != null && neighbour.beside();
         follow(config.settings());
         Capacity capacity = capacity();
         this.places = new Places(capacity.cacheConnections());
@@ -104,9 +105,7 @@
     }
 
     private Capacity capacity() {
-        beside = neighbour != null && neighbour.beside();
-        int share = beside ? 2 : 1;
-        return Capacity.of(config.sockets() / share, config.memoryMb());
+        return Capacity.of(config.sockets() / (beside ? 2 : 1), config.memoryMb());
     }
 
     /** On the module's thread, now and then. */
@@ -124,6 +123,7 @@
     /** Requests are read under these settings from here on. */
     private void follow(Settings next) {
         settings = next;
+        next.classNames().forEach(tally::names);
         parser = new RequestParser(next, tally);
     }
 
@@ -216,6 +216,7 @@
 
     /** Beside another process of this router: keeps to its part, and leaves the other what was learned. */
     private void share() {
+        beside = neighbour.beside();
         Capacity now = capacity();
         clients.bounds(now.clients(), now.easyClients());
         places.most(now.cacheConnections());
--- a/src/main/java/beaconturn/net/WarmUp.java
+++ b/src/main/java/beaconturn/net/WarmUp.java
@@ -105,11 +105,6 @@
         public boolean byHand(long server, boolean out, boolean mayCome) {
             return mayCome;
         }
-
-        @Override
-        public int listed() {
-            return 0;
-        }
     }
 
     /** The warm-up's module keeps to the list that it was given. */
--- a/src/main/java/beaconturn/net/control/ControlAddress.java
+++ b/src/main/java/beaconturn/net/control/ControlAddress.java
@@ -41,6 +41,7 @@
     private final ServerSocketChannel server;
     private final Selector selector;
     private final Office office;
+    private final Counters counters;
     private final HandFile file;
     private final LongSupplier clock;
     private final Queue<Runnable> told = new ConcurrentLinkedQueue<>();
@@ -51,9 +52,10 @@
      * Binds the address; nothing is answered before {@link #run}. The clock is in nanoseconds; the file keeps
      * what operators said, and is followed where another process of this router writes it too.
      */
-    public ControlAddress(InetSocketAddress address, Office office, HandFile file, LongSupplier clock)
-            throws IOException {
+    public ControlAddress(InetSocketAddress address, Office office, Counters counters, HandFile file,
+            LongSupplier clock) throws IOException {
         this.office = office;
+        this.counters = counters;
         this.file = file;
         this.clock = clock;
         this.server = ServerSocketChannel.open();
@@ -90,7 +92,7 @@
                 LOG.log(Level.SEVERE, "a call on the second address failed, others go on", e);
             }
         }
-        callers.forEach(Caller::close);
+        List.copyOf(callers).forEach(Caller::close);
         closeQuietly(server);
         closeQuietly(selector);
     }
@@ -162,13 +164,17 @@
         private void take(String text) throws Call.Wrong {
             Call call = Call.of(text);
             switch (call.name()) {
-                case Call.READY -> answer(office.notReady() == null ? "ACK" : "NAK " + office.notReady());
-                case Call.FIGURES -> answer(figures(office.figures()));
+                case Call.READY -> ready(office.notReady());
+                case Call.FIGURES -> answer(figures());
                 default -> hand(new Hand(call.id(), call.name().equals(Call.OUT),
                     System.currentTimeMillis()));
             }
         }
 
+        private void ready(String whyNot) {
+            answer(whyNot == null ? "ACK" : "NAK " + whyNot);
+        }
+
         private void hand(Hand hand) {
             pending = hand;
             waitsUntil = clock.getAsLong() + LONGEST_WAIT;
@@ -222,7 +228,7 @@
      * The figures as lines of StatsD: name, value and whether it is a count or a gauge; then the end's
      * mark.
      */
-    static String figures(Counters counters) {
+    private String figures() {
         StringBuilder text = new StringBuilder();
         for (Counters.Figure f : counters.read()) {
             text.append("app.").append(f.name()).append(':').append(f.value())
--- a/src/main/java/beaconturn/net/control/Office.java
+++ b/src/main/java/beaconturn/net/control/Office.java
@@ -1,6 +1,5 @@
 package beaconturn.net.control;
 
-import beaconturn.stats.Counters;
 import java.util.function.Consumer;
 
 /** What the calls reach in the router; nothing here waits, whatever the load. */
@@ -8,9 +7,6 @@
     /** Null once a request would be served, else in a few words why not. */
     String notReady();
 
-    /** What the process has counted. */
-    Counters figures();
-
     /**
      * Has a cache server left out, or used again; {@code known} hears, on a thread that must not be held up,
      * whether anybody has that id, once it has taken force. A call that is {@code told} by another process of
--- a/src/test/java/beaconturn/core/ModuleHostTest.java
+++ b/src/test/java/beaconturn/core/ModuleHostTest.java
@@ -350,11 +350,6 @@
         public boolean byHand(long server, boolean out, boolean mayCome) {
             return mayCome || server != 0;
         }
-
-        @Override
-        public int listed() {
-            return 1;
-        }
     }
 
     /** May be watched so often and not more. */
--- a/src/test/java/beaconturn/decision/FourRulesTest.java
+++ b/src/test/java/beaconturn/decision/FourRulesTest.java
@@ -7,7 +7,6 @@
 import static beaconturn.decision.Harness.SECOND;
 import static beaconturn.decision.Harness.UNSAFE;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beaconturn.decision.Routing.Ending;
@@ -109,19 +108,15 @@
         long out = h.home(5);
         h.byHand(out, true);
         h.byHand(out, true);
-        assertEquals(1, h.router.avoided());
+        assertEquals(1, h.router.view().avoided());
         h.list(ListKind.DELTA, Harness.entry(out, Health.READY, h.now));
         h.list(ListKind.DELTA, Harness.entry(out, Health.GONE, 0));
         h.list(ListKind.DELTA, Harness.entry(out, Health.READY, h.now + 1));
         h.caches(6);
-        h.reads(200, 400, 10 * MS, (send, attempt) -> {
-            assertNotEquals(out, send.server());
-            h.close(send, attempt, Ending.OK, true);
-        });
+        assertEquals(0, h.served(200, 400, 10 * MS, out));
         h.byHand(out, false);
-        assertEquals(0, h.router.avoided());
-        h.reads(400, 900, 10 * MS, (send, attempt) -> h.close(send, attempt, Ending.OK, true));
-        assertTrue(h.sends.stream().anyMatch(s -> s.request() >= 400 && s.server() == out), "not used again");
+        assertEquals(0, h.router.view().avoided());
+        assertTrue(h.served(400, 900, 10 * MS, out) > 0, "not used again");
     }
 
     /** Its operators restart it while it is out: it comes back cold, and past whatever had it ejected. */
@@ -131,14 +126,12 @@
         long server = h.home(5);
         h.reads(200, 300, 10 * MS, (send, attempt) -> h.close(send, attempt,
             send.server() == server ? Ending.RESET : Ending.OK, send.server() != server));
-        assertEquals(1, h.router.avoided());
+        assertEquals(1, h.router.view().avoided());
         h.byHand(server, true);
         h.now += SECOND;
         h.byHand(server, false);
-        assertEquals(0, h.router.avoided());
-        int before = h.sends.size();
-        h.reads(300, 1300, MS, (send, attempt) -> h.close(send, attempt, Ending.OK, true));
-        long got = h.sends.subList(before, h.sends.size()).stream().filter(s -> s.server() == server).count();
+        assertEquals(0, h.router.view().avoided());
+        long got = h.served(300, 1300, MS, server);
         assertTrue(got > 0 && got < 120, got + " of 1000 sends, an even part is 167");
     }
 
@@ -149,18 +142,15 @@
         for (int listed = 0; listed < 2; listed++) {
             Harness h = through();
             long server = h.home(5);
-            h.reads(200, 1200, 10 * MS, (send, attempt) -> h.close(send, attempt, Ending.OK, true));
+            h.served(200, 1200, 10 * MS, server);
             h.byHand(server, true);
             h.now += SECOND;
             if (listed == 1) {
                 h.list(ListKind.DELTA, Harness.entry(server, Health.READY, h.now));
             }
-            h.reads(1200, 2200, 10 * MS, (send, attempt) -> h.close(send, attempt, Ending.OK, true));
+            h.served(1200, 2200, 10 * MS, server);
             h.byHand(server, false);
-            int before = h.sends.size();
-            h.reads(2200, 2500, 10 * MS, (send, attempt) -> h.close(send, attempt, Ending.OK, true));
-            got[listed] = h.sends.subList(before, h.sends.size()).stream()
-                .filter(s -> s.server() == server).count();
+            got[listed] = h.served(2200, 2500, 10 * MS, server);
         }
         assertTrue(got[0] < got[1], got[0] + " and " + got[1]);
     }
@@ -172,7 +162,7 @@
     @Test
     void aRouterThatFollowsAnotherBeginsWithItsPartOfTheColdBudgets() {
         Harness before = through();
-        before.reads(200, 2200, 5 * MS, (send, attempt) -> before.close(send, attempt, Ending.OK, true));
+        before.served(200, 2200, 5 * MS, 0);
         for (boolean told : new boolean[] {false, true}) {
             Harness h = new Harness(Harness.settings(false));
             if (told) {
@@ -181,7 +171,7 @@
             for (int i = 1; i <= 6; i++) {
                 h.list(ListKind.DELTA, Harness.entry(i, Health.READY, h.now));
             }
-            h.reads(1, 401, 5 * MS, (send, attempt) -> h.close(send, attempt, Ending.OK, true));
+            h.served(1, 401, 5 * MS, 0);
             assertTrue(told ? h.sends.size() > 120 : h.sends.size() < 60, told + ": " + h.sends.size());
         }
     }
@@ -203,7 +193,7 @@
         h.byHand(1, true);
         h.caches(2);
         RingRouter next = new RingRouter(Harness.settings(false), 1, h.now, h, h.router);
-        assertEquals(1, next.avoided());
+        assertEquals(1, next.view().avoided());
         for (int key = 1; key < 50; key++) {
             next.handle(h.now, new Routing.Arrival(key, 0, 0, key, READ, SECOND, false, false, 0));
         }
--- a/src/test/java/beaconturn/decision/Harness.java
+++ b/src/test/java/beaconturn/decision/Harness.java
@@ -142,6 +142,13 @@
         }
     }
 
+    /** Reads of new keys so far apart that are all answered; how many of their sends went to the server. */
+    long served(int from, int to, long apart, long server) {
+        int before = sends.size();
+        reads(from, to, apart, (send, attempt) -> close(send, attempt, Ending.OK, true));
+        return sends.subList(before, sends.size()).stream().filter(s -> s.server() == server).count();
+    }
+
     /** A read of the given expected work (0: none told), or a client's further try of one. */
     void read(long request, long key, long hint, boolean again) {
         router.handle(now, new Routing.Arrival(request, 0, hint, key, READ, 2 * SECOND, again, false, 0));
--- a/src/test/java/beaconturn/net/CacheFleetTest.java
+++ b/src/test/java/beaconturn/net/CacheFleetTest.java
@@ -18,7 +18,6 @@
 
 class CacheFleetTest {
     private static final long SECOND = 1_000_000_000;
-    private static final ClientCall.Reading READ = new ClientCall.Reading(null, "read", Tally.NONE);
     private final Clock clock = Clock.system();
     private final CacheFleet fleet = new CacheFleet(new CacheServer.Site(clock, message -> { },
         new Places(9), new ReplyReader(Samples.read().routing()), SECOND, SECOND / 100, Tally.NONE));
@@ -31,7 +30,7 @@
     private Attempt attempt(long server) {
         Call call = new ClientCall(new Call.Ask(0, 1, false, false, 0, 0, 0), clock.now() + 100 * SECOND,
             new RequestParser.Parts(Slice.of("$5\r\nC.GET\r\n$1\r\na\r\n$2\r\nid\r\n"), Map.of("d", "1"),
-                null), READ, () -> { });
+                null), CacheServerTest.READ, () -> { });
         return new Attempt(1, 0, server, call, clock.now(), 100 * SECOND);
     }
 
--- a/src/test/java/beaconturn/net/CacheServerTest.java
+++ b/src/test/java/beaconturn/net/CacheServerTest.java
@@ -33,7 +33,7 @@
     private final AtomicLong passed = new AtomicLong();
     private final Clock clock = () -> system.now() + passed.get();
     private final BlockingQueue<Message> module = new LinkedBlockingQueue<>();
-    private static final ClientCall.Reading READ = new ClientCall.Reading(null, "read", Tally.NONE);
+    static final ClientCall.Reading READ = new ClientCall.Reading(null, "read", Tally.NONE);
     private int sent;
 
     private CacheServer server(InetSocketAddress dial, int connections, long idleTime) {
--- a/src/test/java/beaconturn/net/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/ClientConnectionsTest.java
@@ -30,7 +30,6 @@
     private static final String GET = "*4\r\n$5\r\nC.GET\r\n$1\r\na\r\n$2\r\nid\r\n$13\r\nc=read,d=1500\r\n";
     private final AtomicLong now = new AtomicLong(SECOND);
     private final BlockingQueue<Message> module = new LinkedBlockingQueue<>();
-    private final RequestParser parser = new RequestParser(Samples.read(), Tally.NONE);
     private final OpenIds ids = new OpenIds();
     private final ClientConnections connections = new ClientConnections(1, 1);
     private ServerSocketChannel server;
@@ -48,7 +47,8 @@
         SocketChannel accepted = server.accept();
         accepted.configureBlocking(false);
         connection = new ClientConnection(accepted, new ClientConnection.Site(
-            () -> parser, now::get, new Lifecycle(), module::add, poller, ids,
+            () -> new RequestParser(Samples.read(), Tally.NONE),
+            now::get, new Lifecycle(), module::add, poller, ids,
             new Semaphore(9), connections::remove));
         connections.add(connection);
         connection.start();
--- a/src/test/java/beaconturn/net/Peer.java
+++ b/src/test/java/beaconturn/net/Peer.java
@@ -1,10 +1,13 @@
 package beaconturn.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
 import beaconturn.protocol.InputBuffer;
 import beaconturn.protocol.ProtocolException;
 import beaconturn.protocol.RespReader;
 import beaconturn.protocol.RespValue;
 import java.io.Closeable;
+import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetAddress;
@@ -20,7 +23,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** A server of the test's own on an ephemeral loopback port; the script says what each connection does. */
-final class Peer implements Closeable {
+public final class Peer implements Closeable {
     private static final int SECONDS = 20;
 
     /** What one connection does, on a thread of its own; the connection is closed when it returns. */
@@ -100,7 +103,7 @@
     }
 
     /** One connection, from whichever end the test holds. */
-    static final class Line implements Closeable {
+    public static final class Line implements Closeable {
         private final Socket socket;
         private final BlockingQueue<String> notes;
         private final InputBuffer in = new InputBuffer();
@@ -111,7 +114,7 @@
             this.notes = notes;
         }
 
-        static Line to(InetSocketAddress address) throws IOException {
+        public static Line to(InetSocketAddress address) throws IOException {
             Socket socket = new Socket(address.getAddress(), address.getPort());
             socket.setTcpNoDelay(true);
             socket.setSoTimeout(SECONDS * 1000);
@@ -122,7 +125,7 @@
             notes.add(text);
         }
 
-        void write(String text) throws IOException {
+        public void write(String text) throws IOException {
             socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         }
 
@@ -138,6 +141,23 @@
             return value;
         }
 
+        /** Says nothing more, and still listens. */
+        public void endOutput() throws IOException {
+            socket.shutdownOutput();
+        }
+
+        /** All that still comes, until the peer ends. */
+        public String rest() throws IOException {
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+
+        /** Reads just so many bytes as the text has, and checks that they are the text. */
+        void expect(String text) throws IOException {
+            byte[] bytes = new byte[text.length()];
+            new DataInputStream(socket.getInputStream()).readFully(bytes);
+            assertEquals(text, new String(bytes, StandardCharsets.ISO_8859_1));
+        }
+
         /** The next command's words joined by blanks, or "end". */
         String command() throws IOException, ProtocolException {
             RespValue value = read();
--- a/src/test/java/beaconturn/net/RouterConfigTest.java
+++ b/src/test/java/beaconturn/net/RouterConfigTest.java
@@ -18,7 +18,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
-import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -39,6 +38,9 @@
 
     @TempDir
     private Path folder;
+    private final List<Message> posted = new ArrayList<>();
+    private final List<Settings> inForce = new ArrayList<>();
+    private final Counters counters = new Counters();
 
     private RouterConfig read(String text, Map<String, String> variables) throws ConfigException {
         Path file = folder.resolve("config.json");
@@ -112,11 +114,7 @@
         RouterConfig other = read(SOUND.replace("[\"east\"", "[\"north\""), Map.of());
         RouterConfig last = read(SOUND.replace("1500000000", "900000000"), Map.of());
         Queue<RouterConfig> files = new ArrayDeque<>(List.of(other, last));
-        List<Message> posted = new ArrayList<>();
-        List<Settings> inForce = new ArrayList<>();
-        Counters counters = new Counters();
-        Reloads reloads = new Reloads(files::remove, new Discovery(first.discovery(),
-            new ListReader(first.settings()), 1, posted::add), first, posted::add, inForce::add, counters);
+        Reloads reloads = reloads(first, files::remove);
         reloads.reload();
         assertEquals(List.of(), posted);
         assertEquals(List.of(), inForce);
@@ -132,21 +130,15 @@
     void aFileThatIsNotWholeChangesNothing() throws ConfigException {
         String sound = SOUND.replace("\"tenants\"", "\"permissions\":{\"most_tries\":3},\"tenants\"").strip();
         RouterConfig first = read(sound, Map.of());
-        List<Message> posted = new ArrayList<>();
-        Counters counters = new Counters();
         Queue<String> files = new ArrayDeque<>();
-        Reloads reloads = new Reloads(() -> read(files.remove(), Map.of()),
-            new Discovery(first.discovery(), new ListReader(first.settings()), 1, posted::add), first,
-            posted::add, taken -> posted.add(null), counters);
+        Reloads reloads = reloads(first, () -> read(files.remove(), Map.of()));
         String other = sound.replace("1500000000", "900000000").replace("8500", "8501");
         for (int i = 0; i < other.length(); i++) {
             files.add(other.substring(0, i));
         }
         String settings = other.substring(other.indexOf("\"settings\""));
-        Matcher key = Pattern.compile("\"([a-z_]+)\":").matcher(settings);
-        while (key.find()) {
-            files.add(other.replace("\"" + key.group(1) + "\":", "\"x_" + key.group(1) + "\":"));
-        }
+        Pattern.compile("\"([a-z_]+)\":").matcher(settings).results().map(key -> key.group(1)).forEach(key ->
+            files.add(other.replace("\"" + key + "\":", "\"x_" + key + "\":")));
         for (String wrong : new String[] {"\"most_tries\":0", "\"most_tries\":-1", "\"most_tries\":\"x\"",
             "\"most_tries\":\"3\"", "\"most_tries\":null"}) {
             files.add(other.replace("\"most_tries\":3", wrong));
@@ -158,10 +150,17 @@
             reloads.reload();
         }
         assertEquals(List.of(), posted);
+        assertEquals(List.of(), inForce);
         assertTrue(counters.read().contains(new Counters.Figure("conf_invalid", wrong, false)));
         files.add(other);
         reloads.reload();
-        assertEquals(2, posted.size());
+        assertEquals(1, posted.size());
+        assertEquals(1, inForce.size());
+    }
+
+    private Reloads reloads(RouterConfig first, RouterConfig.Source files) {
+        return new Reloads(files, new Discovery(first.discovery(), new ListReader(first.settings()), 1,
+            posted::add), first, posted::add, inForce::add, counters);
     }
 
     private void refused(String text, String reason) {
--- a/src/test/java/beaconturn/net/RouterServerTest.java
+++ b/src/test/java/beaconturn/net/RouterServerTest.java
@@ -1,6 +1,8 @@
 package beaconturn.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,20 +10,27 @@
 import beaconturn.core.ListNews;
 import beaconturn.core.Samples;
 import beaconturn.core.Settings;
+import beaconturn.protocol.Bytes;
 import beaconturn.protocol.Json;
 import beaconturn.protocol.JsonReader;
 import beaconturn.protocol.ProtocolException;
 import beaconturn.protocol.RespWriter;
 import beaconturn.protocol.Slice;
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** A whole router between a client, a cache server and discovery of the test's own. */
 class RouterServerTest {
@@ -46,6 +55,19 @@
         silentRegistry.close();
     }
 
+    /** Begins a planned stop, which goes on beside the test. */
+    private Thread drain() throws InterruptedException {
+        Thread drain = Threads.start("test-drain", () -> {
+            try {
+                router.drain();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        lifecycle.await(Lifecycle.Phase.DRAINING);
+        return drain;
+    }
+
     private static String list(int version, boolean whole, Peer cache, String health) {
         return "{\"seq\":" + version + ",\"whole\":" + whole + ",\"hosts\":[{\"host\":\"s-1\",\"dial\":\""
             + cache.dial() + "\",\"site\":\"east\",\"class\":\"small\",\"block\":0,\"health\":\"" + health
@@ -195,8 +217,8 @@
         surroundings = new RouterConfig.Surroundings(new InetSocketAddress("127.0.0.1", 0), false, null);
         try (Peer cache = new Peer(line -> {
             for (String c = line.command(); !c.equals("end"); c = line.command()) {
-                line.note(c);
                 if (c.contains(" hang ")) {
+                    line.note("hang");
                     line.note(line.command());
                 }
                 line.write(c.contains(" bad ") ? "-ERR failed\r\n" : VALUE);
@@ -206,12 +228,9 @@
             assertEquals("$2\r\nva", client.answer());
             assertEquals("-ERR failed", client.answer());
             assertEquals("$2\r\nva", client.answer());
-            for (int i = 0; i < 3; i++) {
-                cache.note();
-            }
             client.write(write("hang"));
-            assertTrue(cache.note().contains("hang"));
-            assertEquals("1", figure("current"));
+            assertEquals("hang", cache.note());
+            assertEquals("1", figures("current"));
             client.hangUp();
             assertEquals("end", cache.note());
             refusedAsMalformed("a", "id", "c=none,d=100");
@@ -220,10 +239,9 @@
                 other.write(GET);
                 assertTrue(other.answer().startsWith("-BUSY"));
             }
-            assertEquals("2 1 0 1 4 0 1", String.join(" ", figure("answered.read"), figure("deferred.read"),
-                figure("answered.ack"), figure("errored.ack"), figure("sends"), figure("current"),
-                figure("cluster_size")));
-            while (!figure("cluster_unhealthy").equals("1")) {
+            assertEquals("2 1 0 1 4 0 1", figures("answered.read", "deferred.read", "answered.ack",
+                "errored.ack", "sends", "current", "cluster_size"));
+            while (!figures("cluster_unhealthy").equals("1")) {
                 Thread.onSpinWait();
             }
             assertEquals("NAK no cache server has this id\n", call("disable-server s-2"));
@@ -242,13 +260,13 @@
             newConfigs.add(new RouterConfig(old.name(), old.listen(), old.discovery(), 2, SOCKETS, MEMORY_MB,
                 old.known(), Samples.read("classes.0.name", "fresh"), surroundings, new Json.Nothing()));
             router.reload();
-            while (!figure("conf_loaded").equals("1")) {
+            while (!figures("conf_loaded").equals("1")) {
                 Thread.onSpinWait();
             }
             refusedAsMalformed("a", "i2", "c=read,d=100");
             slow.countDown();
             assertEquals("$2\r\nva", client.answer());
-            assertEquals("1 0", figure("answered.read") + " " + figure("answered.fresh"));
+            assertEquals("1 0", figures("answered.read", "answered.fresh"));
         }
     }
 
@@ -258,15 +276,17 @@
     }
 
     private String call(String line) throws IOException {
-        try (java.net.Socket caller = new java.net.Socket("127.0.0.1", router.control().getPort())) {
-            caller.getOutputStream().write((line + "\n").getBytes());
-            return new String(caller.getInputStream().readAllBytes());
+        try (Peer.Line caller = Peer.Line.to(router.control())) {
+            caller.write(line + "\n");
+            return caller.rest();
         }
     }
 
-    private String figure(String name) throws IOException {
-        return call("show-stat").lines().filter(l -> l.startsWith("app." + name + ":")).findFirst()
-            .map(l -> l.replaceAll(".*:|[|].*", "")).orElse("none");
+    /** The values of these figures, as shown at one call. */
+    private String figures(String... names) throws IOException {
+        Map<String, String> shown = call("show-stat").lines().filter(l -> l.contains(":")).collect(
+            Collectors.toMap(l -> l.replaceAll("^app.|:.*", ""), l -> l.replaceAll(".*:|[|].*", "")));
+        return Stream.of(names).map(shown::get).collect(Collectors.joining(" "));
     }
 
     /** Two open requests of one id could get each other's answers. */
@@ -429,14 +449,7 @@
             assertEquals("+PONG", idle.answer());
             client.write(GET);
             cache.note();
-            Thread drain = Threads.start("test-drain", () -> {
-                try {
-                    router.drain();
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                }
-            });
-            lifecycle.await(Lifecycle.Phase.DRAINING);
+            Thread drain = drain();
             try (Peer.Line late = Peer.Line.to(router.address())) {
                 late.write("*1\r\n$4\r\nPING\r\n");
                 assertEquals("+PONG", late.answer(), "new connections still come after the announcement");
@@ -490,4 +503,106 @@
             }
         }
     }
+
+    /** Answers of 4 MiB. */
+    @Nested
+    @Timeout(60)
+    class LargeAnswers {
+        private static final int SIZE = 4 << 20;
+        private static final String HEAD = "*3\r\n$" + SIZE + "\r\n";
+        private static final String TAIL = "\r\n$3\r\nhit\r\n$-1\r\n";
+        private static final String HALF = "x".repeat(SIZE / 2);
+        private final CountDownLatch goOn = new CountDownLatch(1);
+
+        /** Half of a large value, what the test says then, the rest; small values otherwise. */
+        private Peer cache(String rest) {
+            return new Peer(line -> {
+                for (String c = line.command(); !c.equals("end"); c = line.command()) {
+                    if (c.contains(" large ")) {
+                        line.write(HEAD + HALF);
+                        goOn.await();
+                        line.write(rest);
+                    } else {
+                        line.write("*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n");
+                    }
+                }
+            });
+        }
+
+        private static void ask(Peer.Line client, String id) throws IOException {
+            client.write("*4\r\n$5\r\nC.GET\r\n$1\r\n" + id.charAt(0) + "\r\n" + RespWriter.bulk(id)
+                + "$13\r\nc=read,d=1500\r\n");
+        }
+
+        @Test
+        void theFirstHalfGoesOnBeforeTheSecondHasComeAndTheConnectionServesOn() throws Exception {
+            try (Peer cache = cache(HALF + TAIL); Peer.Line client = start(cache, silentRegistry)) {
+                ask(client, "large");
+                client.expect("$" + SIZE + "\r\n" + HALF);
+                goOn.countDown();
+                client.expect(HALF + "\r\n");
+                ask(client, "small");
+                client.expect("$1\r\nv\r\n");
+                assertEquals(1, cache.connections());
+            }
+        }
+
+        /** What it does not take waits in its own cache server's connection; the others see nothing of it. */
+        @Test
+        void aClientThatStopsReadingHoldsUpNobodyElse() throws Exception {
+            goOn.countDown();
+            try (Peer cache = cache(HALF + TAIL); Peer.Line slow = start(cache, silentRegistry);
+                    Peer.Line other = Peer.Line.to(router.address())) {
+                ask(slow, "large");
+                slow.expect("$" + SIZE + "\r\n");
+                for (int i = 0; i < 50; i++) {
+                    ask(other, "s" + i);
+                    other.expect("$1\r\nv\r\n");
+                }
+                slow.expect(HALF + HALF + "\r\n");
+            }
+        }
+
+        @Test
+        void anAnswerThatBreaksOffEndsItsClientsConnection() throws Exception {
+            for (String rest : new String[] {"", HALF + "xx", HALF + "\r\n+odd\r\n"}) {
+                try (Peer cache = new Peer(line -> {
+                    line.command();
+                    line.write(HEAD + HALF + rest);
+                }); Peer.Line client = start(cache, silentRegistry)) {
+                    ask(client, "large");
+                    String whole = "$" + SIZE + "\r\n" + HALF + HALF + "\r\n";
+                    assertThrows(EOFException.class, () -> client.expect(whole), rest);
+                }
+            }
+        }
+
+        @Test
+        void aStopWaitsForWhatIsBeingPassedOn() throws Exception {
+            try (Peer cache = cache(HALF + TAIL); Peer.Line client = start(cache, silentRegistry)) {
+                ask(client, "large");
+                client.expect("$" + SIZE + "\r\n" + HALF);
+                Thread stop = drain();
+                goOn.countDown();
+                client.expect(HALF + "\r\n");
+                assertNull(client.read());
+                client.hangUp();
+                stop.join();
+            }
+        }
+
+        /** Only whole heads of what is larger than usual and not beyond all bounds. */
+        @Test
+        void aHeadIsKnownInPiecesAndTakesNoMemoryForWhatItDeclares() {
+            for (int i = 0; i < HEAD.length(); i++) {
+                assertNull(LargeAnswer.at(Bytes.buffer(HEAD.substring(0, i))));
+            }
+            assertNotNull(LargeAnswer.at(Bytes.buffer(HEAD)));
+            for (String none : new String[] {"*3\r\n$65536\r\n", "*3\r\n$4194305\r\n",
+                "*3\r\n$99999999999999\r\n", "*2\r\n$70000\r\n", "$70000\r\n", "*3\r\n$-1\r\n",
+                "*3\r\n$70000\n\n"}) {
+                assertNull(LargeAnswer.at(Bytes.buffer(none)), none);
+            }
+        }
+    }
 }
--- a/src/test/java/beaconturn/net/HandOverTest.java
+++ b/src/test/java/beaconturn/net/UpgradeTest.java
@@ -7,17 +7,27 @@
 
 import beaconturn.decision.Learned;
 import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 
-/** What two processes of one router know of each other in an upgrade. */
-class HandOverTest {
+/** Two processes of one router in an upgrade: what is left to the next, seats, the socket that both have. */
+@Timeout(30)
+class UpgradeTest {
     private static final Learned LEARNED = new Learned(1e-7, 2e-7, 4e7, 8e7, 12, 1e9);
     @TempDir
     private Path folder;
+    private final BlockingQueue<SocketChannel> accepted = new LinkedBlockingQueue<>();
 
     @Test
     void whatIsLeftIsReadWholeAndOnlyWhileItIsFresh() {
@@ -49,24 +59,19 @@
     @Test
     void eachOfTwoProcessesSeesTheOtherAsLongAsItRuns() throws IOException {
         Path path = folder.resolve("seats");
-        try (Seats second = seatsBesideOneThatEnds(path)) {
-            assertFalse(second.beside());
-            try (Seats third = new Seats(path)) {
-                assertTrue(second.beside());
-                assertTrue(third.beside());
-            }
-            assertFalse(second.beside());
-        }
-    }
-
-    private static Seats seatsBesideOneThatEnds(Path path) throws IOException {
-        try (Seats first = new Seats(path)) {
-            assertFalse(first.beside());
-            Seats second = new Seats(path);
-            assertTrue(first.beside());
+        Seats first = new Seats(path);
+        assertFalse(first.beside());
+        Seats second = new Seats(path);
+        assertTrue(first.beside());
+        assertTrue(second.beside());
+        first.close();
+        assertFalse(second.beside());
+        try (Seats third = new Seats(path)) {
             assertTrue(second.beside());
-            return second;
+            assertTrue(third.beside());
         }
+        assertFalse(second.beside());
+        second.close();
     }
 
     @Test
@@ -75,4 +80,29 @@
             assertTrue(seats.beside());
         }
     }
+
+    @Test
+    void oneThatStopsLeavesTheSharedSocketAndItsQueueToTheOther() throws IOException, InterruptedException {
+        try (ServerSocketChannel shared = ServerSocketChannel.open()) {
+            shared.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            Listener before = Listener.on(shared, accepted::add);
+            before.start();
+            connect(before);
+            accepted.take().close();
+            before.close();
+            connect(before);
+            Listener after = Listener.on(shared, accepted::add);
+            after.start();
+            accepted.take().close();
+            connect(after);
+            accepted.take().close();
+            after.close();
+            assertTrue(shared.isOpen());
+            assertEquals(0, accepted.size());
+        }
+    }
+
+    private static void connect(Listener to) throws IOException {
+        new Socket(to.address().getAddress(), to.address().getPort()).close();
+    }
 }
--- a/src/test/java/beaconturn/net/control/ControlAddressTest.java
+++ b/src/test/java/beaconturn/net/control/ControlAddressTest.java
@@ -3,13 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beaconturn.net.Peer;
 import beaconturn.stats.Counters;
 import beaconturn.stats.Tally;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -32,11 +31,13 @@
     private Path folder;
     private final AtomicLong now = new AtomicLong(SECOND);
     private final FakeOffice office = new FakeOffice();
+    private final Counters counters = new Counters();
+    private final List<ControlAddress> addresses = new ArrayList<>();
+    private final List<Peer.Line> callers = new ArrayList<>();
     private ControlAddress address;
 
     /** Knows server {@code s-1}; one that is called {@code s-slow} is never heard of again. */
     private static final class FakeOffice implements Office {
-        private final Counters counters = new Counters();
         private final BlockingQueue<Hand> hands = new LinkedBlockingQueue<>();
         private volatile String notReady;
 
@@ -45,11 +46,6 @@
             return notReady;
         }
 
-        @Override
-        public Counters figures() {
-            return counters;
-        }
-
         @Override
         public void hand(Hand hand, boolean told, Consumer<Boolean> known) {
             hands.add(hand);
@@ -61,10 +57,11 @@
 
     private ControlAddress open(boolean shared) throws IOException {
         ControlAddress opened = new ControlAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-            office, new HandFile(folder.resolve("hand"), shared), now::get);
+            office, counters, new HandFile(folder.resolve("hand"), shared), now::get);
         Thread thread = new Thread(opened);
         thread.setDaemon(true);
         thread.start();
+        addresses.add(opened);
         return opened;
     }
 
@@ -75,22 +72,19 @@
 
     @AfterEach
     void close() {
-        address.close();
+        addresses.forEach(ControlAddress::close);
+        callers.forEach(Peer.Line::close);
     }
 
-    private Socket connect() throws IOException {
-        return new Socket(address.address().getAddress(), address.address().getPort());
-    }
-
-    private static String answer(Socket caller) throws IOException {
-        return new String(caller.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    private Peer.Line say(String text) throws IOException {
+        Peer.Line caller = Peer.Line.to(address.address());
+        callers.add(caller);
+        caller.write(text);
+        return caller;
     }
 
     private String call(String text) throws IOException {
-        try (Socket caller = connect()) {
-            caller.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-            return answer(caller);
-        }
+        return say(text).rest();
     }
 
     @Test
@@ -103,18 +97,14 @@
 
     @Test
     void aCallInSingleBytesOrEndedByItsCallersEndIsACall() throws IOException {
-        try (Socket caller = connect()) {
-            for (byte b : "ready\n".getBytes(StandardCharsets.US_ASCII)) {
-                caller.getOutputStream().write(b);
-                caller.getOutputStream().flush();
-            }
-            assertEquals("ACK\n", answer(caller));
-        }
-        try (Socket caller = connect()) {
-            caller.getOutputStream().write("ready".getBytes(StandardCharsets.US_ASCII));
-            caller.shutdownOutput();
-            assertEquals("ACK\n", answer(caller));
+        Peer.Line slow = say("");
+        for (String piece : "ready\n".split("")) {
+            slow.write(piece);
         }
+        assertEquals("ACK\n", slow.rest());
+        Peer.Line ended = say("ready");
+        ended.endOutput();
+        assertEquals("ACK\n", ended.rest());
     }
 
     @Test
@@ -133,44 +123,33 @@
 
     @Test
     void aHundredSilentCallersHoldUpNobody() throws IOException {
-        List<Socket> silent = new ArrayList<>();
-        try {
-            for (int i = 0; i < 100; i++) {
-                Socket caller = connect();
-                silent.add(caller);
-                caller.getOutputStream().write('r');
-            }
-            assertEquals("ACK\n", call("ready\n"));
-            // The oldest made room long ago.
-            assertEquals("", answer(silent.get(0)));
-            now.addAndGet(6 * SECOND);
-            assertEquals("", answer(silent.get(99)));
-        } finally {
-            for (Socket caller : silent) {
-                caller.close();
-            }
+        for (int i = 0; i < 100; i++) {
+            say("r");
         }
+        assertEquals("ACK\n", call("ready\n"));
+        // The oldest made room long ago.
+        assertEquals("", callers.get(0).rest());
+        now.addAndGet(6 * SECOND);
+        assertEquals("", callers.get(99).rest());
     }
 
     @Test
     void aCallThatTheModuleDoesNotTakeInTimeIsAnsweredAllTheSame() throws Exception {
-        try (Socket caller = connect()) {
-            caller.getOutputStream().write("disable-server s-slow\n".getBytes(StandardCharsets.US_ASCII));
-            office.hands.take();
-            now.addAndGet(SECOND);
-            assertEquals("ACK\n", answer(caller));
-        }
+        Peer.Line caller = say("disable-server s-slow\n");
+        office.hands.take();
+        now.addAndGet(SECOND);
+        assertEquals("ACK\n", caller.rest());
         assertTrue(Files.readString(folder.resolve("hand")).contains("out s-slow "));
     }
 
     @Test
     void figuresAreLinesThatEndWithTheirMark() throws IOException {
-        office.counters.names("read");
-        office.counters.taken();
-        office.counters.taken();
-        office.counters.ended("put", Tally.End.DEFERRED);
-        office.counters.sent();
-        office.counters.fleet(10, 2);
+        counters.names("read");
+        counters.taken();
+        counters.taken();
+        counters.ended("put", Tally.End.DEFERRED);
+        counters.sent();
+        counters.fleet(10, 2);
         assertEquals(List.of("app.answered.put:0|c", "app.answered.read:0|c", "app.deferred.put:1|c",
             "app.deferred.read:0|c", "app.errored.put:0|c", "app.errored.read:0|c", "app.sends:1|c",
             "app.current:1|g", "app.cluster_size:10|g", "app.cluster_unhealthy:2|g", "app.conf_loaded:0|c",
@@ -179,18 +158,14 @@
 
     @Test
     void whatOneProcessOfARouterIsToldTheOtherFollows() throws Exception {
-        ControlAddress other = open(true);
-        try {
-            assertEquals("ACK\n", call("disable-server s-1\n"));
-            Hand said = office.hands.take();
-            now.addAndGet(SECOND);
-            assertEquals(said, office.hands.take());
-            assertEquals("ACK\n", call("enable-server s-1\n"));
-            assertEquals(false, office.hands.take().out());
-            now.addAndGet(SECOND);
-            assertEquals(false, office.hands.take().out());
-        } finally {
-            other.close();
-        }
+        open(true);
+        assertEquals("ACK\n", call("disable-server s-1\n"));
+        Hand said = office.hands.take();
+        now.addAndGet(SECOND);
+        assertEquals(said, office.hands.take());
+        assertEquals("ACK\n", call("enable-server s-1\n"));
+        assertEquals(false, office.hands.take().out());
+        now.addAndGet(SECOND);
+        assertEquals(false, office.hands.take().out());
     }
 }
--- a/src/test/java/beaconturn/net/control/HandFileTest.java
+++ b/src/test/java/beaconturn/net/control/HandFileTest.java
@@ -6,7 +6,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -16,20 +15,18 @@
     private static final Hand BACK = new Hand("s-2", false, 6000);
     @TempDir
     private Path folder;
-    private Path file;
 
-    @BeforeEach
-    void name() {
-        file = folder.resolve("hand");
+    private Path file() {
+        return folder.resolve("hand");
     }
 
     private List<Hand> reread() {
-        return new HandFile(file, false).read();
+        return new HandFile(file(), false).read();
     }
 
     @Test
     void theNextProcessFindsWhatWasSaidLast() {
-        HandFile first = new HandFile(file, false);
+        HandFile first = new HandFile(file(), false);
         first.put(OUT);
         first.put(BACK);
         assertEquals(List.of(OUT, BACK), reread());
@@ -40,8 +37,8 @@
 
     @Test
     void twoProcessesKeepEachOthersWords() {
-        HandFile first = new HandFile(file, true);
-        HandFile second = new HandFile(file, true);
+        HandFile first = new HandFile(file(), true);
+        HandFile second = new HandFile(file(), true);
         first.put(OUT);
         second.put(BACK);
         assertEquals(List.of(OUT, BACK), reread());
@@ -52,19 +49,19 @@
 
     @Test
     void aDamagedFileCountsAsFarAsItIsSound() throws IOException {
-        Files.writeString(file, "beaconturn-hand 1\nout s-1 5000\nout s-3\nodd s-4 1\n"
+        Files.writeString(file(), "beaconturn-hand 1\nout s-1 5000\nout s-3\nodd s-4 1\n"
             + "back s-2 6000\nout s-5 x");
         assertEquals(List.of(OUT, BACK), reread());
         for (String unsound : new String[] {"", "\n", "out s-1 5000\n", "x".repeat(300 * 1024)}) {
-            Files.writeString(file, unsound);
+            Files.writeString(file(), unsound);
             assertEquals(List.of(), reread());
         }
     }
 
     @Test
     void aFolderThatCannotBeWrittenCostsOnlyTheKeeping() {
-        file = folder.resolve("missing").resolve("hand");
-        HandFile kept = new HandFile(file, true);
+        folder = folder.resolve("missing");
+        HandFile kept = new HandFile(file(), true);
         kept.put(OUT);
         assertEquals(List.of(OUT), kept.read());
         assertEquals(List.of(), reread());
--- a/src/test/java/beaconturn/protocol/Bytes.java
+++ b/src/test/java/beaconturn/protocol/Bytes.java
@@ -3,7 +3,7 @@
 import java.nio.charset.StandardCharsets;
 
 /** Feeds text into a buffer as a socket would, a few bytes at a time. */
-final class Bytes {
+public final class Bytes {
     private Bytes() {
     }
 
@@ -15,7 +15,8 @@
         }
     }
 
-    static InputBuffer buffer(String text) {
+    /** A buffer that holds the text, unparsed. */
+    public static InputBuffer buffer(String text) {
         InputBuffer in = new InputBuffer();
         feed(in, text);
         return in;
