Tests of the operators' parts share fixtures; a fault found by them is told

What two of them did one does now (a server out by hand and back; the stop of a router; callers and addresses are closed in one place); the files of the second address are tested beside its calls. Found while one test was made shorter: a slow client of a large answer and a quick one that asks for the same key - the quick one is refused with -BUSY, as a flight ends with the transfer.

--- a/src/test/java/beaconturn/decision/FourRulesTest.java
+++ b/src/test/java/beaconturn/decision/FourRulesTest.java
@@ -101,11 +101,17 @@
         }
     }
 
-    /** Whatever the list says meanwhile: a new boot time, gone and listed again, a whole list. */
+    /**
+     * Whatever the list says meanwhile: a new boot time, gone and listed again, a whole list. Operators
+     * restart it while it is out: it comes back held to its cold budget, and past whatever had it ejected.
+     */
     @Test
-    void aCacheThatIsOutByHandGetsNothingUntilItIsCalledBack() {
+    void aCacheThatIsOutByHandGetsNothingUntilItIsCalledBackAndIsColdThen() {
         Harness h = through();
         long out = h.home(5);
+        h.reads(200, 300, 10 * MS, (send, attempt) -> h.close(send, attempt,
+            send.server() == out ? Ending.RESET : Ending.OK, send.server() != out));
+        assertEquals(1, h.router.view().avoided());
         h.byHand(out, true);
         h.byHand(out, true);
         assertEquals(1, h.router.view().avoided());
@@ -113,25 +119,10 @@
         h.list(ListKind.DELTA, Harness.entry(out, Health.GONE, 0));
         h.list(ListKind.DELTA, Harness.entry(out, Health.READY, h.now + 1));
         h.caches(6);
-        assertEquals(0, h.served(200, 400, 10 * MS, out));
+        assertEquals(0, h.served(300, 500, 10 * MS, out));
         h.byHand(out, false);
         assertEquals(0, h.router.view().avoided());
-        assertTrue(h.served(400, 900, 10 * MS, out) > 0, "not used again");
-    }
-
-    /** Its operators restart it while it is out: it comes back cold, and past whatever had it ejected. */
-    @Test
-    void aCacheThatIsBackIsHeldToItsBudgetAsAfterAStart() {
-        Harness h = through();
-        long server = h.home(5);
-        h.reads(200, 300, 10 * MS, (send, attempt) -> h.close(send, attempt,
-            send.server() == server ? Ending.RESET : Ending.OK, send.server() != server));
-        assertEquals(1, h.router.view().avoided());
-        h.byHand(server, true);
-        h.now += SECOND;
-        h.byHand(server, false);
-        assertEquals(0, h.router.view().avoided());
-        long got = h.served(300, 1300, MS, server);
+        long got = h.served(500, 1500, MS, out);
         assertTrue(got > 0 && got < 120, got + " of 1000 sends, an even part is 167");
     }
 
--- a/src/test/java/beaconturn/net/RouterConfigTest.java
+++ b/src/test/java/beaconturn/net/RouterConfigTest.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Queue;
 import java.util.regex.Pattern;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -133,9 +134,7 @@
         Queue<String> files = new ArrayDeque<>();
         Reloads reloads = reloads(first, () -> read(files.remove(), Map.of()));
         String other = sound.replace("1500000000", "900000000").replace("8500", "8501");
-        for (int i = 0; i < other.length(); i++) {
-            files.add(other.substring(0, i));
-        }
+        IntStream.range(0, other.length()).forEach(end -> files.add(other.substring(0, end)));
         String settings = other.substring(other.indexOf("\"settings\""));
         Pattern.compile("\"([a-z_]+)\":").matcher(settings).results().map(key -> key.group(1)).forEach(key ->
             files.add(other.replace("\"" + key + "\":", "\"x_" + key + "\":")));
--- a/src/test/java/beaconturn/net/RouterServerTest.java
+++ b/src/test/java/beaconturn/net/RouterServerTest.java
@@ -24,6 +24,7 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.FutureTask;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -37,6 +38,8 @@
     private static final String VALUE = "*3\r\n$2\r\nva\r\n$3\r\nhit\r\n$-1\r\n";
     private static final String GET = "*4\r\n$5\r\nC.GET\r\n$16\r\n00000000000000a1\r\n$2\r\nid\r\n$13\r\n"
         + "c=read,d=1500\r\n";
+    private static final RouterConfig.Surroundings OPERATED = new RouterConfig.Surroundings(
+        new InetSocketAddress("127.0.0.1", 0), false, null);
     private static final int SOCKETS = 100;
     private static final int MEMORY_MB = 192;
     private final CountDownLatch over = new CountDownLatch(1);
@@ -47,6 +50,7 @@
     });
     private final BlockingQueue<RouterConfig> newConfigs = new LinkedBlockingQueue<>();
     private RouterConfig.Surroundings surroundings = RouterConfig.Surroundings.NONE;
+    private Settings settings = Samples.read();
     private RouterServer router;
 
     @AfterEach
@@ -56,14 +60,12 @@
     }
 
     /** Begins a planned stop, which goes on beside the test. */
-    private Thread drain() throws InterruptedException {
-        Thread drain = Threads.start("test-drain", () -> {
-            try {
-                router.drain();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+    private FutureTask<Void> drain() throws InterruptedException {
+        FutureTask<Void> drain = new FutureTask<>(() -> {
+            router.drain();
+            return null;
         });
+        Threads.start("test-drain", drain);
         lifecycle.await(Lifecycle.Phase.DRAINING);
         return drain;
     }
@@ -75,7 +77,6 @@
     }
 
     private RouterConfig config(Peer cache, Peer registry) throws ProtocolException {
-        Settings settings = Samples.read();
         ListNews known = new ListReader(settings).known(
             JsonReader.read(Slice.of(list(4, true, cache, "ready"))));
         return new RouterConfig("r1", new InetSocketAddress("127.0.0.1", 0), registry.address(), 1, SOCKETS,
@@ -214,7 +215,7 @@
      */
     @Test
     void everyRequestEndsInOneOfTheFigures() throws Exception {
-        surroundings = new RouterConfig.Surroundings(new InetSocketAddress("127.0.0.1", 0), false, null);
+        surroundings = OPERATED;
         try (Peer cache = new Peer(line -> {
             for (String c = line.command(); !c.equals("end"); c = line.command()) {
                 if (c.contains(" hang ")) {
@@ -251,14 +252,13 @@
     /** New clients name the new class at once; what is open ends under the class that it was taken with. */
     @Test
     void aClassThatIsDroppedKeepsItsOpenRequestsAndItsFigures() throws Exception {
-        surroundings = new RouterConfig.Surroundings(new InetSocketAddress("127.0.0.1", 0), false, null);
+        surroundings = OPERATED;
         CountDownLatch slow = new CountDownLatch(1);
         try (Peer cache = answeringAfter(slow); Peer.Line client = start(cache, silentRegistry)) {
             client.write(GET);
             assertEquals("begun", cache.note());
-            RouterConfig old = config(cache, silentRegistry);
-            newConfigs.add(new RouterConfig(old.name(), old.listen(), old.discovery(), 2, SOCKETS, MEMORY_MB,
-                old.known(), Samples.read("classes.0.name", "fresh"), surroundings, new Json.Nothing()));
+            settings = Samples.read("classes.0.name", "fresh");
+            newConfigs.add(config(cache, silentRegistry));
             router.reload();
             while (!figures("conf_loaded").equals("1")) {
                 Thread.onSpinWait();
@@ -449,7 +449,7 @@
             assertEquals("+PONG", idle.answer());
             client.write(GET);
             cache.note();
-            Thread drain = drain();
+            FutureTask<Void> drain = drain();
             try (Peer.Line late = Peer.Line.to(router.address())) {
                 late.write("*1\r\n$4\r\nPING\r\n");
                 assertEquals("+PONG", late.answer(), "new connections still come after the announcement");
@@ -461,7 +461,7 @@
             assertEquals("end", client.answer());
             idle.hangUp();
             client.hangUp();
-            drain.join();
+            drain.get();
             assertEquals(Lifecycle.Phase.STOPPED, lifecycle.phase());
             assertThrows(IOException.class, () -> Peer.Line.to(router.address()));
         }
@@ -508,41 +508,42 @@
     @Nested
     @Timeout(60)
     class LargeAnswers {
-        private static final int SIZE = 4 << 20;
-        private static final String HEAD = "*3\r\n$" + SIZE + "\r\n";
-        private static final String TAIL = "\r\n$3\r\nhit\r\n$-1\r\n";
-        private static final String HALF = "x".repeat(SIZE / 2);
+        private static final String HEAD = "$" + (4 << 20) + "\r\n";
+        private static final String HALF = "x".repeat(2 << 20);
+        private static final String LARGE = GET.replace("a1", "b2").replace("id", "xl");
         private final CountDownLatch goOn = new CountDownLatch(1);
-
-        /** Half of a large value, what the test says then, the rest; small values otherwise. */
-        private Peer cache(String rest) {
-            return new Peer(line -> {
-                for (String c = line.command(); !c.equals("end"); c = line.command()) {
-                    if (c.contains(" large ")) {
-                        line.write(HEAD + HALF);
-                        goOn.await();
-                        line.write(rest);
-                    } else {
-                        line.write("*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n");
-                    }
+        private final Peer cache = new Peer(line -> {
+            for (String c = line.command(); !c.equals("end"); c = line.command()) {
+                if (c.contains(" xl ")) {
+                    line.write("*3\r\n" + HEAD + HALF);
+                    goOn.await();
+                    line.write(HALF + "\r\n$3\r\nhit\r\n$-1\r\n");
+                } else {
+                    line.write(VALUE);
                 }
-            });
+            }
+        });
+
+        @AfterEach
+        void endCache() {
+            cache.close();
         }
 
-        private static void ask(Peer.Line client, String id) throws IOException {
-            client.write("*4\r\n$5\r\nC.GET\r\n$1\r\n" + id.charAt(0) + "\r\n" + RespWriter.bulk(id)
-                + "$13\r\nc=read,d=1500\r\n");
+        /** A client that has the first half of an answer before its cache server has written the second. */
+        private Peer.Line halfWay() throws IOException, ProtocolException {
+            Peer.Line client = start(cache, silentRegistry);
+            client.write(LARGE);
+            client.expect(HEAD + HALF);
+            return client;
         }
 
         @Test
         void theFirstHalfGoesOnBeforeTheSecondHasComeAndTheConnectionServesOn() throws Exception {
-            try (Peer cache = cache(HALF + TAIL); Peer.Line client = start(cache, silentRegistry)) {
-                ask(client, "large");
-                client.expect("$" + SIZE + "\r\n" + HALF);
+            try (Peer.Line client = halfWay()) {
                 goOn.countDown();
                 client.expect(HALF + "\r\n");
-                ask(client, "small");
-                client.expect("$1\r\nv\r\n");
+                client.write(GET);
+                assertEquals("$2\r\nva", client.answer());
                 assertEquals(1, cache.connections());
             }
         }
@@ -551,13 +552,13 @@
         @Test
         void aClientThatStopsReadingHoldsUpNobodyElse() throws Exception {
             goOn.countDown();
-            try (Peer cache = cache(HALF + TAIL); Peer.Line slow = start(cache, silentRegistry);
+            try (Peer.Line slow = start(cache, silentRegistry);
                     Peer.Line other = Peer.Line.to(router.address())) {
-                ask(slow, "large");
-                slow.expect("$" + SIZE + "\r\n");
+                slow.write(LARGE);
+                slow.expect(HEAD);
                 for (int i = 0; i < 50; i++) {
-                    ask(other, "s" + i);
-                    other.expect("$1\r\nv\r\n");
+                    other.write(GET);
+                    assertEquals("$2\r\nva", other.answer());
                 }
                 slow.expect(HALF + HALF + "\r\n");
             }
@@ -566,38 +567,36 @@
         @Test
         void anAnswerThatBreaksOffEndsItsClientsConnection() throws Exception {
             for (String rest : new String[] {"", HALF + "xx", HALF + "\r\n+odd\r\n"}) {
-                try (Peer cache = new Peer(line -> {
+                try (Peer breaking = new Peer(line -> {
                     line.command();
-                    line.write(HEAD + HALF + rest);
-                }); Peer.Line client = start(cache, silentRegistry)) {
-                    ask(client, "large");
-                    String whole = "$" + SIZE + "\r\n" + HALF + HALF + "\r\n";
-                    assertThrows(EOFException.class, () -> client.expect(whole), rest);
+                    line.write("*3\r\n" + HEAD + HALF + rest);
+                }); Peer.Line client = start(breaking, silentRegistry)) {
+                    client.write(LARGE);
+                    assertThrows(EOFException.class, () -> client.expect(HEAD + HALF + HALF + "\r\n"), rest);
                 }
             }
         }
 
         @Test
         void aStopWaitsForWhatIsBeingPassedOn() throws Exception {
-            try (Peer cache = cache(HALF + TAIL); Peer.Line client = start(cache, silentRegistry)) {
-                ask(client, "large");
-                client.expect("$" + SIZE + "\r\n" + HALF);
-                Thread stop = drain();
+            try (Peer.Line client = halfWay()) {
+                FutureTask<Void> stop = drain();
                 goOn.countDown();
                 client.expect(HALF + "\r\n");
                 assertNull(client.read());
                 client.hangUp();
-                stop.join();
+                stop.get();
             }
         }
 
         /** Only whole heads of what is larger than usual and not beyond all bounds. */
         @Test
         void aHeadIsKnownInPiecesAndTakesNoMemoryForWhatItDeclares() {
-            for (int i = 0; i < HEAD.length(); i++) {
-                assertNull(LargeAnswer.at(Bytes.buffer(HEAD.substring(0, i))));
+            String head = "*3\r\n" + HEAD;
+            for (int i = 0; i < head.length(); i++) {
+                assertNull(LargeAnswer.at(Bytes.buffer(head.substring(0, i))));
             }
-            assertNotNull(LargeAnswer.at(Bytes.buffer(HEAD)));
+            assertNotNull(LargeAnswer.at(Bytes.buffer(head)));
             for (String none : new String[] {"*3\r\n$65536\r\n", "*3\r\n$4194305\r\n",
                 "*3\r\n$99999999999999\r\n", "*2\r\n$70000\r\n", "$70000\r\n", "*3\r\n$-1\r\n",
                 "*3\r\n$70000\n\n"}) {
--- a/src/test/java/beaconturn/net/UpgradeTest.java
+++ b/src/test/java/beaconturn/net/UpgradeTest.java
@@ -7,9 +7,7 @@
 
 import beaconturn.decision.Learned;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.nio.file.Files;
@@ -84,25 +82,21 @@
     @Test
     void oneThatStopsLeavesTheSharedSocketAndItsQueueToTheOther() throws IOException, InterruptedException {
         try (ServerSocketChannel shared = ServerSocketChannel.open()) {
-            shared.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            shared.bind(new InetSocketAddress("127.0.0.1", 0));
             Listener before = Listener.on(shared, accepted::add);
             before.start();
-            connect(before);
+            Peer.Line.to(before.address()).close();
             accepted.take().close();
             before.close();
-            connect(before);
+            Peer.Line.to(before.address()).close();
             Listener after = Listener.on(shared, accepted::add);
             after.start();
             accepted.take().close();
-            connect(after);
+            Peer.Line.to(after.address()).close();
             accepted.take().close();
             after.close();
             assertTrue(shared.isOpen());
             assertEquals(0, accepted.size());
         }
     }
-
-    private static void connect(Listener to) throws IOException {
-        new Socket(to.address().getAddress(), to.address().getPort()).close();
-    }
 }
--- a/src/test/java/beaconturn/net/control/ControlAddressTest.java
+++ b/src/test/java/beaconturn/net/control/ControlAddressTest.java
@@ -7,18 +7,19 @@
 import beaconturn.stats.Counters;
 import beaconturn.stats.Tally;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -33,6 +34,7 @@
     private final FakeOffice office = new FakeOffice();
     private final Counters counters = new Counters();
     private final List<ControlAddress> addresses = new ArrayList<>();
+    private final List<CompletableFuture<Void>> runs = new ArrayList<>();
     private final List<Peer.Line> callers = new ArrayList<>();
     private ControlAddress address;
 
@@ -55,13 +57,15 @@
         }
     }
 
+    private Path file() {
+        return folder.resolve("hand");
+    }
+
     private ControlAddress open(boolean shared) throws IOException {
-        ControlAddress opened = new ControlAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-            office, counters, new HandFile(folder.resolve("hand"), shared), now::get);
-        Thread thread = new Thread(opened);
-        thread.setDaemon(true);
-        thread.start();
+        ControlAddress opened = new ControlAddress(new InetSocketAddress("127.0.0.1", 0),
+            office, counters, new HandFile(file(), shared), now::get);
         addresses.add(opened);
+        runs.add(CompletableFuture.runAsync(opened, task -> new Thread(task).start()));
         return opened;
     }
 
@@ -73,6 +77,8 @@
     @AfterEach
     void close() {
         addresses.forEach(ControlAddress::close);
+        // Fails if one of them did: a stop ends the callers that are there.
+        runs.forEach(CompletableFuture::join);
         callers.forEach(Peer.Line::close);
     }
 
@@ -97,6 +103,7 @@
 
     @Test
     void aCallInSingleBytesOrEndedByItsCallersEndIsACall() throws IOException {
+        say("half a call");
         Peer.Line slow = say("");
         for (String piece : "ready\n".split("")) {
             slow.write(piece);
@@ -139,7 +146,7 @@
         office.hands.take();
         now.addAndGet(SECOND);
         assertEquals("ACK\n", caller.rest());
-        assertTrue(Files.readString(folder.resolve("hand")).contains("out s-slow "));
+        assertTrue(Files.readString(file()).contains("out s-slow "));
     }
 
     @Test
@@ -168,4 +175,58 @@
         now.addAndGet(SECOND);
         assertEquals(false, office.hands.take().out());
     }
+
+    /** What outlives a process of the router. */
+    @Nested
+    class Kept {
+        private static final Hand OUT = new Hand("s-1", true, 5000);
+        private static final Hand BACK = new Hand("s-2", false, 6000);
+
+        private List<Hand> reread() {
+            return new HandFile(file(), false).read();
+        }
+
+        @Test
+        void theNextProcessFindsWhatWasSaidLast() {
+            HandFile first = new HandFile(file(), false);
+            first.put(OUT);
+            first.put(BACK);
+            assertEquals(List.of(OUT, BACK), reread());
+            Hand again = new Hand("s-1", false, 7000);
+            first.put(again);
+            assertEquals(List.of(again, BACK), reread());
+        }
+
+        @Test
+        void twoProcessesKeepEachOthersWords() {
+            HandFile first = new HandFile(file(), true);
+            HandFile second = new HandFile(file(), true);
+            first.put(OUT);
+            second.put(BACK);
+            assertEquals(List.of(OUT, BACK), reread());
+            assertEquals(List.of(BACK), first.changes(0));
+            assertEquals(List.of(OUT), second.changes(0));
+            assertEquals(List.of(), first.changes(1_000_000_000));
+        }
+
+        @Test
+        void aDamagedFileCountsAsFarAsItIsSound() throws IOException {
+            Files.writeString(file(), "beaconturn-hand 1\nout s-1 5000\nout s-3\nodd s-4 1\n"
+                + "back s-2 6000\nout s-5 x");
+            assertEquals(List.of(OUT, BACK), reread());
+            for (String unsound : new String[] {"", "\n", "out s-1 5000\n", "x".repeat(300 * 1024)}) {
+                Files.writeString(file(), unsound);
+                assertEquals(List.of(), reread());
+            }
+        }
+
+        @Test
+        void aFolderThatCannotBeWrittenCostsOnlyTheKeeping() {
+            folder = folder.resolve("missing");
+            HandFile kept = new HandFile(file(), true);
+            kept.put(OUT);
+            assertEquals(List.of(OUT), kept.read());
+            assertEquals(List.of(), reread());
+        }
+    }
 }
