A router logs when it stood still, with the processor time that went by meanwhile

Its log was silent for seconds, and did not tell whether the JVM was at work or the process was kept from running. The sweeper, which comes by every 50 ms, now tells both.

--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -228,8 +228,10 @@
     }
 
     private void sweep() {
+        Pauses pauses = new Pauses(clock, Pauses::ownProcessorTime);
         try {
             while (lifecycle.phase() != Lifecycle.Phase.STOPPED) {
+                pauses.look();
                 clients.sweep(clock.now());
                 if (neighbour != null) {
                     share();
