--- a/src/main/java/beaconturn/net/Capacity.java
+++ b/src/main/java/beaconturn/net/Capacity.java
@@ -24,7 +24,9 @@
         int threads = Math.max(FEWEST_THREADS, (memoryMb - heapMb - BASE_MB) * 1024 / THREAD_KB);
         // A sixth of the heap, as values go out and come in, and the collector needs room to move them.
         int large = Math.max(1, Math.min(MOST_LARGE, heapMb * 1024 / 6 / LARGE_KB));
+        // One and a seventeenth of the clients' half are for those on their way out.
+        int clients = (forSockets / 2 - 1) * 16 / 17;
         // Clients keep a third of the descriptors at most: from a quarter on the quiet ones make room.
-        return new Capacity(forSockets / 2, sockets / 4, Math.min(forSockets / 2, threads), large);
+        return new Capacity(clients, sockets / 4, Math.min(forSockets / 2, threads), large);
     }
 }
--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -49,6 +49,7 @@
     private final AtomicBoolean left = new AtomicBoolean();
     private volatile boolean spoke;
     private volatile boolean paused;
+    private volatile boolean toEnd;
     private volatile long halfReadSince = NEVER;
     private volatile boolean largeInHand;
     private int large;
@@ -58,6 +59,7 @@
     private SelectionKey key;
     private boolean malformed;
     private int discarded;
+    private int commands;
 
     ClientConnection(SocketChannel channel, Site site) {
         this.channel = channel;
@@ -72,7 +74,7 @@
 
     /** Since when no request is out and none half read, or {@code Long.MAX_VALUE} if one is. */
     long quietSince() {
-        return halfReadSince == NEVER ? writer.quietSince() : NEVER;
+        return halfReadSince == NEVER && !toEnd ? writer.quietSince() : NEVER;
     }
 
     /**
@@ -85,7 +87,7 @@
 
     /** Since when the client has not sent a single command, or {@code Long.MAX_VALUE} if it has. */
     long silentSince() {
-        return spoke || closingSince() != NEVER ? NEVER : since;
+        return spoke || toEnd || left.get() || closingSince() != NEVER ? NEVER : since;
     }
 
     /** Since when an answer is being written, or {@code Long.MAX_VALUE} if none is. */
@@ -105,13 +107,29 @@
         }
     }
 
-    /** Closes the connection if no answer is owed on it, half a command or not; false if one is. */
-    boolean closeIfQuiet() {
-        boolean quiet = writer.finishIfQuiet();
-        if (quiet) {
+    /** Closes the connection, half a command or not, unless an answer is owed or more has come meanwhile. */
+    void endIfQuiet() {
+        if (writer.quietSince() != NEVER && !paused) {
+            toEnd = true;
+            site.poller().call(this);
+        }
+    }
+
+    /**
+     * A last look before the end: what the kernel holds may be a whole command that a poller with too much to
+     * do has not read, and whoever wrote it would lose it. One that begins now gets its time; no other does.
+     */
+    private void endUnlessMoreCame() throws IOException {
+        toEnd = false;
+        int before = commands;
+        boolean half = halfReadSince != NEVER;
+        int got = 1;
+        while (got > 0 && !left.get() && !paused && commands == before) {
+            got = read();
+        }
+        if (commands == before && (half || halfReadSince == NEVER) && writer.finishIfQuiet()) {
             close();
         }
-        return quiet;
     }
 
     /** Closes at once, whatever is out: nobody waits for what it still had. Not for the module's thread. */
@@ -132,6 +150,11 @@
             }
         }
         giveBackLarge();
+        site.poller().closed(this);
+    }
+
+    /** Its descriptor can be used by another. */
+    void freed() {
         site.whenClosed().accept(this);
     }
 
@@ -154,6 +177,9 @@
                 key = channel.register(selector, SelectionKey.OP_READ, this);
             }
             parse();
+            if (toEnd) {
+                endUnlessMoreCame();
+            }
         });
     }
 
@@ -188,20 +214,21 @@
         }
     }
 
-    private void read() throws IOException {
+    /** How many bytes came, none or less at the end. */
+    private int read() throws IOException {
         if (malformed) {
-            discard();
-            return;
+            return discard();
         }
         int room = Math.min(Sockets.LARGEST_STEP, in.room());
         int got = channel.read(ByteBuffer.wrap(in.array(), in.end(), room));
         if (got < 0) {
             close();
-            return;
+        } else if (got > 0) {
+            in.filled(got);
+            halfReadSince = Math.min(halfReadSince, site.clock().now());
+            parse();
         }
-        in.filled(got);
-        halfReadSince = Math.min(halfReadSince, site.clock().now());
-        parse();
+        return got;
     }
 
     /** Handles the commands that are whole, as far as there is room for their answers. */
@@ -209,6 +236,7 @@
         try {
             RespValue next = nextCommand();
             while (next != null) {
+                commands++;
                 command(next);
                 halfReadSince = in.size() > 0 ? site.clock().now() : NEVER;
                 next = nextCommand();
@@ -323,11 +351,12 @@
      * Reads on a little without looking: unread bytes would reset the error on its way. Not to the end, which
      * clients that send without end or 60 MB don't reach: they would have the processor to themselves.
      */
-    private void discard() throws IOException {
+    private int discard() throws IOException {
         int got = channel.read(ByteBuffer.allocate(Sockets.LARGEST_STEP));
         discarded += got;
         if (got < 0 || discarded >= MOST_DISCARDED) {
             close();
         }
+        return got;
     }
 }
--- a/src/main/java/beaconturn/net/ClientConnections.java
+++ b/src/main/java/beaconturn/net/ClientConnections.java
@@ -11,8 +11,8 @@
     private static final long MILLI = 1_000_000;
     /** A client that takes no byte for so long is not coming back for its answer. */
     private static final long LONGEST_WRITE = 10_000 * MILLI;
-    /** How long a command may take from its first byte, and a new client to its first whole command. */
-    private static final long LONGEST_COMMAND = 2_000 * MILLI;
+    /** How long a command may take from its first byte: 2 s, and what the way here and a busy poller add. */
+    private static final long LONGEST_COMMAND = 2_500 * MILLI;
     /** How long a new client may take to its first byte. */
     private static final long LONGEST_SILENCE = 1_000 * MILLI;
     /** A connection with nothing open is let go after so long: it has a descriptor. */
@@ -23,6 +23,9 @@
     /** Where connections run short, one may be let go when it has been quiet for so long. */
     private static final long SHORT_QUIET = 100 * MILLI;
 
+    /** Over the most by this part while those that make room are on their way out. */
+    private static final int OVER_THE_MOST = 16;
+
     private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
     private volatile int most;
     private volatile int easy;
@@ -54,17 +57,17 @@
     }
 
     /**
-     * Makes room for one more, never waiting; false if all are at work. Those that have not sent one whole
+     * Makes room for one more, never waiting; false if there is none. Those that have not sent one whole
      * command go first, the oldest before others: many that connect and say nothing must not cost the usual
-     * clients theirs. Then the one that has been quiet longest.
+     * clients theirs. Then the one that has been quiet longest. Each counts until its descriptor is free, so
+     * a few more than the most may be open meanwhile.
      */
     boolean makeRoom(long now) {
-        if (open.size() < most) {
-            return true;
+        if (open.size() >= most) {
+            oldest(ClientConnection::silentSince, now - SETTLED)
+                .or(() -> oldest(ClientConnection::quietSince, now)).ifPresent(ClientConnection::endIfQuiet);
         }
-        return oldest(ClientConnection::silentSince, now - SETTLED)
-            .or(() -> oldest(ClientConnection::quietSince, now))
-            .filter(ClientConnection::closeIfQuiet).isPresent() || open.size() < most;
+        return open.size() < most + 1 + most / OVER_THE_MOST;
     }
 
     /**
@@ -75,7 +78,7 @@
         if (count > 0) {
             open.stream().map(c -> new Quiet(c, c.quietSince())).filter(q -> q.since() < before)
                 .sorted(Comparator.comparingLong(Quiet::since)).limit(count)
-                .forEach(q -> q.connection().closeIfQuiet());
+                .forEach(q -> q.connection().endIfQuiet());
         }
     }
 
@@ -95,10 +98,9 @@
             || c.closingSince() < now - ClientConnection.LINGER_MILLIS * MILLI)
             .forEach(ClientConnection::close);
         // Not while a request is out: the others on its connection are owed their answers first.
-        open.stream().filter(c -> c.silentSince() < now - LONGEST_COMMAND
-            || c.silentSince() < now - LONGEST_SILENCE && c.halfReadSince() == Long.MAX_VALUE
-            || c.halfReadSince() < now - LONGEST_COMMAND)
-            .forEach(ClientConnection::closeIfQuiet);
+        open.stream().filter(c -> c.halfReadSince() < now - LONGEST_COMMAND
+            || c.silentSince() < now - LONGEST_SILENCE && c.halfReadSince() == Long.MAX_VALUE)
+            .forEach(ClientConnection::endIfQuiet);
         open.stream().filter(c -> c.quietSince() < now - LONGEST_QUIET)
             .forEach(ClientConnection::finishIfQuiet);
         letGo(open.size() - easy, now - SHORT_QUIET);
--- a/src/main/java/beaconturn/net/ClientPoller.java
+++ b/src/main/java/beaconturn/net/ClientPoller.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.logging.Level;
@@ -17,6 +19,7 @@
     private static final Logger LOG = Logger.getLogger(ClientPoller.class.getName());
     private final Selector selector;
     private final Queue<ClientConnection> called = new ConcurrentLinkedQueue<>();
+    private final Queue<ClientConnection> closed = new ConcurrentLinkedQueue<>();
 
     ClientPoller() throws IOException {
         this.selector = Selector.open();
@@ -32,10 +35,22 @@
         selector.wakeup();
     }
 
+    /** Tells the connection, just closed, when its descriptor is free: once the selector has gone round. */
+    void closed(ClientConnection connection) {
+        closed.add(connection);
+        selector.wakeup();
+    }
+
     private void run() {
+        List<ClientConnection> freed = new ArrayList<>();
         while (true) {
             try {
+                for (ClientConnection c = closed.poll(); c != null; c = closed.poll()) {
+                    freed.add(c);
+                }
                 selector.select(ClientPoller::ready);
+                freed.forEach(ClientConnection::freed);
+                freed.clear();
                 for (ClientConnection c = called.poll(); c != null; c = called.poll()) {
                     c.proceed(selector);
                 }
--- a/src/main/java/beaconturn/net/Listener.java
+++ b/src/main/java/beaconturn/net/Listener.java
@@ -84,9 +84,7 @@
                 selector.select();
                 selector.selectedKeys().clear();
                 for (SocketChannel client = next(); client != null; client = next()) {
-                    client.setOption(StandardSocketOptions.TCP_NODELAY, true);
-                    client.configureBlocking(false);
-                    accepted.accept(client);
+                    take(client);
                 }
             } catch (IOException | RuntimeException | Error e) {
                 // Out of descriptors, or a client gone while it waited: the next one may do better.
@@ -100,6 +98,18 @@
         Sockets.close(selector);
     }
 
+    /** What fails here is closed: a channel that nobody knows keeps its descriptor for good. */
+    private void take(SocketChannel client) throws IOException {
+        try {
+            client.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            client.configureBlocking(false);
+            accepted.accept(client);
+        } catch (IOException | RuntimeException | Error e) {
+            Sockets.close(client);
+            throw e;
+        }
+    }
+
     private SocketChannel next() throws IOException {
         return closed ? null : server.accept();
     }
