--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -87,7 +87,7 @@
 
     /** Since when the client has not sent a single command, or {@code Long.MAX_VALUE} if it has. */
     long silentSince() {
-        return spoke || toEnd || left.get() || closingSince() != NEVER ? NEVER : since;
+        return spoke || leaving() || closingSince() != NEVER ? NEVER : since;
     }
 
     /** Since when an answer is being written, or {@code Long.MAX_VALUE} if none is. */
@@ -153,6 +153,11 @@
         site.poller().closed(this);
     }
 
+    /** Whether it is about to be closed, or is and still has its descriptor. */
+    boolean leaving() {
+        return toEnd || left.get();
+    }
+
     /** Its descriptor can be used by another. */
     void freed() {
         site.whenClosed().accept(this);
--- a/src/main/java/beaconturn/net/ClientConnections.java
+++ b/src/main/java/beaconturn/net/ClientConnections.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.ToLongFunction;
 
 /** The open connections of clients: how many there may be, and which are closed when. */
@@ -23,8 +24,10 @@
     /** Where connections run short, one may be let go when it has been quiet for so long. */
     private static final long SHORT_QUIET = 100 * MILLI;
 
-    /** Over the most by this part while those that make room are on their way out. */
+    /** This part of the most, and one, may be over it while those that make room are on their way out. */
     private static final int OVER_THE_MOST = 16;
+    /** The poller goes round far sooner; beyond this who comes is turned away. */
+    private static final int MOST_ROUNDS = 20;
 
     private final Set<ClientConnection> open = ConcurrentHashMap.newKeySet();
     private volatile int most;
@@ -57,17 +60,30 @@
     }
 
     /**
-     * Makes room for one more, never waiting; false if there is none. Those that have not sent one whole
-     * command go first, the oldest before others: many that connect and say nothing must not cost the usual
-     * clients theirs. Then the one that has been quiet longest. Each counts until its descriptor is free, so
-     * a few more than the most may be open meanwhile.
+     * Makes room for one more; false if all are at work. Those that have not sent one whole command go first,
+     * the oldest before others: many that connect and say nothing must not cost the usual clients theirs.
+     * Then the one that has been quiet longest. Each counts until its descriptor is free, so a few more than
+     * the most may be open meanwhile; beyond that the poller is waited for, some milliseconds. Where the most
+     * has been lowered, one goes for one that comes.
      */
     boolean makeRoom(long now) {
-        if (open.size() >= most) {
-            oldest(ClientConnection::silentSince, now - SETTLED)
-                .or(() -> oldest(ClientConnection::quietSince, now)).ifPresent(ClientConnection::endIfQuiet);
+        if (open.size() < most) {
+            return true;
         }
-        return open.size() < most + 1 + most / OVER_THE_MOST;
+        Optional<ClientConnection> goes = oldest(ClientConnection::silentSince, now - SETTLED)
+            .or(() -> oldest(ClientConnection::quietSince, now));
+        goes.ifPresent(ClientConnection::endIfQuiet);
+        return goes.isPresent() && fewLeave();
+    }
+
+    private boolean fewLeave() {
+        for (int i = 0; i < MOST_ROUNDS; i++) {
+            if (open.stream().filter(ClientConnection::leaving).count() <= 1 + most / OVER_THE_MOST) {
+                return true;
+            }
+            LockSupport.parkNanos(MILLI);
+        }
+        return false;
     }
 
     /**
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -202,7 +202,7 @@
     }
 
     private void accepted(SocketChannel client) {
-        // Never waits: the one accepting thread must not be held up by clients that keep others at work.
+        // The one accepting thread must not be held up by clients that keep others at work.
         if (clients.makeRoom(clock.now())) {
             ClientConnection connection = new ClientConnection(client, site);
             clients.add(connection);
--- a/src/test/java/beaconturn/net/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/ClientConnectionsTest.java
@@ -33,18 +33,19 @@
     private final OpenIds ids = new OpenIds();
     private final ClientConnections connections = new ClientConnections(1, 1);
     private ServerSocketChannel server;
+    private ClientPoller poller;
     private Peer.Line client;
     private ClientConnection connection;
 
     @BeforeEach
     void connect() throws IOException {
         server = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        ClientPoller poller = new ClientPoller();
+        poller = new ClientPoller();
         poller.start();
         connect(poller);
     }
 
-    private void connect(ClientPoller poller) throws IOException {
+    private void connect(ClientPoller reads) throws IOException {
         Socket from = new Socket(InetAddress.getLoopbackAddress(), server.socket().getLocalPort());
         from.setSoTimeout(20_000);
         client = new Peer.Line(from, new LinkedBlockingQueue<>());
@@ -52,7 +53,7 @@
         accepted.configureBlocking(false);
         connection = new ClientConnection(accepted, new ClientConnection.Site(
             () -> new RequestParser(Samples.read(), Tally.NONE),
-            now::get, new Lifecycle(), module::add, poller, ids,
+            now::get, new Lifecycle(), module::add, reads, ids,
             new Semaphore(9), connections::remove));
         connections.add(connection);
         connection.start();
@@ -105,6 +106,24 @@
         assertEquals("+v", client.answer());
     }
 
+    /** In an upgrade each process keeps to half; a client that comes then must not meet a close for it. */
+    @Test
+    void overALoweredMostOneGoesForOneThatComes() throws Exception {
+        client.write(GET);
+        arrived().served(Slice.of("+v\r\n"));
+        assertEquals("+v", client.answer());
+        awaitQuiet();
+        Peer.Line first = client;
+        connect(poller);
+        connect(poller);
+        assertEquals(3, connections.count());
+        now.addAndGet(SECOND / 2);
+        assertTrue(connections.makeRoom(now.get()));
+        assertTrue(connections.makeRoom(now.get()));
+        assertTrue(connections.makeRoom(now.get()));
+        assertEquals("end", first.answer());
+    }
+
     /** A descriptor is free when the selector has gone round; counted as free before, they run out. */
     @Test
     void aClosedConnectionCountsUntilItsDescriptorIsFree() throws Exception {
