--- a/src/main/java/beaconturn/net/Pauses.java
+++ b/src/main/java/beaconturn/net/Pauses.java
@@ -2,14 +2,12 @@
 
 import beaconturn.core.Clock;
 import java.util.function.LongSupplier;
-import java.util.logging.Logger;
 
 /**
  * Notices that this process stood still, and tells how much processor time went by meanwhile: next to none
  * says that it was kept from running, much says that the JVM itself was at work. For one thread.
  */
 final class Pauses {
-    private static final Logger LOG = Logger.getLogger(Pauses.class.getName());
     private static final long MILLI = 1_000_000;
     private static final long WORTH_TELLING = 500 * MILLI;
     private final Clock clock;
@@ -30,15 +28,14 @@
         return ProcessHandle.current().info().totalCpuDuration().map(d -> d.toNanos()).orElse(0L);
     }
 
-    /** To be called far more often than a pause is worth telling. */
-    void look() {
+    /** What there is to tell, or null; to be called far more often than a pause is worth telling. */
+    String look() {
         long now = clock.now();
         long used = processorTime.getAsLong();
-        if (now - lookedAt > WORTH_TELLING) {
-            LOG.warning("stood still for " + (now - lookedAt) / MILLI + " ms, with "
-                + (used - usedThen) / MILLI + " ms of processor time");
-        }
+        String told = now - lookedAt <= WORTH_TELLING ? null : "stood still for " + (now - lookedAt) / MILLI
+            + " ms, with " + (used - usedThen) / MILLI + " ms of processor time";
         lookedAt = now;
         usedThen = used;
+        return told;
     }
 }
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -231,7 +231,10 @@
         Pauses pauses = new Pauses(clock, Pauses::ownProcessorTime);
         try {
             while (lifecycle.phase() != Lifecycle.Phase.STOPPED) {
-                pauses.look();
+                String pause = pauses.look();
+                if (pause != null) {
+                    LOG.warning(pause);
+                }
                 clients.sweep(clock.now());
                 if (neighbour != null) {
                     share();
--- a/src/test/java/beaconturn/core/SpellTest.java
+++ b/src/test/java/beaconturn/core/SpellTest.java
@@ -2,16 +2,39 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import org.junit.jupiter.api.Test;
 
 class SpellTest {
     private static final long SECOND = 1_000_000_000;
+    private final List<String> lines = new ArrayList<>();
     private final Logger log = Logger.getAnonymousLogger();
-    private final List<String> lines = LogLines.of(log).lines;
     private final Spell spell = new Spell(log, "it rains", 3);
 
+    SpellTest() {
+        log.setUseParentHandlers(false);
+        log.addHandler(new Handler() {
+            @Override
+            public void publish(LogRecord record) {
+                lines.add(record.getMessage());
+            }
+
+            @Override
+            public void flush() {
+                lines.add("flushed");
+            }
+
+            @Override
+            public void close() {
+                lines.add("closed");
+            }
+        });
+    }
+
     /** A line for each request would fill the log just when it is read. */
     @Test
     void oneLineWhenItBeginsAndOneWhenItIsOver() {
--- a/src/test/java/beaconturn/decision/TransfersTest.java
+++ b/src/test/java/beaconturn/decision/TransfersTest.java
@@ -22,6 +22,11 @@
         h.router.handle(h.now, new Routing.FirstByte(send.request(), 20 * MS, send.server(), 0));
     }
 
+    private void begun(int request, long key) {
+        h.arrive(request, READ, key);
+        begins(h.last());
+    }
+
     @Test
     void whoWaitsForTheKeyOfATransferGoesToItsCacheAtTheFirstBytes() {
         h.arrive(1, READ, 77);
@@ -39,14 +44,9 @@
     @Test
     void transfersTakeNoPlaceInTheGates() {
         for (int i = 1; i <= TRANSFERS; i++) {
-            h.arrive(i, READ, i);
-            begins(h.last());
-        }
-        for (int i = 100; i < 160; i++) {
-            h.arrive(i, READ, i);
-            h.now += SECOND;
-            h.close(h.last(), 0, Ending.OK, true, SECOND);
+            begun(i, i);
         }
+        h.reads(100, 160, SECOND, (send, attempt) -> h.close(send, attempt, Ending.OK, true, SECOND));
         h.refused.clear();
         h.arrive(200, READ, 200);
         assertEquals(List.of(), h.refused);
@@ -56,10 +56,8 @@
     @Test
     void transfersStayInTheLoadOfTheRing() {
         long home = h.home(5);
-        h.arrive(1, READ, 5);
-        begins(h.last());
-        h.arrive(2, READ, 5);
-        begins(h.last());
+        begun(1, 5);
+        begun(2, 5);
         h.arrive(3, READ, 5);
         assertEquals(true, h.last().server() != home, "two are its cap among ten caches at rest");
     }
--- a/src/test/java/beaconturn/net/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/ClientConnectionsTest.java
@@ -69,6 +69,12 @@
         return ((Message.Arrived) module.poll(20, TimeUnit.SECONDS)).call();
     }
 
+    private void awaitGone() {
+        while (connections.count() > 0) {
+            Thread.onSpinWait();
+        }
+    }
+
     private void awaitHalfRead() {
         while (connection.halfReadSince() == Long.MAX_VALUE) {
             Thread.onSpinWait();
@@ -87,9 +93,7 @@
         now.addAndGet(SECOND * 3 / 2 + 1);
         connections.sweep(now.get());
         assertEquals("end", client.answer());
-        while (connections.count() > 0) {
-            Thread.onSpinWait();
-        }
+        awaitGone();
     }
 
     /** A poller that has too much to do has not read what its client wrote long ago. */
@@ -128,17 +132,13 @@
     @Test
     void aClosedConnectionCountsUntilItsDescriptorIsFree() throws Exception {
         client.close();
-        while (connections.count() > 0) {
-            Thread.onSpinWait();
-        }
+        awaitGone();
         ClientPoller late = new ClientPoller();
         connect(late);
         connection.close();
         assertEquals(1, connections.count());
         late.start();
-        while (connections.count() > 0) {
-            Thread.onSpinWait();
-        }
+        awaitGone();
     }
 
     /** The same for half a command on a connection that has been of use before. */
