--- /dev/null
+++ b/src/main/java/beaconturn/agreement/Version.java
@@ -0,0 +1,28 @@
+package beaconturn.agreement;
+
+/**
+ * A numbered version; it never changes once it is written, and its number is never given again.
+ *
+ * @param number counts from 1; 0 stands for what each router is configured with
+ * @param content what it puts in force
+ * @param author who proposed it
+ * @param reason why, in the author's words
+ * @param atMillis when, by the author's clock, Unix time; for people only
+ * @param digest of all that stands before, see {@link Texts#digest}
+ */
+public record Version(long number, Content content, String author, String reason, long atMillis,
+        String digest) {
+    /** What each router is configured with, before there is any agreement. */
+    public static final Version NONE = new Version(0, Content.UNSAID, "", "", 0, "");
+
+    /** A version whose digest is that of its text. */
+    public static Version of(long number, Content content, String author, String reason, long atMillis) {
+        return new Version(number, content, author, reason, atMillis,
+            Texts.digest(number, content, author, reason, atMillis));
+    }
+
+    /** Whether it is the one of that number and text. */
+    boolean same(Version other) {
+        return number == other.number && digest.equals(other.digest);
+    }
+}
--- a/src/main/java/beaconturn/protocol/HttpReader.java
+++ b/src/main/java/beaconturn/protocol/HttpReader.java
@@ -36,7 +36,7 @@
         return new HttpResponse(status, body, keepAlive);
     }
 
-    /** The next request if it is whole, else null; its body, if any, is read and left out. */
+    /** The next request if it is whole, with its body, else null. */
     public HttpRequest nextRequest(InputBuffer buffer) throws ProtocolException {
         in = buffer;
         at = 0;
@@ -51,11 +51,12 @@
         keepAlive = words[2].endsWith("1.1");
         length = 0;
         chunked = false;
-        if (!headers() || plain(false) == null) {
+        Slice body = headers() ? plain(false) : null;
+        if (body == null) {
             return null;
         }
         buffer.consume(at);
-        return new HttpRequest(words[0], words[1], keepAlive);
+        return new HttpRequest(words[0], words[1], body, keepAlive);
     }
 
     private boolean head() throws ProtocolException {
--- a/src/main/java/beaconturn/protocol/HttpRequest.java
+++ b/src/main/java/beaconturn/protocol/HttpRequest.java
@@ -1,7 +1,7 @@
 package beaconturn.protocol;
 
 /** A request of HTTP/1.1; {@code keepAlive} says that its connection can be used again. */
-public record HttpRequest(String method, String target, boolean keepAlive) {
+public record HttpRequest(String method, String target, Slice body, boolean keepAlive) {
     /** The target's path without what follows a question mark. */
     public String path() {
         return target.split("\\?", 2)[0];
