--- /dev/null
+++ b/src/main/java/beaconturn/release/Changeover.java
@@ -0,0 +1,12 @@
+package beaconturn.release;
+
+import beaconturn.agreement.Content;
+
+/**
+ * The settings that go with a release, once they are proposed.
+ *
+ * @param number of their version
+ * @param before what was in force before, for the way back
+ * @param undone the number of the version that brings that back, or 0
+ */
+public record Changeover(long number, Content before, long undone) { }
--- /dev/null
+++ b/src/test/java/beaconturn/release/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of releases: the deciders one by one, and every order of their steps. */
+package beaconturn.release;
