--- a/src/main/java/beaconturn/cli/EmbeddedLauncher.java
+++ b/src/main/java/beaconturn/cli/EmbeddedLauncher.java
@@ -6,7 +6,6 @@
 import beaconturn.net.RouterServer;
 import beaconturn.rehearsal.RouterLauncher;
 import java.io.IOException;
-import java.nio.file.Path;
 import java.util.Map;
 
 /** Runs routers inside this process: quick to start and easy to debug, but they cannot be killed. */
@@ -35,9 +34,9 @@
     }
 
     @Override
-    public Running launch(String name, Path config, Path log) throws IOException {
+    public Running launch(Start start) throws IOException {
         try {
-            RouterServer server = maker.make(RouterConfig.read(config, Map.of()));
+            RouterServer server = maker.make(RouterConfig.read(start.config(), Map.of()));
             server.start();
             return new Embedded(server);
         } catch (ConfigException e) {
--- a/src/main/java/beaconturn/cli/Main.java
+++ b/src/main/java/beaconturn/cli/Main.java
@@ -22,7 +22,9 @@
         JCommander commands = JCommander.newBuilder().programName("beaconturn")
             .addCommand(new ServeCommand()).addCommand(new CheckConfigCommand())
             .addCommand(new RehearseCommand()).addCommand(new StandInCommand())
-            .addCommand(new SimHostCommand()).addCommand(new VersionCommand()).build();
+            .addCommand(new AgreementCommand()).addCommand(new StoreStandInCommand())
+            .addCommand(new ReleaseCommand()).addCommand(new SimHostCommand())
+            .addCommand(new VersionCommand()).build();
         if (args.length > 0 && args[args.length - 1].equals("--help")) {
             return help(commands, args[0]);
         }
--- a/src/main/java/beaconturn/cli/RehearseRun.java
+++ b/src/main/java/beaconturn/cli/RehearseRun.java
@@ -11,9 +11,11 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.stream.Stream;
 
 /** Runs what {@code rehearse} was asked for; {@code file} null stands for the list of shipped scenarios. */
-record RehearseRun(String file, Long seed, String router, String json, String logs, boolean explain) {
+record RehearseRun(String file, Long seed, String router, String json, String html, String logs,
+        boolean explain) {
     private static final int BROKEN = 3;
     private static final int WRONG_INPUT = 1;
 
@@ -42,6 +44,12 @@
     private int play(Scenario scenario) throws IOException, InterruptedException {
         Path folder = logs == null ? Files.createTempDirectory("rehearsal") : Path.of(logs);
         Files.createDirectories(folder);
+        try (Stream<Path> there = Files.list(folder)) {
+            if (there.findAny().isPresent()) {
+                // Routers would begin with what those of another play have kept, and follow no new store.
+                throw new IOException(folder + " holds files of another play, name an empty folder");
+            }
+        }
         Progress progress = new Progress(System.err);
         try {
             Report report = new Rehearsal(scenario, launcher(), folder, progress::say).play();
@@ -52,6 +60,9 @@
             if (json != null) {
                 Files.writeString(Path.of(json), report.json());
             }
+            if (html != null) {
+                Files.writeString(Path.of(html), report.html());
+            }
             return report.held() ? 0 : BROKEN;
         } finally {
             progress.clear();
--- /dev/null
+++ b/src/main/java/beaconturn/cli/ReleaseRun.java
@@ -0,0 +1,221 @@
+package beaconturn.cli;
+
+import beaconturn.agreement.AgreementException;
+import beaconturn.agreement.Content;
+import beaconturn.agreement.Desk;
+import beaconturn.agreement.Keys;
+import beaconturn.agreement.Snapshot;
+import beaconturn.agreement.Texts;
+import beaconturn.net.ConfigException;
+import beaconturn.net.agreement.AgreementConfig;
+import beaconturn.net.agreement.StoreClient;
+import beaconturn.protocol.Json;
+import beaconturn.protocol.JsonWriter;
+import beaconturn.release.Fleet;
+import beaconturn.release.Kind;
+import beaconturn.release.Plan;
+import beaconturn.release.ReleaseDesk;
+import beaconturn.release.ReleaseKeys;
+import beaconturn.release.Scene;
+import beaconturn.release.Step;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.UnaryOperator;
+
+/** Carries out one order to releases. */
+record ReleaseRun(String features, String reason, String author, String kind, int patience, boolean json) {
+    private static final int WRONG = 1;
+    private static final int USAGE = 2;
+    private static final int NOT_NOW = 3;
+    private static final long SECOND = 1_000_000_000;
+    private static final long CALL = 5 * SECOND;
+    private static final long STEP_MILLIS = 100;
+
+    int run(String order, String word) {
+        try {
+            AgreementConfig config = FeaturesFile.required(features);
+            StoreClient store = new StoreClient(config.endpoints(), CALL);
+            try {
+                return carryOut(order, word, new ReleaseDesk(new ReleaseKeys(config.fleet()), store, author,
+                    AgentRun::now),
+                    new Desk(new Keys(config.fleet()), store));
+            } finally {
+                store.close();
+            }
+        } catch (ConfigException e) {
+            System.err.println("release: " + e.getMessage());
+            return WRONG;
+        } catch (AgreementException e) {
+            System.err.println("release " + order + ": " + e.getMessage());
+            return e.getMessage().startsWith("the store does not answer") ? WRONG : NOT_NOW;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return WRONG;
+        }
+    }
+
+    private int carryOut(String order, String word, ReleaseDesk desk, Desk agreement)
+            throws ConfigException, AgreementException, InterruptedException {
+        switch (order) {
+            case "fleet" -> System.out.println(desk.fleet(ReleaseFiles.fleet(word)));
+            case "plan" -> {
+                Fleet fleet = desk.look().fleet();
+                plan(fleet, ReleaseFiles.plan(word, reason, fleet));
+            }
+            case "start" -> System.out.println(desk.start(ReleaseFiles.plan(word, reason,
+                desk.look().fleet())));
+            case "halt" -> System.out.println(desk.halt(reason));
+            case "resume" -> System.out.println(desk.resume(reason));
+            case "back" -> System.out.println(desk.back(reason));
+            case "abandon" -> System.out.println(desk.abandon(reason));
+            case "drain" -> {
+                return drain(word, desk, agreement);
+            }
+            case "undrain" -> {
+                return undrain(word, desk, agreement);
+            }
+            case "lost" -> System.out.println(desk.giveBack(Kind.of(kind) == null ? Kind.ROUTER
+                : Kind.of(kind), word, reason));
+            case "show" -> show(desk.look());
+            case "history" -> desk.history().forEach(System.out::println);
+            default -> {
+                System.err.println("release: unknown order '" + order + "', see 'release --help'");
+                return USAGE;
+            }
+        }
+        return 0;
+    }
+
+    /** A place first, then a version that holds it out; done when all routers act on that version. */
+    private int drain(String id, ReleaseDesk desk, Desk agreement)
+            throws AgreementException, InterruptedException {
+        Map<String, String> gone = ReleaseSight.gone(Kind.CACHE, desk.look().fleet(), agreement,
+            agreement.view()).out();
+        System.out.println(id + " is out under permit " + desk.take(Kind.CACHE, id, reason, gone));
+        return settled(agreement, id, true, now -> with(now, id, true));
+    }
+
+    private int undrain(String id, ReleaseDesk desk, Desk agreement)
+            throws AgreementException, InterruptedException {
+        int status = settled(agreement, id, false, now -> with(now, id, false));
+        if (status == 0) {
+            System.out.println(desk.giveBack(Kind.CACHE, id, reason));
+        }
+        return status;
+    }
+
+    private static Content with(Content now, String id, boolean out) {
+        TreeSet<String> all = new TreeSet<>(now.out());
+        if (out) {
+            all.add(id);
+        } else {
+            all.remove(id);
+        }
+        return new Content(now.classes(), now.mostTries(), now.secondCopies(), now.oldestList(), all);
+    }
+
+    private int settled(Desk agreement, String id, boolean out, UnaryOperator<Content> change)
+            throws AgreementException, InterruptedException {
+        long until = System.nanoTime() + patience * SECOND;
+        long number = propose(agreement, id, out, change, until);
+        while (System.nanoTime() < until) {
+            Snapshot seen = agreement.view().seen();
+            if (seen.settled() >= number) {
+                System.out.println((out ? "nobody sends to " + id + " any more" : "all may send to " + id)
+                    + ": version " + number + " is settled");
+                return 0;
+            }
+            Thread.sleep(STEP_MILLIS);
+        }
+        System.err.println("version " + number + " is not settled yet, it waits for "
+            + String.join(", ", agreement.view().waiting()));
+        return NOT_NOW;
+    }
+
+    /** Another version may be on its way: then this one waits for it, as long as there is time. */
+    private long propose(Desk agreement, String id, boolean out, UnaryOperator<Content> change, long until)
+            throws AgreementException, InterruptedException {
+        while (true) {
+            Snapshot seen = agreement.view().seen();
+            if (!seen.open() && seen.current().content().out().contains(id) == out) {
+                return seen.current().number();
+            }
+            try {
+                return agreement.propose(change, author, reason, System.currentTimeMillis());
+            } catch (AgreementException e) {
+                if (System.nanoTime() > until) {
+                    throw e;
+                }
+                Thread.sleep(STEP_MILLIS);
+            }
+        }
+    }
+
+    /** What a release would do, before it is begun. */
+    private static void plan(Fleet fleet, Plan plan) throws AgreementException {
+        String objection = plan.objection(fleet);
+        if (objection != null) {
+            throw new AgreementException(objection);
+        }
+        Fleet.Group group = fleet.group(plan.kind());
+        double whole = 0;
+        for (int i = 0; i < plan.waves().size(); i++) {
+            List<String> wave = plan.waves().get(i);
+            int rounds = rounds(group, wave);
+            whole += rounds * (plan.soak() / (double) SECOND);
+            System.out.printf(Locale.ROOT,
+                "wave %d: %s; %d at a time at most, %d rounds, %.0f s of watching%n",
+                i + 1, String.join(" ", wave), Math.min(group.mostOut(), wave.size()), rounds,
+                rounds * (plan.soak() / (double) SECOND));
+        }
+        System.out.printf(Locale.ROOT, "%.0f s and the time of %d restarts at the shortest, %.0f s with each"
+            + " restart at its limit%n", whole, plan.parts().size(),
+            whole + plan.parts().size() * (plan.limit() / (double) SECOND) / group.mostOut());
+        System.out.printf(Locale.ROOT,
+            "goes back by itself: a part that is not ready within %.0f s; one that has"
+            + " %.1f %% more refusals and failures than the others, over %d answers%n",
+            plan.limit() / (double) SECOND, plan.worse() * 100, plan.samples());
+    }
+
+    private static int rounds(Fleet.Group group, List<String> wave) {
+        int rounds = (wave.size() + group.mostOut() - 1) / group.mostOut();
+        for (List<String> site : group.sites().values()) {
+            int here = (int) wave.stream().filter(site::contains).count();
+            rounds = Math.max(rounds, (here + group.mostOutOfSite() - 1) / group.mostOutOfSite());
+        }
+        return rounds;
+    }
+
+    private void show(Scene scene) {
+        if (json) {
+            System.out.println(JsonWriter.write(Texts.object("release",
+                scene.plan() == null ? 0 : scene.plan().number(), "mode",
+                scene.course().mode().name().toLowerCase(Locale.ROOT), "why", scene.course().why(), "driver",
+                scene.driver(), "steps", Texts.list(scene.steps().values().stream().map(ReleaseRun::json)
+                    .toList()), "permits", Texts.list(scene.permits().values().stream().map(p ->
+                    Texts.object("number", p.number(), "kind", p.kind().word(), "id", p.id(), "holder",
+                        p.holder())).toList()))));
+            return;
+        }
+        System.out.println(scene.plan() == null ? "no release" : "release " + scene.plan().number() + " ("
+            + scene.plan().reason() + ") " + ReleaseDesk.words(scene.course()) + "; driven by "
+            + (scene.driver().isEmpty() ? "nobody" : scene.driver()));
+        scene.steps().values().forEach(s -> System.out.println("  " + s.id() + " "
+            + s.phase().name().toLowerCase(Locale.ROOT) + ", " + s.variant().word() + ", permit " + s.permit()
+            + (s.why().isEmpty() ? "" : ": " + s.why())));
+        for (Kind each : Kind.values()) {
+            Fleet.Group group = scene.fleet().group(each);
+            Map<String, String> out = scene.out(each, Map.of());
+            System.out.println(each.word() + "s: " + group.all().size() + ", at most " + group.mostOut()
+                + " out and " + group.mostOutOfSite() + " of a site; planned out: "
+                + (out.isEmpty() ? "none" : out));
+        }
+    }
+
+    private static Json json(Step s) {
+        return Texts.object("id", s.id(), "phase", s.phase().name().toLowerCase(Locale.ROOT), "variant",
+            s.variant().word(), "permit", s.permit(), "why", s.why());
+    }
+}
--- a/src/main/java/beaconturn/ledger/Drains.java
+++ b/src/main/java/beaconturn/ledger/Drains.java
@@ -19,7 +19,7 @@
     @Override
     void judge(Evidence evidence) {
         for (Entry.Told news : evidence.all(Entry.Told.class)) {
-            note(news.at(), news.router(), news.server(), news.state());
+            note(heard(evidence, news), news.router(), news.server(), news.state());
         }
         for (Entry.Listed change : evidence.all(Entry.Listed.class)) {
             neverAsked(evidence, change);
@@ -39,6 +39,20 @@
         }
     }
 
+    /** When news came that were written to a link which passed nothing, or passed it late. */
+    private static long heard(Evidence evidence, Entry.Told news) {
+        boolean clear = true;
+        for (Entry.Hears hears : evidence.all(Entry.Hears.class)) {
+            if (hears.router() == news.router()) {
+                if (hears.at() > news.at() && !clear && hears.clear()) {
+                    return hears.at();
+                }
+                clear = hears.at() <= news.at() ? hears.clear() : clear;
+            }
+        }
+        return clear ? news.at() : Long.MAX_VALUE;
+    }
+
     /** Since when it has not been ready, through draining and gone. */
     private static long leftSince(TreeMap<Long, Entry.State> news, Map.Entry<Long, Entry.State> last) {
         long since = last.getKey();
--- a/src/main/java/beaconturn/ledger/Entry.java
+++ b/src/main/java/beaconturn/ledger/Entry.java
@@ -1,5 +1,7 @@
 package beaconturn.ledger;
 
+import java.util.Set;
+
 /** One line of the account; times are nanoseconds of one clock. */
 public sealed interface Entry {
     /** When it happened. */
@@ -33,7 +35,8 @@
             String id, String type, String key, long work) implements Entry { }
 
     /**
-     * A connection was found closed when a request was written on it; the client asks once more on a new one.
+     * A connection was found closed when a request was written on it; the client asks once more on a new
+     * one.
      */
     record Crossed(long at, String id) implements Entry { }
 
@@ -76,17 +79,57 @@
     /** Discovery is up from now on, or no longer. */
     record Reachable(long at, boolean up) implements Entry { }
 
-    /** A router was told to stop at a time, or killed outright and gone by {@code until}. */
+    /** A router was told to stop; or killed outright and gone, or made to stand still, {@code until}. */
     record Stopped(long at, long until, int router, boolean planned) implements Entry { }
 
     /** A router's process ended though nobody had told it to. */
     record Died(long at, int router, String how) implements Entry { }
 
+    /** A router's line stands on the roster from now on, or no longer. */
+    record Member(long at, int router, boolean on) implements Entry { }
+
+    /** A router answers, after a start or after it stood still. */
+    record Ready(long at, int router) implements Entry { }
+
+    /**
+     * A part is taken out to run another variant, which is what is released or what was there before;
+     * {@code router} is its number, or -1 for a cache server.
+     */
+    record Changed(long at, String part, int router, boolean released) implements Entry { }
+
+    /** A cache server's process has ended; it is back with the next start under its name. */
+    record Down(long at, String server) implements Entry { }
+
+    /** An operator has taken a place for a cache server, which is to be held out, or has given it back. */
+    record Placed(long at, String server, boolean taken) implements Entry { }
+
+    /** A place was taken for a part; until it takes another it goes out and back under this one. */
+    record Permitted(long at, String part) implements Entry { }
+
+    /** What discovery writes reaches the router at once from now on, or late or never. */
+    record Hears(long at, int router, boolean clear) implements Entry { }
+
+    /** An operator has said how many parts may be out from now on, in all and of one site. */
+    record Budget(long at, int mostOut, int mostOutOfSite) implements Entry { }
+
+    /** An operator's order to a release has been carried out: halt, resume, back. */
+    record Ordered(long at, String what) implements Entry { }
+
+    /** Where a version stands. */
+    enum Step { PROPOSED, IN_FORCE }
+
+    /**
+     * A version was proposed or came into force, as the store saw it; it holds these servers out and allows
+     * so many sends for a request, 0 where it does not say.
+     */
+    record Versioned(long at, long number, Step step, Set<String> out, int mostTries) implements Entry { }
+
     /** A stand-in could not read what a router sent. */
     record Unreadable(long at, String server, int router, String why) implements Entry { }
 
     /**
-     * The machine did not let the kit itself run from {@code at} to {@code until}: limits are so much longer.
+     * The machine did not let the kit itself run from {@code at} to {@code until}: limits are so much
+     * longer.
      */
     record Paused(long at, long until) implements Entry { }
 }
--- a/src/main/java/beaconturn/ledger/Judge.java
+++ b/src/main/java/beaconturn/ledger/Judge.java
@@ -12,7 +12,8 @@
         Evidence evidence = new Evidence(terms, entries);
         List<Rule> rules = List.of(new OneAnswer(), new MadeForIt(), new NoEffectTwice(), new Copies(),
             new Attempts(), new HarmlessRefusal(), new NothingAfter(), new PassedOn(), new Drains(),
-            new ColdServers(), new OriginKept(), new Books(), new RoutersRun());
+            new ColdServers(), new OriginKept(), new Books(), new RoutersRun(), new NoContradiction(),
+            new NeverTooManyOut(), new HaltBinds(), new StepOnce());
         return rules.stream().map(rule -> rule.on(evidence)).toList();
     }
 }
--- /dev/null
+++ b/src/main/java/beaconturn/ledger/NoContradiction.java
@@ -0,0 +1,138 @@
+package beaconturn.ledger;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+
+/**
+ * No two routers act on contradicting versions for longer than the stated time. What shows at cache
+ * servers is which of them is sent to: of two versions that follow each other, a server that only the
+ * earlier allows, and one that only the later allows, and sends beyond the number that the later allows.
+ * From the later version's first effect anywhere, or from when it came into force if that is earlier, the
+ * earlier one's effects must end within the stated time; and before it is in force it must have none.
+ */
+final class NoContradiction extends Rule {
+    private record Stage(long number, long proposed, long inForce, Set<String> out, int mostTries) { }
+
+    private final List<Sign> signs = new ArrayList<>();
+
+    /** What the earlier of two versions did that the later forbids. */
+    private record Sign(Entry.Sent sent, long joined, String what) { }
+
+    NoContradiction() {
+        super("no-contradiction", "nobody acts on an older version beyond the stated time");
+    }
+
+    @Override
+    void judge(Evidence evidence) {
+        List<Stage> stages = stages(evidence);
+        for (int i = 1; i < stages.size(); i++) {
+            long until = i + 1 < stages.size() ? stages.get(i + 1).proposed() : Long.MAX_VALUE;
+            compare(evidence, stages.get(i - 1), stages.get(i), until);
+        }
+    }
+
+    /** Versions as they came into force, from the routers' own configuration on. */
+    private static List<Stage> stages(Evidence evidence) {
+        int base = evidence.terms().mostTries();
+        List<Stage> stages =
+            new ArrayList<>(List.of(new Stage(0, Long.MIN_VALUE, Long.MIN_VALUE, Set.of(), base)));
+        long last = 0;
+        for (Entry.Versioned v : evidence.all(Entry.Versioned.class)) {
+            int tries = v.mostTries() == 0 ? base : v.mostTries();
+            if (v.step() == Entry.Step.PROPOSED) {
+                // One that never comes into force stays as a stage: acting on it all the same is an
+                // offence.
+                if (last > 0 && stages.get(stages.size() - 1).inForce() == Long.MAX_VALUE) {
+                    stages.remove(stages.size() - 1);
+                }
+                stages.add(new Stage(v.number(), v.at(), Long.MAX_VALUE, v.out(), tries));
+                last = v.number();
+            } else if (v.number() == last) {
+                Stage proposed = stages.remove(stages.size() - 1);
+                stages.add(new Stage(last, proposed.proposed(), v.at(), v.out(), tries));
+            }
+        }
+        return stages;
+    }
+
+    private void compare(Evidence evidence, Stage before, Stage after, long until) {
+        Set<String> onlyBefore = new TreeSet<>(after.out());
+        onlyBefore.removeAll(before.out());
+        Set<String> onlyAfter = new TreeSet<>(before.out());
+        onlyAfter.removeAll(after.out());
+        Entry.Sent first = null;
+        signs.clear();
+        for (Evidence.Case one : evidence.cases()) {
+            int tries = 0;
+            for (Entry.Sent sent : one.sends()) {
+                tries++;
+                if (sent.firstAt() < after.proposed() || sent.firstAt() >= until) {
+                    continue;
+                }
+                Entry.Member member = member(evidence, sent);
+                if (!member.on()) {
+                    continue;
+                }
+                if (onlyAfter.contains(sent.server()) && !fresh(evidence, sent, member.at())) {
+                    first = first == null || sent.firstAt() < first.firstAt() ? sent : first;
+                    ahead(sent, after);
+                }
+                if (onlyBefore.contains(sent.server())) {
+                    signs.add(new Sign(sent, member.at(), ""));
+                } else if (tries > after.mostTries() && tries <= before.mostTries()) {
+                    signs.add(new Sign(sent, member.at(), " with send " + tries + " of a request"));
+                }
+            }
+        }
+        late(evidence, before, after, first);
+    }
+
+    /**
+     * Whether its router was asked for its yes: one that left, or starts without a store in reach, cannot
+     * know what came into force without it. From when it joins it has the stated time. Where nothing is known
+     * of a router it counts as asked.
+     */
+    private static Entry.Member member(Evidence evidence, Entry.Sent sent) {
+        Entry.Member last = new Entry.Member(Long.MIN_VALUE, sent.router(), true);
+        for (Entry.Member m : evidence.all(Entry.Member.class)) {
+            // Its line is written again with each yes: what counts is when it came to stand.
+            if (m.router() == sent.router() && m.at() <= sent.firstAt() && m.on() != last.on()) {
+                last = m;
+            }
+        }
+        return last;
+    }
+
+    /** Whether its router has joined so lately that it may not act on what is in force yet. */
+    private static boolean fresh(Evidence evidence, Entry.Sent sent, long joined) {
+        return joined > Long.MIN_VALUE
+            && evidence.between(joined, sent.firstAt()) <= evidence.terms().stated();
+    }
+
+    /** What a stand-in has read was sent before: no later moment can be the one of the send. */
+    private void ahead(Entry.Sent sent, Stage after) {
+        check(sent.at() >= after.inForce(), sent.firstAt(), sent.id(), sent.server(), "router "
+            + sent.router() + " acts on version " + after.number() + (after.inForce() == Long.MAX_VALUE
+            ? ", which never came into force" : " " + millis(after.inForce() - sent.at())
+            + " before it is in force"));
+    }
+
+    private void late(Evidence evidence, Stage before, Stage after, Entry.Sent first) {
+        long since = first == null ? after.inForce() : Math.min(first.firstAt(), after.inForce());
+        String who = first != null && first.firstAt() == since
+            ? "router " + first.router() + " acted on version " + after.number()
+            : "version " + after.number() + " came into force";
+        for (Sign sign : signs) {
+            Entry.Sent sent = sign.sent();
+            if (sent.firstAt() >= since) {
+                long late = evidence.between(Math.max(since, sign.joined()), sent.firstAt());
+                seen(late);
+                check(late <= evidence.terms().stated() + evidence.terms().sendSlack(), sent.firstAt(),
+                    sent.id(), sent.server(), "router " + sent.router() + " acts on version "
+                    + before.number() + sign.what() + " " + millis(late) + " after " + who);
+            }
+        }
+    }
+}
--- a/src/main/java/beaconturn/ledger/OneAnswer.java
+++ b/src/main/java/beaconturn/ledger/OneAnswer.java
@@ -25,7 +25,8 @@
                     finals.size() + " final answers");
                 long took = evidence.between(asked.at(), first.at());
                 long late = took - (asked.deadline() - asked.at());
-                check(late <= evidence.terms().answerSlack(), first.at(), one.id(), "",
+                boolean kept = late <= evidence.terms().answerSlack() || killed(evidence, asked, first.at());
+                check(kept, first.at(), one.id(), "",
                     "answered " + millis(late) + " after its deadline");
             }
         }
@@ -49,7 +50,7 @@
         check(killed, until, one.id(), "", broken ? "its connection ended with no answer" : "never answered");
     }
 
-    /** Whether the router was killed while it had the request, which ended so at a time. */
+    /** Whether the router was killed or stood still while it had the request, which ended so at a time. */
     private static boolean killed(Evidence evidence, Entry.Asked asked, long ended) {
         return evidence.all(Entry.Stopped.class).stream().anyMatch(stop -> !stop.planned()
             && stop.router() == asked.router() && stop.at() <= ended
--- a/src/main/java/beaconturn/ledger/Rule.java
+++ b/src/main/java/beaconturn/ledger/Rule.java
@@ -11,6 +11,7 @@
     private final List<Offence> offences = new ArrayList<>();
     private final List<Offence> notes = new ArrayList<>();
     private long checked;
+    private long most;
 
     Rule(String name, String promise) {
         this.name = name;
@@ -33,11 +34,16 @@
         notes.add(new Offence(at, request, server, what));
     }
 
+    /** How much there was of what the rule bounds; the most of it stands in the verdict. */
+    protected void seen(long nanos) {
+        most = Math.max(most, nanos);
+    }
+
     /** The rule's verdict on the account; for one use. */
     Verdict on(Evidence evidence) {
         judge(evidence);
         offences.sort(Comparator.comparingLong(Offence::at));
-        return new Verdict(name, promise, checked, List.copyOf(offences), List.copyOf(notes));
+        return new Verdict(name, promise, checked, most, List.copyOf(offences), List.copyOf(notes));
     }
 
     static String millis(long nanos) {
--- a/src/main/java/beaconturn/ledger/Terms.java
+++ b/src/main/java/beaconturn/ledger/Terms.java
@@ -16,10 +16,26 @@
  * @param coldFor how long it takes to warm up
  * @param fallMultiple sent so many times what it can do ...
  * @param fallAfter ... over so long, it is pushed over
+ * @param stated for how long two routers may act on contradicting versions
+ * @param release what is promised of a release, or null
  */
 public record Terms(Map<String, Type> types, int mostTries, boolean secondCopies, long answerSlack,
         long drainGrace, long sendSlack, long askWithin, double coldShare, long coldFor, double fallMultiple,
-        long fallAfter) {
+        long fallAfter, long stated, Release release) {
+    /**
+     * What is promised of a release.
+     *
+     * @param caches whether it is one of cache servers, and not of routers
+     * @param sites the site of each part that may be released
+     * @param mostOut so many parts may be out at once in all
+     * @param mostOutOfSite so many of one site
+     * @param seenWithin a part that is gone by itself counts as out from so long after
+     * @param halt so long after a halt a step may still begin
+     * @param harmful so many parts may run what is released, where that is harmful; 0 where it is not
+     */
+    public record Release(boolean caches, Map<String, String> sites, int mostOut, int mostOutOfSite,
+            long seenWithin, long halt, int harmful) { }
+
     /** Whether a request may run more than once. */
     public enum Effect { SAFE, KEYED, UNSAFE }
 
--- a/src/main/java/beaconturn/rehearsal/AccountWitness.java
+++ b/src/main/java/beaconturn/rehearsal/AccountWitness.java
@@ -58,6 +58,11 @@
             capacity));
     }
 
+    @Override
+    public void down(long at, String server) {
+        account.add(new Entry.Down(at, server));
+    }
+
     @Override
     public void collapsed(long at, String server) {
         account.add(new Entry.Collapsed(at, server));
--- a/src/main/java/beaconturn/rehearsal/Explained.java
+++ b/src/main/java/beaconturn/rehearsal/Explained.java
@@ -24,13 +24,48 @@
         s.types().forEach(e::type);
         for (Scenario.RouterSpec r : s.routers()) {
             e.head("[[router]]").line("name", text(r.name())).line("memory_mb", r.memoryMb())
-                .line("sockets", r.sockets());
+                .line("sockets", r.sockets()).line("site", text(r.site()));
+            if (r.clockOff() != 0) {
+                e.line(r.clockOff() > 0 ? "clock_fast" : "clock_slow", time(Math.abs(r.clockOff())));
+            }
         }
         s.clients().forEach(e::clients);
         s.faults().forEach(e::fault);
+        if (s.agreement() != null) {
+            e.head("[agreement]").line("lease", time(s.agreement().lease())).line("drift",
+                s.agreement().drift());
+        }
+        for (Scenario.VersionSpec v : s.versions()) {
+            e.head("[[version]]").cue("after", v.after()).line("at", time(v.at()))
+                .line("reason", text(v.reason()))
+                .line("out", words(v.out())).line("most_tries", v.mostTries());
+        }
+        e.release(s);
         return e.out.toString();
     }
 
+    private void release(Scenario s) {
+        Scenario.ReleaseSpec r = s.release();
+        if (r != null) {
+            head("[release]").line("kind", text(r.caches() ? "cache" : "router")).line("begins", r.begins())
+                .cue("after", r.after()).line("at", time(r.at())).line("most_out", r.mostOut())
+                .line("most_out_of_site", r.mostOutOfSite()).line("soak", time(r.soak()))
+                .line("samples", r.samples()).line("worse", r.worse()).line("limit", time(r.limit()))
+                .line("alone", time(r.alone())).line("harm", text(lower(r.harm())))
+                .line("most_tries", r.mostTries());
+            r.waves().forEach(wave -> head("[[release.wave]]").line("parts", words(wave)));
+        }
+        for (Scenario.OrderSpec o : s.orders()) {
+            head("[[order]]").cue("after", o.after()).line("at", time(o.at())).line("what", text(o.what()));
+            if (!o.part().isEmpty()) {
+                line("part", text(o.part()));
+            }
+            if (o.what().equals("budget")) {
+                line("most_out", o.mostOut());
+            }
+        }
+    }
+
     private void fleet(Scenario.Fleet f) {
         head("[fleet]").line("caches", f.caches()).line("sites", words(f.sites())).line("cell", f.cell())
             .line("speed", f.shape().speed()).line("workers", f.shape().workers()).line("room",
@@ -73,10 +108,21 @@
         switch (f.kind()) {
             case SLOW, ORIGIN_SLOW -> line("factor", f.amount());
             case ERRORS, SPOIL, RESET -> line("part", f.amount());
-            case DRAIN_LATE, DISCOVERY_SLOW, DISCOVERY_BACK -> line("delay", time((long) f.amount()));
+            case DRAIN_LATE, DISCOVERY_SLOW, DISCOVERY_BACK, LINK_SLOW, STORE_SLOW ->
+                line("delay", time((long) f.amount()));
+            case LINK_THROTTLE -> line("bytes_per_second", (long) f.amount());
+            case STORE_BACK -> line("revisions", (long) f.amount());
             default -> { }
         }
-        line("from", time(f.from())).line("to", time(f.to()));
+        if (!f.way().isEmpty()) {
+            line("way", text(f.way()));
+        }
+        cue("after", f.after()).cue("until", f.until()).line("from", time(f.from()))
+            .line("to", time(f.to()));
+    }
+
+    private Explained cue(String key, Cue cue) {
+        return cue == null ? this : line(key, text(cue.words()));
     }
 
     private Explained head(String table) {
@@ -97,7 +143,8 @@
         return '"' + text.replace("\\", "\\\\").replace("\"", "\\\"") + '"';
     }
 
-    private static String words(List<String> words) {
+    /** A list of texts, as a file has it. */
+    static String words(List<String> words) {
         return words.stream().map(Explained::text).collect(Collectors.joining(", ", "[", "]"));
     }
 
--- a/src/main/java/beaconturn/rehearsal/Orders.java
+++ b/src/main/java/beaconturn/rehearsal/Orders.java
@@ -29,10 +29,14 @@
     }
 
     private static String kinds() {
-        return Arrays.stream(Fault.Kind.values()).filter(k -> k.target() != Fault.Target.ROUTER)
+        return Arrays.stream(Fault.Kind.values()).filter(Orders::ofStandIns)
             .map(Fault.Kind::word).collect(Collectors.joining(" "));
     }
 
+    private static boolean ofStandIns(Fault.Kind kind) {
+        return kind.target() != Fault.Target.ROUTER && !kind.needsAgreement();
+    }
+
     /** Carries out a line and says in one line, or a few for a status, what was done or what is wrong. */
     public String run(String line) {
         List<String> words = new ArrayList<>(List.of(line.trim().split("\\s+")));
@@ -61,7 +65,7 @@
 
     private String fault(String order, List<String> words) {
         Fault.Kind kind = Arrays.stream(Fault.Kind.values())
-            .filter(k -> k.word().equals(order) && k.target() != Fault.Target.ROUTER).findFirst()
+            .filter(k -> k.word().equals(order) && ofStandIns(k)).findFirst()
             .orElseThrow(() -> new IllegalArgumentException("unknown order '" + order + "', see help"));
         long lasts = time(words, "for");
         long wait = time(words, "in");
--- a/src/main/java/beaconturn/rehearsal/ProcessLauncher.java
+++ b/src/main/java/beaconturn/rehearsal/ProcessLauncher.java
@@ -1,5 +1,7 @@
 package beaconturn.rehearsal;
 
+import beaconturn.core.Clock;
+import beaconturn.rehearsal.fleet.Children;
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -32,30 +34,28 @@
     }
 
     @Override
-    public Running launch(String name, Path config, Path log) throws IOException {
+    public List<String> command(List<String> words) {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(OPTIONS);
         command.addAll(program);
-        command.addAll(List.of("serve", "--config", config.toString()));
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
-        builder.environment().keySet().removeIf(variable -> variable.startsWith("PROXY_"));
-        Process process = builder.start();
-        // Whoever ends the rehearsal by a signal must not leave routers behind.
-        Thread hook = new Thread(process::destroyForcibly);
-        Runtime.getRuntime().addShutdownHook(hook);
-        process.onExit().thenRun(() -> forget(hook));
-        return new OfProcess(process);
+        command.addAll(words);
+        return command;
     }
 
-    private static void forget(Thread hook) {
-        try {
-            Runtime.getRuntime().removeShutdownHook(hook);
-        } catch (IllegalStateException e) {
-            // The rehearsal itself is on its way out: the hook has run or is running.
-            return;
+    @Override
+    public Running launch(Start start) throws IOException {
+        List<String> command = command(List.of("serve", "--config", start.config().toString()));
+        if (start.features() != null) {
+            command.addAll(List.of("--features", start.features().toString()));
         }
+        if (start.clockOff() != 0) {
+            command.add(1, "-D" + Clock.OFF + "=" + start.clockOff());
+        }
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(start.log().toFile()));
+        builder.environment().keySet().removeIf(variable -> variable.startsWith("PROXY_"));
+        return new OfProcess(Children.start(builder));
     }
 
     @Override
@@ -96,6 +96,16 @@
             return process.exitValue();
         }
 
+        @Override
+        public void pause(boolean on) {
+            Children.pause(process, on);
+        }
+
+        @Override
+        public long pid() {
+            return process.pid();
+        }
+
         @Override
         public long cpu() {
             lastCpu = process.info().totalCpuDuration().map(Duration::toNanos).orElse(lastCpu);
--- a/src/main/java/beaconturn/rehearsal/Rehearsal.java
+++ b/src/main/java/beaconturn/rehearsal/Rehearsal.java
@@ -4,6 +4,7 @@
 import beaconturn.ledger.Account;
 import beaconturn.ledger.Entry;
 import beaconturn.ledger.Judge;
+import beaconturn.rehearsal.fleet.Hand;
 import beaconturn.standin.Agenda;
 import beaconturn.standin.Fault;
 import beaconturn.standin.Seeds;
@@ -13,9 +14,13 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
+import java.util.stream.Collectors;
 
 /** Plays one scenario from its start to its verdicts. */
 public final class Rehearsal {
@@ -24,9 +29,11 @@
     /** What sockets and threads may add to any limit of the rules. */
     private static final long SOCKET_SLACK = 50 * MILLI;
     private static final long LEAD = 200 * MILLI;
-    private static final long FRONT_GOES_ON = 300 * MILLI;
+    /** A front goes on to a router that was told to stop. */
+    static final long FRONT_GOES_ON = 300 * MILLI;
     private static final long STEP_MILLIS = 20;
-    private static final long END_MILLIS = 8000;
+    /** A planned stop may take so long. */
+    static final long END_MILLIS = 8000;
     private final Scenario scenario;
     private final RouterLauncher launcher;
     private final Path folder;
@@ -35,10 +42,16 @@
     private final Account account = new Account();
     private final List<RouterSeat> seats = new ArrayList<>();
     private final PriorityQueue<Step> steps = new PriorityQueue<>();
+    private final List<Awaited> awaited = new ArrayList<>();
     private Surroundings surroundings;
+    /** Null where routers share nothing. */
+    private FleetParts parts;
     private ClientCrowd crowd;
     private final List<Thread> restarts = new ArrayList<>();
+    /** By name; empty where no cache servers are released. */
+    private final Map<String, CacheSeat> cacheSeats = new HashMap<>();
     private long start;
+    private int stepped;
 
     /** Something that is done to a router at a time. */
     private record Step(long at, int number, Runnable body) implements Comparable<Step> {
@@ -49,6 +62,9 @@
         }
     }
 
+    /** What is planned once a cue has come about, from that time on. */
+    private record Awaited(Cue cue, LongConsumer plan) { }
+
     /**
      * A play; nothing happens before {@link #play}.
      *
@@ -64,43 +80,66 @@
 
     /** Plays it; an I/O failure means that it could not be played, not that a rule was broken. */
     public Report play() throws IOException, InterruptedException {
-        for (Scenario.FaultSpec fault : scenario.faults()) {
-            if (fault.kind().target() == Fault.Target.ROUTER && !launcher.restarts()) {
-                throw new IOException(fault.kind().word() + " needs routers that are processes of their own");
-            }
-        }
+        check();
         Agenda agenda = new Agenda(clock.now());
-        World world = new World(agenda, scenario.world(), new Seeds(scenario.seed()),
-            new AccountWitness(account));
+        World world =
+            new World(agenda, scenario.world(), new Seeds(scenario.seed()), new AccountWitness(account));
         surroundings = new Surroundings(world, clock::now, scenario.routers().size(), 0);
         PauseWatch pauses = new PauseWatch(clock, account);
         Tally tally = new Tally(scenario);
         try {
             surroundings.start();
+            if (scenario.agreement() != null) {
+                parts = new FleetParts(scenario, launcher, folder, surroundings, clock, account);
+            }
             startRouters();
+            startAgents();
             crowd = new ClientCrowd(scenario, seats.stream().map(RouterSeat::address).toList(), clock,
-                account,
-                tally);
+                account, tally);
             long cpu = processCpu();
             pauses.start();
-            start = clock.now() + LEAD;
-            planFaults();
+            plan();
             crowd.start(Plan.of(scenario), start);
+            long calls = parts == null ? 0 : parts.calls();
             run();
             cpu = processCpu() - cpu;
+            calls = parts == null ? 0 : parts.calls() - calls;
             settle();
             pauses.stop();
+            Report.Fleet fleet = fleet(calls);
+            playedWhole();
             List<Entry> entries = account.entries();
             return new Report(scenario, start, entries, Judge.judge(scenario.terms(SOCKET_SLACK), entries),
                 tally.lines(), cpu, seats.stream().mapToLong(RouterSeat::cpu).sum(), tally.senderLate(),
-                pauses.total());
+                pauses.total(), fleet);
         } finally {
             pauses.stop();
             endRouters();
+            if (parts != null) {
+                parts.close();
+            }
             surroundings.close();
         }
     }
 
+    private Report.Fleet fleet(long calls) throws IOException, InterruptedException {
+        return parts == null ? null : new Report.Fleet(parts.passages(),
+            calls * (double) SECOND / scenario.length(), seats.stream().map(RouterSeat::footprint)
+                .reduce(new Footprint(0, 0), Footprint::most));
+    }
+
+    /** What the routers at hand cannot play is said before anything is started. */
+    private void check() throws IOException {
+        for (Scenario.FaultSpec fault : scenario.faults()) {
+            if (fault.kind().target() == Fault.Target.ROUTER && !launcher.restarts()) {
+                throw new IOException(fault.kind().word() + " needs routers that are processes of their own");
+            }
+        }
+        if (scenario.agreement() != null && launcher.command(List.of()).isEmpty()) {
+            throw new IOException("an agreement needs routers that are processes of their own");
+        }
+    }
+
     private static long processCpu() {
         return ProcessHandle.current().info().totalCpuDuration().map(Duration::toNanos).orElse(0L);
     }
@@ -108,7 +147,7 @@
     private void startRouters() throws IOException, InterruptedException {
         progress.accept("starting " + scenario.routers().size() + " routers");
         for (int i = 0; i < scenario.routers().size(); i++) {
-            seats.add(new RouterSeat(scenario, i, surroundings, launcher, clock, account, folder));
+            seats.add(new RouterSeat(scenario, i, surroundings, launcher, clock, account, folder, parts));
             seats.get(i).launch();
         }
         for (RouterSeat seat : seats) {
@@ -116,46 +155,151 @@
         }
     }
 
+    private void startAgents() throws IOException, InterruptedException {
+        if (scenario.release() != null && scenario.release().caches()) {
+            scenario.parts().forEach(id -> cacheSeats.put(id, new CacheSeat(scenario, id, surroundings, clock,
+                account)));
+        }
+        if (parts != null) {
+            parts.startAgents(seats.stream().map(RouterSeat::control).toList());
+        }
+    }
+
+    private void plan() {
+        start = clock.now() + LEAD;
+        planFaults();
+        planVersions();
+        planRelease();
+    }
+
     private void planFaults() {
         for (Scenario.FaultSpec fault : scenario.faults()) {
-            if (fault.kind().target() == Fault.Target.ROUTER) {
-                fault.target().forEach(name -> planRouter(fault, scenario.router(name)));
-            } else {
-                surroundings.tell(() -> planStandIn(fault));
-            }
+            on(fault.after(), from -> begin(fault, from));
+        }
+    }
+
+    /** Plans from the time of the cue on, or from the start where there is none. */
+    private void on(Cue cue, LongConsumer plan) {
+        if (cue == null) {
+            plan.accept(start);
+        } else {
+            awaited.add(new Awaited(cue, plan));
+        }
+    }
+
+    private void begin(Scenario.FaultSpec fault, long base) {
+        long from = base + fault.from();
+        Fault.Target target = fault.kind().target();
+        if (target == Fault.Target.ROUTER) {
+            fault.target().forEach(name -> beginRouter(fault, scenario.router(name), from));
+        } else if (fault.kind().needsAgreement()) {
+            step(from, () -> parts.begin(fault));
+        } else {
+            surroundings.tell(() -> standIn(fault, from, true));
+        }
+        if (fault.until() == null) {
+            end(fault, base + fault.to());
+        } else {
+            awaited.add(new Awaited(fault.until(), cue -> end(fault, cue + fault.to())));
+        }
+    }
+
+    private void end(Scenario.FaultSpec fault, long to) {
+        Fault.Target target = fault.kind().target();
+        if (target == Fault.Target.ROUTER) {
+            fault.target().forEach(name -> endRouter(fault, scenario.router(name), to));
+        } else if (fault.kind().needsAgreement()) {
+            step(to, () -> parts.end(fault));
+        } else if (to < start + scenario.length()) {
+            // What lasts to the end of the play is not mended: nobody would see it.
+            surroundings.tell(() -> standIn(fault, to, false));
+        }
+    }
+
+    private void planVersions() {
+        for (int i = 0; i < scenario.versions().size(); i++) {
+            int number = i + 1;
+            Scenario.VersionSpec version = scenario.versions().get(i);
+            on(version.after(), from -> step(from + version.at(), () -> parts.propose(number, version)));
+        }
+    }
+
+    private void planRelease() {
+        Scenario.ReleaseSpec release = scenario.release();
+        if (release != null && release.begins()) {
+            on(release.after(), from -> step(from + release.at(), parts::release));
+        }
+        for (Scenario.OrderSpec order : scenario.orders()) {
+            on(order.after(), from -> step(from + order.at(), () -> parts.release(order)));
+        }
+    }
+
+    /**
+     * Carries out what agents want, each on a thread of its own, as a router takes a while to end and
+     * start.
+     */
+    private void hearWishes() throws IOException {
+        for (Hand.Wish wish : parts.wishes()) {
+            int router = scenario.router(wish.part());
+            Thread thread = new Thread(() -> {
+                try {
+                    parts.answer(wish, router < 0 ? cacheSeats.get(wish.part()).change(wish.released())
+                        : seats.get(router).change(wish.released(), round -> crowd.avoid(router, round)));
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }, "wish");
+            thread.setDaemon(true);
+            thread.start();
+            restarts.add(thread);
         }
     }
 
     /** On the model's thread. */
-    private void planStandIn(Scenario.FaultSpec fault) {
+    private void standIn(Scenario.FaultSpec fault, long at, boolean begins) {
         World world = surroundings.world();
         if (fault.target().isEmpty()) {
-            world.agenda().at(start + fault.from(), () -> world.begin(fault.kind(), fault.amount()));
-            endWithin(fault, () -> world.end(fault.kind()));
+            world.agenda().at(at, () -> {
+                if (begins) {
+                    world.begin(fault.kind(), fault.amount());
+                } else {
+                    world.end(fault.kind());
+                }
+            });
             return;
         }
         for (String name : fault.target()) {
             int place = world.placeOf(name);
-            world.agenda().at(start + fault.from(), () -> world.begin(fault.kind(), place, fault.amount()));
-            endWithin(fault, () -> world.end(fault.kind(), place));
+            world.agenda().at(at, () -> {
+                if (begins) {
+                    world.begin(fault.kind(), place, fault.amount());
+                } else {
+                    world.end(fault.kind(), place);
+                }
+            });
         }
     }
 
-    /** What lasts to the end of the play is not mended: nobody would see it. */
-    private void endWithin(Scenario.FaultSpec fault, Runnable end) {
-        if (fault.to() < scenario.length()) {
-            surroundings.world().agenda().at(start + fault.to(), end);
+    private void beginRouter(Scenario.FaultSpec fault, int router, long from) {
+        RouterSeat seat = seats.get(router);
+        if (fault.kind() == Fault.Kind.ROUTER_PAUSE) {
+            step(from, () -> seat.pause(true));
+            return;
         }
+        boolean planned = fault.kind() == Fault.Kind.ROUTER_TERM;
+        step(from, planned ? seat::terminate : seat::kill);
+        step(from + (planned ? FRONT_GOES_ON : scenario.clients().get(0).notice()),
+            () -> crowd.avoid(router, true));
     }
 
-    private void planRouter(Scenario.FaultSpec fault, int router) {
-        RouterSeat seat = seats.get(router);
-        Scenario.Clients stream = scenario.clients().get(0);
-        boolean planned = fault.kind() == Fault.Kind.ROUTER_TERM;
-        step(fault.from(), planned ? seat::terminate : seat::kill);
-        step(fault.from() + (planned ? FRONT_GOES_ON : stream.notice()), () -> crowd.avoid(router, true));
-        step(fault.to(), () -> {
-            Thread thread = new Thread(() -> restart(router, planned), "restart");
+    private void endRouter(Scenario.FaultSpec fault, int router, long to) {
+        if (fault.kind() == Fault.Kind.ROUTER_PAUSE) {
+            step(to, () -> seats.get(router).pause(false));
+            return;
+        }
+        step(to, () -> {
+            Thread thread = new Thread(() -> restart(router, fault.kind() == Fault.Kind.ROUTER_TERM),
+                "restart");
             thread.setDaemon(true);
             thread.start();
             restarts.add(thread);
@@ -163,7 +307,7 @@
     }
 
     private void step(long at, Runnable body) {
-        steps.add(new Step(start + at, steps.size(), body));
+        steps.add(new Step(at, ++stepped, body));
     }
 
     private void restart(int router, boolean planned) {
@@ -180,10 +324,14 @@
         }
     }
 
-    private void run() throws InterruptedException {
+    private void run() throws IOException, InterruptedException {
         long end = start + scenario.length();
         long told = 0;
         while (clock.now() < end) {
+            hearCues();
+            if (parts != null) {
+                hearWishes();
+            }
             while (!steps.isEmpty() && steps.peek().at() <= clock.now()) {
                 steps.remove().body().run();
             }
@@ -198,8 +346,28 @@
         }
     }
 
+    private void hearCues() throws IOException {
+        for (int i = 0; i < awaited.size();) {
+            long at = parts.cameAbout(awaited.get(i).cue());
+            if (at < 0) {
+                i++;
+            } else {
+                awaited.remove(i).plan().accept(at);
+            }
+        }
+    }
+
+    /** A play in which something never began has not shown what its scenario is about. */
+    private void playedWhole() throws IOException {
+        if (!awaited.isEmpty()) {
+            throw new IOException("not played as written, this never came about: " + awaited.stream()
+                .map(a -> a.cue().words()).distinct().collect(Collectors.joining(", ")));
+        }
+    }
+
     private String active(long at) {
-        List<String> names = scenario.faults().stream().filter(f -> f.from() <= at && at < f.to())
+        List<String> names = scenario.faults().stream().filter(f -> f.after() == null
+            && f.from() <= at && (f.until() != null || at < f.to()))
             .map(f -> f.kind().word() + (f.target().isEmpty() ? "" : " " + String.join(" ",
                 f.target()))).toList();
         return names.isEmpty() ? "" : "; " + String.join(", ", names);
@@ -208,9 +376,13 @@
     /** Lets what is out come to its end, stops the routers as planned and lets go of everything. */
     private void settle() throws InterruptedException {
         progress.accept("settling");
+        mend();
         long longest = scenario.types().stream().mapToLong(Scenario.Type::deadline).max().orElse(0);
         crowd.drained(clock.now() + longest * 2 + 2 * SECOND);
         crowd.finish();
+        if (parts != null) {
+            parts.endAgents();
+        }
         // One that still starts would be ended before it is ready, which is no offence of its own.
         for (Thread restart : restarts) {
             restart.join();
@@ -228,9 +400,21 @@
         }
     }
 
+    /** Ends what lasts to the end of the play and would keep it from settling. */
+    private void mend() {
+        for (Scenario.FaultSpec fault : scenario.faults()) {
+            if (fault.kind() == Fault.Kind.ROUTER_PAUSE) {
+                fault.target().forEach(name -> seats.get(scenario.router(name)).pause(false));
+            } else if (fault.kind().needsAgreement()) {
+                parts.end(fault);
+            }
+        }
+    }
+
     private void endRouters() throws InterruptedException {
         for (RouterSeat seat : seats) {
             seat.awaitEnd(0, false);
+            seat.close();
         }
     }
 }
--- a/src/main/java/beaconturn/rehearsal/Report.java
+++ b/src/main/java/beaconturn/rehearsal/Report.java
@@ -22,12 +22,17 @@
  * @param routerCpu that of all routers, in nanoseconds
  * @param senderLate how late the 99th of a hundred requests was sent, in milliseconds
  * @param paused nanoseconds for which the machine kept the kit from running
+ * @param fleet what a fleet that agrees shows beside, or null
  */
 public record Report(Scenario scenario, long start, List<Entry> entries, List<Verdict> verdicts,
         List<Tally.Line> classes,
         long kitCpu,
-        long routerCpu, double senderLate, long paused) {
+        long routerCpu, double senderLate, long paused, Fleet fleet) {
     private static final double SECOND = 1e9;
+    private static final double KILO = 1024;
+
+    /** What became of each version, calls at the store in a second, and the most that a router held. */
+    record Fleet(List<Passage> passages, double callsPerSecond, Footprint footprint) { }
 
     /** Whether every rule was kept. */
     public boolean held() {
@@ -63,9 +68,61 @@
             + "routers %.2f s; requests sent late by %.1f ms (p99); machine stood still for %.0f ms%n",
             scenario.seed(), scenario.length() / SECOND, kitCpu / SECOND, routerCpu / SECOND, senderLate,
             paused / 1e6));
+        if (fleet != null) {
+            agreed(out);
+        }
         return out.toString();
     }
 
+    /** What a release came to: the last word on its course, or none. */
+    public String ending() {
+        return entries.stream().filter(e -> e instanceof Entry.Ordered).map(e -> ((Entry.Ordered) e).what())
+            .reduce("none", (before, last) -> last);
+    }
+
+    /** In a few words, for a list of many plays. */
+    public String summary() {
+        long wanted = classes.stream().mapToLong(Tally.Line::wanted).sum();
+        long served = classes.stream().mapToLong(Tally.Line::served).sum();
+        long inForce =
+            fleet == null ? 0 : fleet.passages().stream().filter(p -> p.inForce() >= 0).count();
+        if (scenario.release() != null) {
+            long steps = entries.stream().filter(e -> e instanceof Entry.Changed).count();
+            return String.format(Locale.ROOT, "%d of %d served, %d steps, the release ended as %s", served,
+                wanted, steps, ending());
+        }
+        return String.format(Locale.ROOT,
+            "%d of %d served, %d of %d versions in force, contradiction %.0f ms", served, wanted, inForce,
+            scenario.versions().size(), contradiction() / 1e6);
+    }
+
+    private void agreed(StringBuilder out) {
+        for (Passage p : fleet.passages()) {
+            out.append(String.format(Locale.ROOT, "version %d proposed at %.3f s, %s, %s%n", p.number(),
+                (p.proposed() - start) / SECOND, after(p, p.inForce(), "in force"),
+                after(p, p.settled(), "settled")));
+        }
+        for (Entry entry : entries) {
+            if (entry instanceof Entry.Ordered o) {
+                out.append(String.format(Locale.ROOT, "release: %s at %.3f s%n", o.what(),
+                    (o.at() - start) / SECOND));
+            }
+        }
+        out.append(String.format(Locale.ROOT, "longest contradiction %.0f ms of %.0f ms stated; %.1f calls a"
+            + " second at the store; a router held %.1f MB and %d threads at most%n",
+            contradiction() / 1e6, scenario.agreement().timing().stated() / 1e6, fleet.callsPerSecond(),
+            fleet.footprint().memory() / KILO, fleet.footprint().threads()));
+    }
+
+    private static String after(Passage p, long at, String what) {
+        return at < 0 ? "not " + what : String.format(Locale.ROOT, "%s after %.0f ms", what,
+            (at - p.proposed()) / 1e6);
+    }
+
+    private long contradiction() {
+        return verdicts.stream().mapToLong(Verdict::most).max().orElse(0);
+    }
+
     private String offence(Verdict v) {
         int count = v.offences().size();
         return line(v.offences().get(0)) + (count == 1 ? "" : " (" + count + " in all)");
@@ -77,6 +134,11 @@
             one.server().isEmpty() ? "" : ", " + one.server(), one.what());
     }
 
+    /** The same as a page, with a picture of what was served beside what was out. */
+    public String html() {
+        return HtmlReport.of(this);
+    }
+
     /** The same as JSON, with every offence. */
     public String json() {
         List<Json> rules = new ArrayList<>();
@@ -96,7 +158,21 @@
         return JsonWriter.write(RouterConfigText.object("scenario", scenario.name(), "seed", scenario.seed(),
             "length_s", scenario.length() / SECOND, "held", held(), "rules", new Json.Items(rules), "classes",
             new Json.Items(rows), "kit_cpu_s", kitCpu / SECOND, "routers_cpu_s", routerCpu / SECOND,
-            "sender_late_ms", senderLate, "paused_ms", paused / 1e6)) + "\n";
+            "sender_late_ms", senderLate, "paused_ms", paused / 1e6, "agreement",
+            fleet == null ? new Json.Nothing() : agreed())) + "\n";
+    }
+
+    private Json agreed() {
+        return RouterConfigText.object("versions", new Json.Items(fleet.passages().stream()
+            .map(p -> RouterConfigText.object("number", p.number(), "proposed_s",
+                (p.proposed() - start) / SECOND, "in_force_ms", took(p, p.inForce()), "settled_ms",
+                took(p, p.settled()))).toList()), "contradiction_ms", contradiction() / 1e6, "stated_ms",
+            scenario.agreement().timing().stated() / 1e6, "calls_per_second", fleet.callsPerSecond(),
+            "router_kb", fleet.footprint().memory(), "router_threads", fleet.footprint().threads());
+    }
+
+    private static Json took(Passage p, long at) {
+        return at < 0 ? new Json.Nothing() : new Json.Figure(Double.toString((at - p.proposed()) / 1e6));
     }
 
     private Json json(Offence offence) {
--- a/src/main/java/beaconturn/rehearsal/RouterConfigText.java
+++ b/src/main/java/beaconturn/rehearsal/RouterConfigText.java
@@ -7,7 +7,9 @@
 import java.util.List;
 import java.util.Map;
 
-/** The configuration that a router under rehearsal is started with, in the form that {@code serve} reads. */
+/**
+ * The configuration that a router under rehearsal is started with, in the form that {@code serve} reads.
+ */
 final class RouterConfigText {
     private static final long TICK = 5_000_000;
     private final Scenario scenario;
@@ -16,11 +18,15 @@
         this.scenario = scenario;
     }
 
-    /** The text for one router, which listens and asks at these addresses. */
-    String of(int router, String listen, String discovery, Json known, long seed) {
+    /** Where a router stands and asks; {@code control} is its second address, or null. */
+    record Addresses(String listen, String discovery, String control) { }
+
+    /** The text for one router. */
+    String of(int router, Addresses at, Json known, long seed) {
         Scenario.RouterSpec spec = scenario.routers().get(router);
-        return JsonWriter.write(object("name", spec.name(), "listen", listen, "discovery", discovery,
-            "seed", String.format("%016x", seed),
+        return JsonWriter.write(object("name", spec.name(), "listen", at.listen(), "discovery",
+            at.discovery(), "control", at.control() == null ? new Json.Nothing() : at.control(), "seed",
+                String.format("%016x", seed),
             "limits", object("cores", 1.0, "memory_mb", spec.memoryMb(), "sockets", spec.sockets()),
             "known", known, "settings", settings(router)));
     }
@@ -29,7 +35,8 @@
         Scenario.Rules r = scenario.rules();
         CacheShape shape = scenario.fleet().shape();
         List<String> reports = shape.reports();
-        return object("index", router, "replicas_of_me", scenario.routers().size(), "zone", 0,
+        return object("index", router, "replicas_of_me", scenario.routers().size(), "zone",
+            scenario.fleet().sites().indexOf(scenario.routers().get(router).site()),
             "dcs", texts(scenario.fleet().sites()), "flavors", texts(List.of("standin")), "discovery", "ask",
             "counted_by", "request", "over_share_worth", 1.0, "weights", "none", "tick", TICK,
             "tenants", new Json.Items(List.of()),
--- a/src/main/java/beaconturn/rehearsal/RouterLauncher.java
+++ b/src/main/java/beaconturn/rehearsal/RouterLauncher.java
@@ -2,11 +2,28 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 
 /** Starts routers under rehearsal, as processes or otherwise. */
 public interface RouterLauncher {
-    /** Starts a router with the configuration; its log goes to the file. It need not be ready yet. */
-    Running launch(String name, Path config, Path log) throws IOException;
+    /**
+     * What a router is started with.
+     *
+     * @param name of the router
+     * @param config its configuration
+     * @param features the operators' file of what else is on, or null
+     * @param log where its log goes
+     * @param clockOff how far its wall clock is off, in nanoseconds
+     */
+    record Start(String name, Path config, Path features, Path log, long clockOff) { }
+
+    /** Starts a router; it need not be ready yet. */
+    Running launch(Start start) throws IOException;
+
+    /** The command line of the same program with these words; empty where it is no process of its own. */
+    default List<String> command(List<String> words) {
+        return List.of();
+    }
 
     /** Whether its routers can be killed and started again. */
     boolean restarts();
@@ -28,6 +45,16 @@
          */
         int awaitEnd(long millis) throws InterruptedException;
 
+        /** Has it stand still, or go on. */
+        default void pause(boolean on) {
+            throw new UnsupportedOperationException("not a process of its own");
+        }
+
+        /** Its process id, or -1 where it is no process of its own. */
+        default long pid() {
+            return -1;
+        }
+
         /** Processor time that it has used, in nanoseconds; below 0 where that is not known. */
         long cpu();
     }
--- a/src/main/java/beaconturn/rehearsal/RouterSeat.java
+++ b/src/main/java/beaconturn/rehearsal/RouterSeat.java
@@ -3,23 +3,34 @@
 import beaconturn.core.Clock;
 import beaconturn.ledger.Account;
 import beaconturn.ledger.Entry;
+import beaconturn.protocol.Json;
+import beaconturn.standin.net.Ports;
 import beaconturn.standin.net.Surroundings;
+import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.logging.Level;
+import java.util.logging.Logger;
 
 /** One router of a play: its address, its files, and the process that stands there at the moment. */
-final class RouterSeat {
+final class RouterSeat implements Closeable {
+    private static final Logger LOG = Logger.getLogger(RouterSeat.class.getName());
     private static final int READY_MILLIS = 30_000;
     private static final int KILL_MILLIS = 2000;
     private static final int STEP_MILLIS = 10;
+    /** For so long what fades is good: longer than the check that it stands. */
+    private static final int GOOD_MILLIS = 5000;
     private static final int TRY_MILLIS = 500;
-    private static final int FIRST_PORT = 15_000;
-    private static final int PORTS = 15_000;
+    private static final long MILLI = 1_000_000;
+    private static final long MEASURE_EVERY = 500_000_000;
     private static final String PONG = "+PONG";
     private final Scenario scenario;
     private final int number;
@@ -28,14 +39,25 @@
     private final Clock clock;
     private final Account account;
     private final Path folder;
+    private final FleetParts parts;
     private final InetSocketAddress address;
-    private RouterLauncher.Running running;
+    private final InetSocketAddress control;
+    private final List<SocketChannel> holders = new ArrayList<>();
+    /** Whether it runs what is released, and what is wrong with it. */
+    private boolean released;
+    private Scenario.Harm harm = Scenario.Harm.NONE;
+    private volatile RouterLauncher.Running running;
     private boolean told;
+    private boolean terminated;
     private long cpu;
+    private long pausedAt;
     private int starts;
+    private Footprint footprint = new Footprint(0, 0);
+    private long measureAt;
 
     RouterSeat(Scenario scenario, int number, Surroundings surroundings, RouterLauncher launcher, Clock clock,
-            Account account, Path folder) throws IOException {
+            Account account, Path folder, FleetParts parts) throws IOException {
+        this.parts = parts;
         this.scenario = scenario;
         this.number = number;
         this.surroundings = surroundings;
@@ -44,22 +66,26 @@
         this.account = account;
         this.folder = folder;
         this.address = freeAddress();
+        this.control = scenario.release() == null ? null : freeAddress();
     }
 
-    /** A port below those that the kernel gives out by itself, so that nobody takes it between two starts. */
-    private static InetSocketAddress freeAddress() throws IOException {
-        int offset = (int) (System.nanoTime() % PORTS);
-        for (int i = 0; i < PORTS; i++) {
-            InetSocketAddress tried =
-                new InetSocketAddress("127.0.0.1", FIRST_PORT + Math.abs(offset + i) % PORTS);
-            try (ServerSocket probe = new ServerSocket()) {
-                probe.bind(tried);
-                return tried;
+    /** Held until the end of the play: nobody takes it between two starts. */
+    private InetSocketAddress freeAddress() throws IOException {
+        SocketChannel holder = Ports.take(Ports::hold);
+        holders.add(holder);
+        return (InetSocketAddress) holder.getLocalAddress();
+    }
+
+    /** Lets go of its addresses. */
+    @Override
+    public void close() {
+        for (SocketChannel holder : holders) {
+            try {
+                holder.close();
             } catch (IOException e) {
-                continue;
+                LOG.log(Level.FINE, "closing", e);
             }
         }
-        throw new IOException("no free port from " + FIRST_PORT + " on");
     }
 
     InetSocketAddress address() {
@@ -72,13 +98,27 @@
 
     /** Starts a process; it is not ready yet. */
     void launch() throws IOException {
-        InetSocketAddress discovery = surroundings.discovery(number);
-        String text = new RouterConfigText(scenario).of(number, text(address), text(discovery),
-            surroundings.known(number), scenario.seed() * 1000 + number * 100 + ++starts);
+        InetSocketAddress discovery =
+            parts == null ? surroundings.discovery(number) : parts.discovery(number);
+        // What refuses knows no cache server and hears of none.
+        Json known = harm == Scenario.Harm.REFUSES ? RouterConfigText.object("seq", 0, "whole", true, "hosts",
+            new Json.Items(List.of())) : surroundings.known(number);
+        String text = new RouterConfigText(scenario).of(number, new RouterConfigText.Addresses(
+            text(harm == Scenario.Harm.MUTE ? freeAddress() : address),
+            text(harm == Scenario.Harm.REFUSES ? freeAddress() : discovery),
+            control == null ? null : text(control)), known,
+            scenario.seed() * 1000 + number * 100 + ++starts);
+        if (harm == Scenario.Harm.CRASH) {
+            text = "{}";
+        }
         Path config = folder.resolve(name() + ".json");
         Files.writeString(config, text);
-        told = false;
-        running = launcher.launch(name(), config, folder.resolve(name() + ".log"));
+        // One that cannot run ends by itself as the scenario has it.
+        told = harm == Scenario.Harm.CRASH;
+        terminated = false;
+        running = launcher.launch(new RouterLauncher.Start(name(), config,
+            parts == null ? null : parts.featuresOf(name()), folder.resolve(name() + ".log"),
+            scenario.routers().get(number).clockOff()));
     }
 
     private static String text(InetSocketAddress at) {
@@ -87,11 +127,17 @@
 
     /** Waits until it answers PING; fails with its last log line if it ends or takes too long. */
     void awaitReady() throws IOException, InterruptedException {
-        for (long waited = 0; waited < READY_MILLIS; waited += STEP_MILLIS) {
+        awaitReady(READY_MILLIS);
+    }
+
+    private void awaitReady(long millis) throws IOException, InterruptedException {
+        long until = clock.now() + millis * MILLI;
+        while (clock.now() < until) {
             if (!running.alive()) {
                 break;
             }
             if (answersPing()) {
+                account.add(new Entry.Ready(clock.now(), number));
                 return;
             }
             Thread.sleep(STEP_MILLIS);
@@ -125,6 +171,8 @@
      */
     void kill() {
         told = true;
+        // If it was told to stop before, its end is no planned one any more.
+        terminated = false;
         long at = clock.now();
         running.kill();
         try {
@@ -137,21 +185,103 @@
 
     void terminate() {
         told = true;
+        if (running == null || !running.alive()) {
+            // Killed before, and not started again by the end of the play.
+            return;
+        }
+        terminated = true;
         account.add(new Entry.Stopped(clock.now(), clock.now(), number, true));
         running.terminate();
     }
 
+    /**
+     * Has the router run what is released, or what was there before; nothing is done where it does.
+     * Whether it is ready then.
+     *
+     * @param front is told when the front goes round it, and when it uses it again
+     */
+    synchronized boolean change(boolean toReleased, Consumer<Boolean> front) throws InterruptedException {
+        if (toReleased == released && running != null && running.alive() && answersPing()) {
+            return true;
+        }
+        account.add(new Entry.Changed(clock.now(), name(), number, toReleased));
+        released = toReleased;
+        harm = toReleased ? scenario.release().harm() : Scenario.Harm.NONE;
+        parts.reachesCaches(number, true);
+        try {
+            boolean alive = running != null && running.alive();
+            if (alive) {
+                terminate();
+                Thread.sleep(Rehearsal.FRONT_GOES_ON / MILLI);
+            }
+            front.accept(true);
+            awaitEnd(Rehearsal.END_MILLIS, alive);
+            launch();
+            awaitReady(scenario.release().limit() / MILLI);
+            front.accept(false);
+            if (harm == Scenario.Harm.FADES) {
+                fade(running);
+            }
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** The process is good for a while, and then reaches no cache server any more. */
+    private void fade(RouterLauncher.Running process) {
+        Thread thread = new Thread(() -> {
+            try {
+                Thread.sleep(GOOD_MILLIS);
+                synchronized (this) {
+                    if (running == process) {
+                        parts.reachesCaches(number, false);
+                    }
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }, "fade");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** The second address, or null where it has none. */
+    InetSocketAddress control() {
+        return control;
+    }
+
+    /** Has its process stand still, or go on: what it held meanwhile is its clients' to try again. */
+    void pause(boolean on) {
+        running.pause(on);
+        if (on) {
+            pausedAt = clock.now();
+        } else if (pausedAt != 0) {
+            account.add(new Entry.Stopped(pausedAt, clock.now(), number, false));
+            account.add(new Entry.Ready(clock.now(), number));
+            pausedAt = 0;
+        }
+    }
+
     /** Notes it if the process has ended though nobody told it to; to be called again and again. */
     void look() {
-        if (running != null && !told && !running.alive()) {
+        RouterLauncher.Running now = running;
+        if (now != null && !told && !now.alive()) {
             told = true;
             account.add(new Entry.Died(clock.now(), number, "ended by itself"));
-        } else if (running != null && running.alive()) {
-            cpu = Math.max(cpu, running.cpu());
+        } else if (now != null && now.alive()) {
+            cpu = Math.max(cpu, now.cpu());
+            if (clock.now() >= measureAt) {
+                measureAt = clock.now() + MEASURE_EVERY;
+                footprint = footprint.most(Footprint.of(now.pid()));
+            }
         }
     }
 
-    /** Waits for the end of a planned stop; one that has to be killed, or fails, has not ended as planned. */
+    /**
+     * Waits for the end of a planned stop; one that has to be killed, or fails, has not ended as
+     * planned.
+     */
     void awaitEnd(long millis, boolean planned) throws InterruptedException {
         if (running == null) {
             return;
@@ -161,13 +291,18 @@
             running.kill();
             running.awaitEnd(millis);
         }
-        if (planned && status != 0) {
+        if (planned && terminated && status != 0) {
             String how = status < 0 ? "did not end after SIGTERM" : "ended with status " + status;
             account.add(new Entry.Died(clock.now(), number, how));
         }
         running = null;
     }
 
+    /** The most that its processes held. */
+    Footprint footprint() {
+        return footprint;
+    }
+
     /** Processor time of its last process, in nanoseconds; 0 where it is not known. */
     long cpu() {
         return Math.max(0, cpu);
--- a/src/main/java/beaconturn/rehearsal/Scenario.java
+++ b/src/main/java/beaconturn/rehearsal/Scenario.java
@@ -1,5 +1,6 @@
 package beaconturn.rehearsal;
 
+import beaconturn.agreement.Timing;
 import beaconturn.ledger.Terms;
 import beaconturn.standin.CacheShape;
 import beaconturn.standin.Fault;
@@ -8,17 +9,71 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 
 /**
  * A whole rehearsal as a file describes it, with every default filled in. Times are nanoseconds; those of
- * clients and faults count from the first request.
+ * clients, faults and versions count from the first request. The agreement is null where routers share
+ * nothing.
  */
 public record Scenario(String name, String about, long seed, long length, Fleet fleet, Origin.Shape origin,
         long listLag, Rules rules, List<Type> types, List<RouterSpec> routers, List<Clients> clients,
-        List<FaultSpec> faults) {
+        List<FaultSpec> faults, Agreement agreement, List<VersionSpec> versions, ReleaseSpec release,
+        List<OrderSpec> orders) {
+
+    /** How routers agree; the times of {@link Timing}. */
+    public record Agreement(long lease, double drift) {
+        /** The times of the agreement. */
+        public Timing timing() {
+            return new Timing(lease, drift, APPLY);
+        }
+    }
+
+    /**
+     * A version that is proposed at a time, counted from the cue, or from the start where that is null;
+     * {@code mostTries} 0 leaves that as it is.
+     */
+    public record VersionSpec(long at, Cue after, String reason, List<String> out, int mostTries) { }
+
+    /** What is wrong with what is released. */
+    public enum Harm {
+        /** Nothing. */
+        NONE,
+        /** It ends at once. */
+        CRASH,
+        /** It never answers. */
+        MUTE,
+        /** It refuses, or fails, every request. */
+        REFUSES,
+        /** It is good for some seconds and then reaches no cache server any more; of routers only. */
+        FADES
+    }
+
+    /**
+     * A release of the routers, or of the cache servers: their agents, processes too, restart them with what
+     * has the harm. Without waves the usual ones are made; {@code begins} false leaves it to orders;
+     * {@code mostTries} over 0 has settings go with it.
+     */
+    public record ReleaseSpec(boolean caches, boolean begins, long at, Cue after, int mostOut,
+            int mostOutOfSite, List<List<String>> waves, long soak, int samples, double worse, long limit,
+            long alone, Harm harm, int mostTries) { }
+
+    /**
+     * An operator's order: halt, resume, back or abandon; drain, undrain or lost, of a part; budget, which
+     * has so many out from then on.
+     */
+    public record OrderSpec(long at, Cue after, String what, String part, int mostOut) { }
+
+    private static final long APPLY = 500_000_000;
+    private static final long SECOND = 1_000_000_000;
 
     /** The cache servers: how many, where, and what each can do. */
-    public record Fleet(int caches, List<String> sites, int cell, CacheShape shape) { }
+    public record Fleet(int caches, List<String> sites, int cell, CacheShape shape) {
+        /** Names of the cache servers, place by place. */
+        List<String> names() {
+            return IntStream.range(0, caches).mapToObj(Scenario::cacheName).toList();
+        }
+    }
 
     /** What the settings tell a router, beside the classes. */
     public record Rules(int mostTries, boolean secondCopies, boolean cancel, long mostRetryAfter,
@@ -51,15 +106,22 @@
     public record Type(String name, Effect effect, double share, long work, int size, long aim, long deadline,
             double worth, long window, String scope) { }
 
-    /** A router: its name and its limits. */
-    public record RouterSpec(String name, int memoryMb, int sockets) { }
+    /** A router: its name, its limits, its site, and how far its wall clock is off, in nanoseconds. */
+    public record RouterSpec(String name, int memoryMb, int sockets, String site, long clockOff) { }
 
     /** A stream of requests; {@code classes} empty means all by their shares. */
     public record Clients(double rate, List<String> classes, int keys, double skew, int retries, long backoff,
             double tryShare, long notice, long from, long to) { }
 
-    /** A fault; {@code target} names cache servers or routers, and is empty for the origin and discovery. */
-    public record FaultSpec(Fault.Kind kind, List<String> target, double amount, long from, long to) { }
+    /**
+     * A fault; {@code target} names cache servers or routers, and is empty for the origin, discovery and
+     * the store; {@code way} is where a link leads to, else empty: {@code store}, {@code discovery},
+     * {@code caches} for all cache servers, or the site whose cache servers it leads to. It begins {@code
+     * from} after the cue {@code after}, or after the start where that is null, and ends {@code to} after
+     * the cue {@code until}, or after what its begin is counted from.
+     */
+    public record FaultSpec(Fault.Kind kind, List<String> target, double amount, long from, long to,
+            String way, Cue after, Cue until) { }
 
     /** The class of that name. */
     Type type(String wanted) {
@@ -71,6 +133,19 @@
         return routers.stream().map(RouterSpec::name).toList().indexOf(wanted);
     }
 
+    /** The site of the cache server at a place. */
+    String site(int place) {
+        return fleet.sites().get(place % fleet.sites().size());
+    }
+
+    /** Whether routers are to reach cache servers by links, as a fault cuts some. */
+    boolean linksToCaches() {
+        return release != null && release.harm() == Harm.FADES
+            || faults.stream().anyMatch(f -> f.kind() == Fault.Kind.SITE_CUT
+            || f.kind().target() == Fault.Target.LINK && !f.way().equals("store")
+            && !f.way().equals("discovery"));
+    }
+
     /** The name of the cache server at a place. */
     static String cacheName(int place) {
         return "c" + (place + 1);
@@ -80,7 +155,7 @@
     public World.Shape world() {
         List<World.Member> members = new java.util.ArrayList<>();
         for (int place = 0; place < fleet.caches(); place++) {
-            String site = fleet.sites().get(place % fleet.sites().size());
+            String site = site(place);
             int block = place / fleet.sites().size() / fleet.cell();
             members.add(new World.Member(cacheName(place), site, "standin", block, 1, fleet.shape()));
         }
@@ -104,6 +179,42 @@
         CacheShape shape = fleet.shape();
         return new Terms(known, rules.mostTries(), rules.secondCopies(), rules.answerSlack() + slack,
             rules.drainGrace(), slack, rules.askWithin(), shape.coldShare(), shape.coldFor(),
-            shape.fallMultiple(), shape.fallAfter());
+            shape.fallMultiple(), shape.fallAfter(), agreement == null ? 0 : agreement.timing().stated(),
+            release == null ? null : releaseTerms());
+    }
+
+    /**
+     * A router that is gone by itself is seen to be once its lease has ended at the store and been read;
+     * a halt binds whoever has not begun, and who has begun acts within the time of one call and of a
+     * start.
+     */
+    private Terms.Release releaseTerms() {
+        Timing timing = agreement.timing();
+        int first = release.waves().isEmpty() ? 1 : release.waves().get(0).size();
+        Map<String, String> sites = new LinkedHashMap<>();
+        parts().forEach(id -> sites.put(id, siteOf(id)));
+        // A cache server's state is seen once the list has it, a router has told it and the driver read it.
+        long seenWithin = release.caches() ? listLag + 2 * timing.renewEvery() + 2 * APPLY
+            : timing.storeLeaseSeconds() * SECOND + timing.renewEvery() + APPLY;
+        // What fades is good when the next ones go.
+        boolean seenAtOnce = release.harm() != Harm.NONE && release.harm() != Harm.FADES;
+        return new Terms.Release(release.caches(), sites, release.mostOut(), release.mostOutOfSite(),
+            seenWithin, timing.callTimeout() + APPLY, seenAtOnce ? first : 0);
+    }
+
+    /** The names of all that may be released. */
+    List<String> parts() {
+        return release.caches() ? fleet.names() : routers.stream().map(RouterSpec::name).toList();
+    }
+
+    /** The site of a router or cache server. */
+    String siteOf(String part) {
+        int router = router(part);
+        return router >= 0 ? routers.get(router).site() : site(place(part));
+    }
+
+    /** The place of the cache server of that name at the start. */
+    static int place(String cache) {
+        return Integer.parseInt(cache.substring(1)) - 1;
     }
 }
--- a/src/main/java/beaconturn/rehearsal/ScenarioReader.java
+++ b/src/main/java/beaconturn/rehearsal/ScenarioReader.java
@@ -10,15 +10,21 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
-import java.util.stream.IntStream;
 import org.apache.commons.rng.sampling.ListSampler;
 
-/** Reads a scenario; everything has a default, and whatever is wrong is said in one line before any start. */
+/**
+ * Reads a scenario; everything has a default, and whatever is wrong is said in one line before any
+ * start.
+ */
 public final class ScenarioReader {
     private static final long MILLI = 1_000_000;
     private static final long SECOND = 1000 * MILLI;
     private static final int MOST_CACHES = 200;
-    private static final int MOST_ROUTERS = 16;
+    private static final int MOST_ROUTERS = 40;
+    /** Stands for the agent that drives the release at the time. */
+    static final String DRIVER = "driver";
+    /** Orders that are about one part. */
+    private static final List<String> OF_PART = List.of("drain", "undrain", "lost");
     private static final double MOST_RATE = 20_000;
     private static final List<String> REPORTS = List.of("inflight", "latency_ms", "qps");
     private final Section file;
@@ -45,13 +51,110 @@
         long lag = discovery.time("lag", SECOND, 0);
         Scenario.Rules rules = rules();
         List<Scenario.Type> types = types();
-        List<Scenario.RouterSpec> routers = routers();
+        List<Scenario.RouterSpec> routers = routers(fleet.sites());
         List<Scenario.Clients> clients = clients(types, length);
         long chosen = seed == null ? ownSeed : seed;
-        List<Scenario.FaultSpec> faults = faults(fleet, routers, length, chosen);
+        Scenario.Agreement agreement = agreement();
+        List<Section> proposed = file.tables("version");
+        List<Scenario.VersionSpec> versions = versions(proposed, agreement, fleet, routers, length);
+        List<Scenario.FaultSpec> faults = faults(fleet, routers, versions.size(), length, chosen);
+        for (Scenario.FaultSpec fault : faults) {
+            if (fault.kind().needsAgreement() && agreement == null) {
+                throw file.wrong("fault", fault.kind().word() + " needs an [agreement] table");
+            }
+        }
+        Scenario.ReleaseSpec release = release(agreement, fleet, routers, proposed.size());
+        List<Scenario.OrderSpec> orders = orders(release, fleet, routers, proposed.size());
         file.end();
         return new Scenario(name, about, chosen, length, fleet, origin, lag, rules, types, routers, clients,
-            faults);
+            faults, agreement, versions, release, orders);
+    }
+
+    private Scenario.ReleaseSpec release(Scenario.Agreement agreement, Scenario.Fleet fleet,
+            List<Scenario.RouterSpec> routers, int versions) throws TomlException {
+        if (!file.has("release")) {
+            return null;
+        }
+        Section s = file.table("release");
+        if (agreement == null) {
+            throw s.wrong("", "needs an [agreement] table");
+        }
+        boolean caches = s.choice("kind", "router", List.of("router", "cache")).equals("cache");
+        List<String> names =
+            caches ? fleet.names() : routers.stream().map(Scenario.RouterSpec::name).toList();
+        List<List<String>> waves = new ArrayList<>();
+        for (Section wave : s.tables("wave")) {
+            List<String> parts = wave.words("parts", List.of());
+            if (parts.isEmpty() || !names.containsAll(parts)) {
+                throw wave.wrong("parts",
+                    parts + " are not to be released, there are " + String.join(", ", names));
+            }
+            waves.add(parts);
+        }
+        Cue after = cue(s, "after", fleet, routers, versions);
+        Scenario.Harm harm = Scenario.Harm.valueOf(
+            s.choice("harm", "none", words(Scenario.Harm.values())).toUpperCase(Locale.ROOT));
+        if (caches && harm == Scenario.Harm.FADES) {
+            throw s.wrong("harm", "'fades' is of routers only");
+        }
+        return new Scenario.ReleaseSpec(caches, s.flag("begins", true),
+            s.time("at", after == null ? 2 * SECOND : 0, 0), after,
+            s.whole("most_out", 1, 1, MOST_ROUTERS), s.whole("most_out_of_site", 1, 1, MOST_ROUTERS), waves,
+            s.time("soak", SECOND, 0), s.whole("samples", 20, 0, 1_000_000), s.number("worse", 0.05, 0, 1),
+            s.time("limit", 10 * SECOND, SECOND), s.time("alone", 0, 0), harm,
+            s.whole("most_tries", 0, 0, 64));
+    }
+
+    private List<Scenario.OrderSpec> orders(Scenario.ReleaseSpec release, Scenario.Fleet fleet,
+            List<Scenario.RouterSpec> routers, int versions) throws TomlException {
+        List<Scenario.OrderSpec> all = new ArrayList<>();
+        for (Section s : file.tables("order")) {
+            if (release == null) {
+                throw s.wrong("", "needs a [release] table");
+            }
+            Cue after = cue(s, "after", fleet, routers, versions);
+            String what = s.choice("what", "halt",
+                List.of("halt", "resume", "back", "abandon", "drain", "undrain", "lost", "budget"));
+            List<String> parts = new ArrayList<>(what.equals("lost") && !release.caches()
+                ? routers.stream().map(Scenario.RouterSpec::name).toList() : fleet.names());
+            String part = OF_PART.contains(what) ? s.choice("part", parts.get(0), parts) : "";
+            all.add(new Scenario.OrderSpec(s.time("at", after == null ? 5 * SECOND : 0, 0), after, what, part,
+                what.equals("budget") ? s.whole("most_out", 1, 0, MOST_ROUTERS) : 0));
+        }
+        return List.copyOf(all);
+    }
+
+    private Scenario.Agreement agreement() throws TomlException {
+        if (!file.has("agreement")) {
+            return null;
+        }
+        Section s = file.table("agreement");
+        return new Scenario.Agreement(s.time("lease", 2 * SECOND, SECOND), s.number("drift", 0.01, 0, 0.2));
+    }
+
+    private static List<Scenario.VersionSpec> versions(List<Section> proposed, Scenario.Agreement agreement,
+            Scenario.Fleet fleet, List<Scenario.RouterSpec> routers, long length) throws TomlException {
+        List<Scenario.VersionSpec> all = new ArrayList<>();
+        List<String> names = fleet.names();
+        for (Section s : proposed) {
+            if (agreement == null) {
+                throw s.wrong("", "needs an [agreement] table");
+            }
+            List<String> out = s.words("out", List.of());
+            for (String name : out) {
+                if (!names.contains(name)) {
+                    throw s.wrong("out", "there is no '" + name + "', there are " + String.join(", ", names));
+                }
+            }
+            Cue after = cue(s, "after", fleet, routers, proposed.size());
+            long at = s.time("at", after == null ? 2 * SECOND : 0, 0);
+            if (at > length) {
+                throw s.wrong("at", "after the end, allowed is up to the length of " + length / MILLI + "ms");
+            }
+            all.add(new Scenario.VersionSpec(at, after, s.word("reason", "as the scenario has it"), out,
+                s.whole("most_tries", 0, 0, 64)));
+        }
+        return List.copyOf(all);
     }
 
     private Scenario.Fleet fleet() throws TomlException {
@@ -137,22 +240,42 @@
         return Arrays.stream(values).map(v -> v.name().toLowerCase(Locale.ROOT)).toList();
     }
 
-    private List<Scenario.RouterSpec> routers() throws TomlException {
+    private List<Scenario.RouterSpec> routers(List<String> sites) throws TomlException {
         List<Scenario.RouterSpec> routers = new ArrayList<>();
         for (Section s : file.tables("router")) {
-            String name = s.word("name", "r" + (routers.size() + 1));
-            checkName(s, name, routers.stream().map(Scenario.RouterSpec::name).toList());
-            routers.add(new Scenario.RouterSpec(name, s.whole("memory_mb", 192, 32, 4096),
-                s.whole("sockets", 1024, 64, 65_536)));
+            int count = s.whole("count", 1, 1, MOST_ROUTERS);
+            if (count > 1 && s.has("name")) {
+                throw s.wrong("name", "given beside count, allowed is one of them");
+            }
+            for (int i = 0; i < count; i++) {
+                routers.add(router(s, routers, sites));
+            }
         }
         if (routers.size() > MOST_ROUTERS) {
             throw file.wrong("router", "too many, allowed are " + MOST_ROUTERS);
         }
         return routers.isEmpty()
-            ? List.of(new Scenario.RouterSpec("r1", 192, 1024), new Scenario.RouterSpec("r2", 192, 1024))
+            ? List.of(new Scenario.RouterSpec("r1", 192, 1024, sites.get(0), 0),
+                new Scenario.RouterSpec("r2", 192, 1024, sites.get(0), 0))
             : List.copyOf(routers);
     }
 
+    private static Scenario.RouterSpec router(Section s, List<Scenario.RouterSpec> before, List<String> sites)
+            throws TomlException {
+        String name = s.word("name", "r" + (before.size() + 1));
+        checkName(s, name, before.stream().map(Scenario.RouterSpec::name).toList());
+        return new Scenario.RouterSpec(name, s.whole("memory_mb", 192, 32, 4096),
+            s.whole("sockets", 1024, 64, 65_536), s.choice("site", sites.get(0), sites), clockOff(s));
+    }
+
+    /** Fast or slow by a time; one of both. */
+    private static long clockOff(Section s) throws TomlException {
+        if (s.has("clock_fast") && s.has("clock_slow")) {
+            throw s.wrong("clock_slow", "given beside clock_fast, allowed is one of them");
+        }
+        return s.time("clock_fast", 0, 0) - s.time("clock_slow", 0, 0);
+    }
+
     private List<Scenario.Clients> clients(List<Scenario.Type> types, long length) throws TomlException {
         List<Scenario.Clients> all = new ArrayList<>();
         for (Section s : file.tables("clients")) {
@@ -188,26 +311,63 @@
     }
 
     private List<Scenario.FaultSpec> faults(Scenario.Fleet fleet, List<Scenario.RouterSpec> routers,
-            long length,
-            long chosen) throws TomlException {
+            int versions, long length, long chosen) throws TomlException {
         List<Scenario.FaultSpec> faults = new ArrayList<>();
         List<String> kinds = Arrays.stream(Fault.Kind.values()).map(Fault.Kind::word).toList();
         for (Section s : file.tables("fault")) {
             String word = s.choice("kind", "", kinds);
             Fault.Kind kind = Fault.Kind.values()[kinds.indexOf(word)];
-            long from = s.time("from", 5 * SECOND, 0);
-            long to = end(s, from, length);
+            Cue after = cue(s, "after", fleet, routers, versions);
+            Cue until = cue(s, "until", fleet, routers, versions);
+            long from = s.time("from", after == null ? 5 * SECOND : 0, 0);
+            long to = until == null ? end(s, from, length) : s.time("to", 0, 0);
             List<String> names = switch (kind.target()) {
-                case CACHE -> IntStream.range(0, fleet.caches()).mapToObj(Scenario::cacheName).toList();
-                case ROUTER -> routers.stream().map(Scenario.RouterSpec::name).toList();
+                case CACHE -> fleet.names();
+                case ROUTER, LINK, AGENT -> routers.stream().map(Scenario.RouterSpec::name).toList();
+                case SITE -> fleet.sites();
                 default -> List.of();
             };
+            if (kind.target() == Fault.Target.AGENT) {
+                names = new ArrayList<>(names);
+                names.addAll(fleet.names());
+                names.add(DRIVER);
+            }
             List<String> target = names.isEmpty() ? List.of() : target(s, names, chosen + faults.size());
-            faults.add(new Scenario.FaultSpec(kind, target, amount(s, kind), from, to));
+            String way = kind.target() == Fault.Target.LINK
+                ? s.choice("way", "store", ways(fleet)) : "";
+            faults.add(new Scenario.FaultSpec(kind, target, amount(s, kind), from, to, way,
+                after, until));
         }
         return List.copyOf(faults);
     }
 
+    private static List<String> ways(Scenario.Fleet fleet) {
+        List<String> ways = new ArrayList<>(List.of("store", "discovery", "caches"));
+        ways.addAll(fleet.sites());
+        return ways;
+    }
+
+    /** What times are counted from in place of the start, or null. */
+    private static Cue cue(Section s, String key, Scenario.Fleet fleet, List<Scenario.RouterSpec> routers,
+            int versions) throws TomlException {
+        String words = s.word(key, "");
+        if (words.isEmpty()) {
+            return null;
+        }
+        Cue cue = Cue.of(words).orElseThrow(() -> s.wrong(key, "'" + words + "' is no cue, such as 'version 1"
+            + " proposed', 'version 1 in force', 'version 1 settled' or 'r1 says yes to version 1'"));
+        boolean ofVersion = cue.what() != Cue.What.OUT && cue.what() != Cue.What.UP;
+        if (!cue.router().isEmpty() && routers.stream().noneMatch(r -> r.name().equals(cue.router()))
+                && (ofVersion || !fleet.names().contains(cue.router()))) {
+            throw s.wrong(key, "there is no router '" + cue.router() + "'");
+        }
+        if (ofVersion && (cue.version() < 1 || cue.version() > versions)) {
+            throw s.wrong(key, "version " + cue.version() + " is not among the " + versions
+                + " that are proposed");
+        }
+        return cue;
+    }
+
     /** Those named, or a share of all chosen by the seed, or the first one. */
     private static List<String> target(Section s, List<String> names, long seed) throws TomlException {
         List<String> on = s.words("on", List.of());
@@ -236,6 +396,10 @@
             case DRAIN_LATE -> s.time("delay", 3 * SECOND, 0);
             case DISCOVERY_SLOW -> s.time("delay", 2 * SECOND, 0);
             case DISCOVERY_BACK -> s.time("delay", 10 * SECOND, 0);
+            case LINK_SLOW -> s.time("delay", 500 * MILLI, 0);
+            case LINK_THROTTLE -> s.whole("bytes_per_second", 2000, 1, 1_000_000_000);
+            case STORE_SLOW -> s.time("delay", 3 * SECOND, 0);
+            case STORE_BACK -> s.whole("revisions", 1, 1, 1000);
             default -> 1;
         };
     }
--- a/src/main/java/beaconturn/rehearsal/Shipped.java
+++ b/src/main/java/beaconturn/rehearsal/Shipped.java
@@ -35,6 +35,13 @@
         return Explained.of(scenario);
     }
 
+    /** The logs in a folder of a play. */
+    public static List<Path> logs(Path folder) throws IOException {
+        try (Stream<Path> all = Files.list(folder)) {
+            return all.filter(file -> file.toString().endsWith(".log")).sorted().toList();
+        }
+    }
+
     /** Deletes a folder and what is in it. */
     public static void delete(Path folder) throws IOException {
         try (Stream<Path> all = Files.walk(folder)) {
--- /dev/null
+++ b/src/main/java/beaconturn/rehearsal/fleet/Children.java
@@ -0,0 +1,40 @@
+package beaconturn.rehearsal.fleet;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/** Processes of the kit: they end with it, and can be made to stand still. */
+public final class Children {
+    private Children() {
+    }
+
+    /** Starts a process; whoever ends the rehearsal by a signal must not leave it behind. */
+    public static Process start(ProcessBuilder builder) throws IOException {
+        Process process = builder.start();
+        Thread hook = new Thread(process::destroyForcibly);
+        Runtime.getRuntime().addShutdownHook(hook);
+        process.onExit().thenRun(() -> forget(hook));
+        return process;
+    }
+
+    private static void forget(Thread hook) {
+        try {
+            Runtime.getRuntime().removeShutdownHook(hook);
+        } catch (IllegalStateException e) {
+            // The rehearsal itself is on its way out: the hook has run or is running.
+            return;
+        }
+    }
+
+    /** Has a process stand still, or go on. */
+    public static void pause(Process process, boolean on) {
+        try {
+            new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(process.pid())).start()
+                .waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/main/java/beaconturn/standin/Discovery.java
+++ b/src/main/java/beaconturn/standin/Discovery.java
@@ -1,5 +1,6 @@
 package beaconturn.standin;
 
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -12,6 +13,9 @@
  * and makes a new version. Answers the whole list at once, and a watch when there is something newer.
  */
 public final class Discovery {
+    /** The latest change of each cache server that the list has heard of. */
+    private final Map<String, Long> heardOf = new HashMap<>();
+    private long changes;
     private final Agenda agenda;
     private final Witness witness;
     private final Map<String, Listing> truth = new LinkedHashMap<>();
@@ -96,16 +100,24 @@
         witness.discovery(agenda.now(), true);
     }
 
-    /** A cache server changes now; the list follows after the lag, in nanoseconds. */
+    /**
+     * A cache server changes now; the list follows after the lag, in nanoseconds, unless it has heard of a
+     * later change by then: a drain that was called off before it was known is never listed.
+     */
     void change(Listing entry, long lag) {
+        long number = ++changes;
         if (lag <= 0) {
-            publish(entry);
+            publish(entry, number);
         } else {
-            agenda.in(lag, () -> publish(entry));
+            agenda.in(lag, () -> publish(entry, number));
         }
     }
 
-    private void publish(Listing entry) {
+    private void publish(Listing entry, long number) {
+        if (number < heardOf.getOrDefault(entry.host(), 0L)) {
+            return;
+        }
+        heardOf.put(entry.host(), number);
         witness.listed(agenda.now(), entry.host(), entry.health());
         if (entry.health() == Listing.Health.GONE) {
             truth.remove(entry.host());
--- a/src/main/java/beaconturn/standin/Fault.java
+++ b/src/main/java/beaconturn/standin/Fault.java
@@ -8,7 +8,7 @@
     }
 
     /** What a fault happens to. */
-    public enum Target { CACHE, ORIGIN, DISCOVERY, ROUTER }
+    public enum Target { CACHE, ORIGIN, DISCOVERY, ROUTER, AGENT, LINK, SITE, STORE }
 
     /** The kinds; each is known to operators by its word. */
     public enum Kind {
@@ -51,7 +51,41 @@
         /** A router is killed outright and started again at the fault's end. */
         ROUTER_KILL(Target.ROUTER, false),
         /** A router gets SIGTERM, and is started again at the fault's end. */
-        ROUTER_TERM(Target.ROUTER, false);
+        ROUTER_TERM(Target.ROUTER, false),
+        /** A router's process stands still, and wakes up believing that no time went by. */
+        ROUTER_PAUSE(Target.ROUTER, false),
+        /**
+         * The agent of a router, or whichever drives the release, is killed; at the end it starts again.
+         */
+        AGENT_KILL(Target.AGENT, false),
+        /** The same agent's process stands still. */
+        AGENT_PAUSE(Target.AGENT, false),
+        /** Nothing passes between a router and what its link leads to, and nobody is told. */
+        LINK_CUT(Target.LINK, false),
+        /** What a router says arrives, and nothing comes back. */
+        LINK_ONE_WAY(Target.LINK, false),
+        /** Everything passes {@code delay} later. */
+        LINK_SLOW(Target.LINK, false),
+        /** Nothing passes until the fault's end, and then all at once. */
+        LINK_HOLD(Target.LINK, false),
+        /** Half of a message passes, then the connection is reset. */
+        LINK_RESET(Target.LINK, false),
+        /** So many bytes a second pass. */
+        LINK_THROTTLE(Target.LINK, false),
+        /** What a router asks arrives; the answer is lost and the connection with it. */
+        ANSWER_LOST(Target.LINK, false),
+        /** Nothing passes between a site and the others, nor between its routers and store or discovery. */
+        SITE_CUT(Target.SITE, false),
+        /** Every call to the store ends with a reset; what it holds is kept. */
+        STORE_DOWN(Target.STORE, false),
+        /** Every call to the store takes {@code delay} longer. */
+        STORE_SLOW(Target.STORE, false),
+        /** The store answers reads with what it held when the fault began. */
+        STORE_STALE(Target.STORE, false),
+        /** The store loses all its members, and another stands empty in its place. */
+        STORE_EMPTY(Target.STORE, false),
+        /** The store is put back to a copy of so many {@code revisions} ago. */
+        STORE_BACK(Target.STORE, false);
 
         private final Target target;
         private final boolean condition;
@@ -66,6 +100,12 @@
             return target;
         }
 
+        /** Whether it needs routers that agree through a store. */
+        public boolean needsAgreement() {
+            return target == Target.LINK || target == Target.SITE || target == Target.STORE
+                || target == Target.AGENT;
+        }
+
         /** Whether it is a state of a running cache server. */
         boolean condition() {
             return condition;
--- a/src/main/java/beaconturn/standin/Witness.java
+++ b/src/main/java/beaconturn/standin/Witness.java
@@ -27,6 +27,9 @@
     /** A cache server process begins; it does so many nanoseconds of work in one when it is warm. */
     default void started(long at, Listing server, double capacity) { }
 
+    /** A cache server process has ended. */
+    default void down(long at, String server) { }
+
     /** A cache server collapsed under work, or the origin did ({@code server} is then "origin"). */
     default void collapsed(long at, String server) { }
 
--- a/src/main/java/beaconturn/standin/World.java
+++ b/src/main/java/beaconturn/standin/World.java
@@ -113,6 +113,7 @@
     private void kill(CacheModel cache) {
         if (!cache.dead()) {
             cache.die();
+            witness.down(agenda.now(), cache.listing().host());
         }
         discovery.change(cache.listing().with(Listing.Health.GONE), shape.lag());
     }
--- a/src/main/java/beaconturn/standin/net/Loop.java
+++ b/src/main/java/beaconturn/standin/net/Loop.java
@@ -111,7 +111,11 @@
     ServerSocketChannel listen(InetSocketAddress address, int backlog, Ready owner) throws IOException {
         ServerSocketChannel channel = ServerSocketChannel.open();
         try {
-            channel.bind(address, backlog);
+            if (address.getPort() == 0) {
+                Ports.take(at -> channel.bind(at, backlog));
+            } else {
+                channel.bind(address, backlog);
+            }
             register(channel, SelectionKey.OP_ACCEPT, owner);
             return channel;
         } catch (IOException e) {
--- a/src/main/java/beaconturn/standin/net/Places.java
+++ b/src/main/java/beaconturn/standin/net/Places.java
@@ -6,7 +6,6 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
@@ -136,8 +135,8 @@
             moving = false;
             try {
                 switch (state) {
-                    case LISTENS -> listener = loop.listen(address, BACKLOG, this);
-                    case REFUSES -> hold();
+                    case LISTENS -> listener = Ports.again(address, at -> loop.listen(at, BACKLOG, this));
+                    case REFUSES -> holders.add(Ports.hold(address));
                     default -> silence();
                 }
             } catch (IOException e) {
@@ -145,14 +144,6 @@
             }
         }
 
-        /** A bound channel that does not listen: the kernel refuses, and nobody else gets the port. */
-        private void hold() throws IOException {
-            SocketChannel holder = SocketChannel.open();
-            holders.add(holder);
-            holder.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-            holder.bind(address);
-        }
-
         /** Listens with a queue that own connections fill: the kernel then drops whatever else comes. */
         private void silence() throws IOException {
             listener = ServerSocketChannel.open();
--- a/src/main/java/beaconturn/standin/net/Surroundings.java
+++ b/src/main/java/beaconturn/standin/net/Surroundings.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -33,6 +34,7 @@
     private final Loop loop;
     private final Places places;
     private final List<ServerSocketChannel> registries = new ArrayList<>();
+    private final Map<InetSocketAddress, InetSocketAddress> ways = new ConcurrentHashMap<>();
 
     /**
      * Opens all addresses; nobody is served before {@link #start}.
@@ -103,6 +105,11 @@
         return places.address(router, place);
     }
 
+    /** From now on discovery tells the router to reach the cache server at a place by another address. */
+    public void reachBy(int router, int place, InetSocketAddress way) {
+        ways.put(cache(router, place), way);
+    }
+
     /** The list that a router knows before its start, in discovery's form. */
     public Json known(int router) {
         return loop.call(() -> form(router, world.discovery().known(router)));
@@ -117,7 +124,8 @@
     }
 
     private Json form(int router, Listing entry) {
-        InetSocketAddress dial = places.address(router, entry.place());
+        InetSocketAddress direct = places.address(router, entry.place());
+        InetSocketAddress dial = ways.getOrDefault(direct, direct);
         Map<String, Json> line = new LinkedHashMap<>();
         line.put("host", new Json.Text(entry.host()));
         line.put("dial", new Json.Text(dial.getHostString() + ":" + dial.getPort()));
@@ -136,7 +144,7 @@
     }
 
     /** Takes connections for sessions that need to know nothing of each other. */
-    private record Acceptor(String what, Function<SocketChannel, Wire> sessions) implements Loop.Ready {
+    record Acceptor(String what, Function<SocketChannel, Wire> sessions) implements Loop.Ready {
         @Override
         public void ready(SelectionKey key) throws IOException {
             ServerSocketChannel listener = (ServerSocketChannel) key.channel();
--- a/src/test/java/beaconturn/LayoutTest.java
+++ b/src/test/java/beaconturn/LayoutTest.java
@@ -2,9 +2,12 @@
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
 
+import com.tngtech.archunit.base.DescribedPredicate;
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
 import org.junit.jupiter.api.Test;
 
 /** Which package may use which: arrows point down only, and what decides or models does no I/O. */
@@ -16,7 +19,8 @@
         "beaconturn.standin.net.."};
     private static final String[] NO_IO = {"beaconturn.decision..", "beaconturn.core..",
         "beaconturn.protocol..",
-        "beaconturn.standin", "beaconturn.ledger..", "beaconturn.toml..", "beaconturn.stats.."};
+        "beaconturn.standin", "beaconturn.standin.store..", "beaconturn.agreement..", "beaconturn.release..",
+        "beaconturn.ledger..", "beaconturn.toml..", "beaconturn.stats.."};
 
     private static void none(String[] of, String... use) {
         noClasses().that().resideInAnyPackage(of).should().dependOnClassesThat().resideInAnyPackage(use)
@@ -54,6 +58,11 @@
     @Test
     void decisionsFiguresAndFormatsStandOnTheirOwn() {
         none(at("beaconturn.stats.."), "beaconturn.net..", "beaconturn.core..", "beaconturn.decision..");
+        none(at("beaconturn.agreement.."), "beaconturn.core..", "beaconturn.decision..",
+            "beaconturn.standin..", "beaconturn.ledger..");
+        none(at("beaconturn.release.."), "beaconturn.core..", "beaconturn.decision..",
+            "beaconturn.standin..", "beaconturn.ledger..", "beaconturn.toml..");
+        none(at("beaconturn.agreement.."), "beaconturn.release..");
         none(at("beaconturn.decision.."), "beaconturn.core..", "beaconturn.protocol..", "beaconturn.ledger..",
             "beaconturn.standin..");
         none(at("beaconturn.protocol..", "beaconturn.toml.."), "beaconturn.core..", "beaconturn.decision..",
@@ -69,9 +78,12 @@
     @Test
     void whatDecidesOrModelsDoesNoIoAndHasNoClock() {
         none(NO_IO, "java.net..", "java.nio.channels..", "java.nio.file..");
-        none(at("beaconturn.decision..", "beaconturn.standin", "beaconturn.ledger.."), "java.time..");
+        none(at("beaconturn.decision..", "beaconturn.agreement..", "beaconturn.release..",
+            "beaconturn.standin", "beaconturn.ledger.."), "java.time..");
         noClasses().that().resideInAnyPackage("beaconturn.decision..", "beaconturn.protocol..",
-            "beaconturn.standin", "beaconturn.ledger..").should().callMethod(System.class, "nanoTime")
+            "beaconturn.agreement..", "beaconturn.release..", "beaconturn.standin.store..",
+                "beaconturn.standin",
+            "beaconturn.ledger..").should().callMethod(System.class, "nanoTime")
             .orShould().callMethod(System.class, "currentTimeMillis")
             .orShould().callMethod(Math.class, "random").check(CLASSES);
     }
@@ -79,13 +91,28 @@
     @Test
     void streamsAreForAdaptersBytesInMemoryAside() {
         noClasses().that().resideInAnyPackage(NO_IO).should().dependOnClassesThat(
-            com.tngtech.archunit.base.DescribedPredicate.describe("are streams of java.io",
+            DescribedPredicate.describe("are streams of java.io",
                 c -> c.getPackageName().equals("java.io") && !c.getSimpleName().startsWith("ByteArray")
                     && !c.getSimpleName().equals("Serializable") && !c.getSimpleName().equals("OutputStream")
                     && (c.getSimpleName().endsWith("Stream") || c.getSimpleName().endsWith("Reader"))))
             .check(CLASSES);
     }
 
+    /** The operators' platform refuses fork, splice and sendfile to a router. */
+    @Test
+    void aRouterStartsNoProgramAndCopiesByPlainCalls() {
+        noClasses().that().resideInAnyPackage("beaconturn.net..", "beaconturn.core..", "beaconturn.stats..",
+            "beaconturn.decision..", "beaconturn.protocol..").should().dependOnClassesThat(
+                DescribedPredicate.describe("start programs",
+                    c -> c.isEquivalentTo(Process.class) || c.isEquivalentTo(ProcessBuilder.class)))
+            .orShould().callMethodWhere(DescribedPredicate.describe(
+                "may copy in the kernel or start a program", call -> call.getName().matches("exec")
+                    || call.getTargetOwner().isAssignableTo(FileChannel.class)
+                    && call.getName().matches("transferTo|transferFrom")
+                    || call.getTargetOwner().isEquivalentTo(Files.class)
+                    && call.getName().equals("copy"))).check(CLASSES);
+    }
+
     @Test
     void onlyTheKitUsesItsLibraries() {
         none(at("beaconturn.net..", "beaconturn.core..", "beaconturn.decision..", "beaconturn.protocol..",
--- a/src/test/java/beaconturn/ledger/JudgeTest.java
+++ b/src/test/java/beaconturn/ledger/JudgeTest.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 /** Each rule, kept and broken, on accounts written by hand. */
@@ -19,7 +21,9 @@
         return new Terms(Map.of("read", new Terms.Type(Terms.Effect.SAFE, "all", 0),
             "put", new Terms.Type(Terms.Effect.KEYED, "cell", 2 * SECOND),
             "ack", new Terms.Type(Terms.Effect.UNSAFE, "all", 0)), 3, secondCopies, 20 * MILLI, 500 * MILLI,
-            50 * MILLI, 10 * SECOND, 0.2, 10 * SECOND, 4, SECOND);
+            50 * MILLI, 10 * SECOND, 0.2, 10 * SECOND, 4, SECOND, 2 * SECOND, new Terms.Release(
+                false, new TreeMap<>(Map.of("r0", "east", "r1", "east", "r2", "west", "r3", "west")), 2, 1,
+                SECOND, SECOND, 1));
     }
 
     JudgeTest() {
@@ -138,7 +142,8 @@
     }
 
     /**
-     * Up to the end of the process it may take requests; and the clients may see the end before the kit does.
+     * Up to the end of the process it may take requests; and the clients may see the end before the kit
+     * does.
      */
     @Test
     void aKillExcusesWhatCameBetweenTheSignalAndTheEnd() {
@@ -211,7 +216,8 @@
     }
 
     /**
-     * A first copy that stood still for longer than the window: no send broke a rule, but somebody must know.
+     * A first copy that stood still for longer than the window: no send broke a rule, but somebody must
+     * know.
      */
     @Test
     void aKeyedEffectAfterItsKeyWasForgottenIsNoted() {
@@ -379,6 +385,79 @@
         line(new Entry.Died(SECOND, 0, "ended by itself")).breaks("routers-run");
     }
 
+    private JudgeTest version(long number, Entry.Step step, long millis, String out) {
+        return version(number, step, millis, out, 0);
+    }
+
+    private JudgeTest version(long number, Entry.Step step, long millis, String out, int mostTries) {
+        return line(new Entry.Versioned(millis * MILLI, number, step, Set.of(out), mostTries));
+    }
+
+    /** From the first effect of the later version anywhere, also one that nobody should have made yet. */
+    @Test
+    void actingOnAnOlderVersionBeyondTheStatedTimeIsSeen() {
+        version(1, Entry.Step.PROPOSED, 100, "c1").version(1, Entry.Step.IN_FORCE, 200, "c1");
+        version(2, Entry.Step.PROPOSED, 1000, "c2").version(2, Entry.Step.IN_FORCE, 1500, "c2");
+        sent(1, "c2", 3500);
+        assertEquals(List.of(), contradictions());
+        sent(2, "c1", 1300);
+        assertEquals(List.of("router 0 acts on version 2 200.0 ms before it is in force",
+            "router 0 acts on version 1 2200.0 ms after router 0 acted on version 2"), contradictions());
+        assertEquals(2200 * MILLI, contradiction().most());
+        lines.remove(lines.size() - 1);
+        sent(3, "c2", 3600);
+        assertEquals(List.of("router 0 acts on version 1 2100.0 ms after version 2 came into force"),
+            contradictions());
+        version(3, Entry.Step.PROPOSED, 3590, "c1");
+        assertEquals(List.of("router 0 acts on version 3, which never came into force"), contradictions());
+    }
+
+    /** Who is not on the roster was not asked for its yes. */
+    @Test
+    void whoHasLeftContradictsNobody() {
+        version(1, Entry.Step.PROPOSED, 100, "c1").version(1, Entry.Step.IN_FORCE, 200, "c1");
+        line(new Entry.Member(150 * MILLI, 0, false)).sent(1, "c1", 4000);
+        assertEquals(List.of(), contradictions());
+        line(new Entry.Member(4100 * MILLI, 0, true)).sent(2, "c1", 4200);
+        assertEquals(List.of(), contradictions(), "it has the stated time from when it joined");
+        sent(3, "c1", 6200);
+        assertEquals(List.of("router 0 acts on version 0 2100.0 ms after version 1 came into force"),
+            contradictions());
+    }
+
+    /** Sends beyond the number that the later of two versions allows. */
+    @Test
+    void sendingAsOftenAsAnOlderVersionAllowedIsSeen() {
+        version(1, Entry.Step.PROPOSED, 100, "c9", 3).version(1, Entry.Step.IN_FORCE, 200, "c9", 3);
+        version(2, Entry.Step.PROPOSED, 1000, "c9", 1).version(2, Entry.Step.IN_FORCE, 1500, "c9", 1);
+        sent(1, "c1", 3300).sent(2, "c1", 3400);
+        assertEquals(List.of(), contradictions());
+        sent(3, "c1", 3700);
+        assertEquals(List.of("router 0 acts on version 1 with send 3 of a request 2200.0 ms after version 2"
+            + " came into force"), contradictions());
+    }
+
+    private Verdict contradiction() {
+        return Judge.judge(terms, lines).stream().filter(v -> v.rule().equals("no-contradiction"))
+            .findFirst().orElseThrow();
+    }
+
+    private List<String> contradictions() {
+        return contradiction().offences().stream().map(Offence::what).toList();
+    }
+
+    /** A cut between discovery and a router: what was written meanwhile is heard when it is mended. */
+    @Test
+    void newsOnALinkThatPassesNothingAreHeardWhenItDoes() {
+        line(new Entry.Hears(900 * MILLI, 0, false));
+        line(new Entry.Told(1000 * MILLI, 0, "c1", Entry.State.DRAINING, 0));
+        line(new Entry.Hears(3000 * MILLI, 0, true));
+        asked("read", 3300).sent(1, "c1", 3310).made(1, Entry.Made.VALUE, 3330)
+            .told(Entry.Kind.SERVED, 3340, 1).breaks();
+        lines.removeIf(e -> e instanceof Entry.Hears);
+        breaks("drains-kept");
+    }
+
     @Test
     void theFirstOffenceIsTheEarliest() {
         asked("read", 1000).told(Entry.Kind.FAILED, 2500, 0);
--- /dev/null
+++ b/src/test/java/beaconturn/rehearsal/AgreementPlayTest.java
@@ -0,0 +1,140 @@
+package beaconturn.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.cli.EmbeddedLauncher;
+import beaconturn.core.Lifecycle;
+import beaconturn.ledger.Verdict;
+import beaconturn.net.PlantedAgreement;
+import beaconturn.net.RouterServer;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Routers, the store and clients as processes, with faults between them, judged by what the others saw. */
+@Timeout(120)
+class AgreementPlayTest {
+    private static final String MAIN = "beaconturn.cli.Main";
+    /**
+     * One router holds a version up; another says yes to it and is cut off from then on, as it comes into
+     * force. Each fault waits for what it is to meet: how long a command takes to start is the machine's
+     * affair.
+     */
+    private static final String DAY = """
+        length = "15s"
+        [agreement]
+        lease = "1s"
+        [[router]]
+        [[router]]
+        [[router]]
+        [[clients]]
+        rate = 120
+        [[version]]
+        at = "500ms"
+        out = ["c1", "c2"]
+        [[version]]
+        after = "version 1 settled"
+        at = "500ms"
+        out = ["c3", "c4"]
+        [[fault]]
+        kind = "link-cut"
+        on = ["r2"]
+        after = "version 1 settled"
+        until = "r1 says yes to version 2"
+        to = "2500ms"
+        [[fault]]
+        kind = "link-cut"
+        on = ["r1"]
+        after = "r1 says yes to version 2"
+        """;
+    @TempDir
+    private Path folder;
+
+    private static List<String> broken(Report report) {
+        return report.verdicts().stream().filter(v -> !v.held()).map(Verdict::rule).toList();
+    }
+
+    private static Verdict contradiction(Report report) {
+        return report.verdicts().stream().filter(v -> v.rule().equals("no-contradiction")).findFirst()
+            .orElseThrow();
+    }
+
+    @Test
+    void aCutWhileAVersionComesIntoForceContradictsNobodyAndCostsNoRequest() throws Exception {
+        Scenario scenario = ScenarioReader.read("day.toml", DAY, null);
+        Report report = new Rehearsal(scenario, ProcessLauncher.own(MAIN), folder, text -> { }).play();
+        assertEquals(List.of(), broken(report), report.text());
+        assertTrue(contradiction(report).checked() > 0, report.text());
+        String log = Files.readString(folder.resolve("r1.log"));
+        assertTrue(log.contains("acts on safe ground between version 1 and version 2"), log);
+        Tally.Line levels = report.classes().get(0);
+        assertTrue(levels.served() > levels.wanted() * 9 / 10, report.text());
+    }
+
+    /** A router says yes and is killed, and comes up while the version still waits for another. */
+    @Test
+    void aRouterThatSaysYesAndIsKilledHoldsTheVersionUpUntilItIsBack() throws Exception {
+        Path file = Path.of("examples", "rehearsals", "agreement-killed.toml");
+        Scenario scenario = ScenarioReader.read(file.toString(), Files.readString(file), null);
+        Report report = new Rehearsal(scenario, ProcessLauncher.own(MAIN), folder, text -> { }).play();
+        assertEquals(List.of(), broken(report), report.text());
+        Passage second = report.fleet().passages().get(1);
+        assertTrue(second.inForce() > second.proposed() + 4_000_000_000L, report.text());
+        assertTrue(Files.readString(folder.resolve("r2.log")).split("agreement: joined as r2/").length > 2);
+    }
+
+    /** A cue that never comes means that the play has not shown what it is about. */
+    @Test
+    void aPlayInWhichAFaultNeverBeganIsNoVerdict() throws Exception {
+        String text = DAY.replace("length = \"15s\"", "length = \"1s\"")
+            .replace("at = \"500ms\"", "at = \"1s\"").replace("rate = 120", "rate = 10");
+        Scenario scenario = ScenarioReader.read("day.toml", text, null);
+        IOException e = assertThrows(IOException.class,
+            () -> new Rehearsal(scenario, ProcessLauncher.own(MAIN), folder, said -> { }).play());
+        assertTrue(e.getMessage().startsWith("not played as written, this never came about: "),
+            e.getMessage());
+    }
+
+    /** The same day with one router that has a defect: it is named, and nobody else. */
+    @ParameterizedTest
+    @EnumSource(PlantedAgreement.Defect.class)
+    void aPlantedRouterIsNamed(PlantedAgreement.Defect defect) throws Exception {
+        Scenario scenario = ScenarioReader.read("day.toml", DAY, null);
+        Report report = new Rehearsal(scenario, new Mixed(defect), folder, text -> { }).play();
+        Verdict verdict = contradiction(report);
+        assertTrue(!verdict.held(), report.text());
+        assertTrue(verdict.offences().get(0).what().contains("router 0 act"), report.text());
+    }
+
+    /**
+     * The first router is one of this process with a defect, the others are processes as they should be.
+     */
+    private record Mixed(PlantedAgreement.Defect defect) implements RouterLauncher {
+        private static final ProcessLauncher PROCESSES = ProcessLauncher.own(MAIN);
+
+        @Override
+        public Running launch(Start start) throws IOException {
+            return start.name().equals("r1") ? new EmbeddedLauncher(c -> new RouterServer(c, () -> c,
+                new Lifecycle(), PlantedAgreement.of(defect, start.features(), c))).launch(start)
+                : PROCESSES.launch(start);
+        }
+
+        @Override
+        public List<String> command(List<String> words) {
+            return PROCESSES.command(words);
+        }
+
+        @Override
+        public boolean restarts() {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/beaconturn/rehearsal/ReleasePlayTest.java
@@ -0,0 +1,151 @@
+package beaconturn.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.cli.PlantedAgent;
+import beaconturn.ledger.Entry;
+import beaconturn.ledger.Verdict;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Releases over routers, agents and the store as processes, with faults between them. */
+@Timeout(120)
+class ReleasePlayTest {
+    private static final String PLANTED = """
+        length = "12s"
+        [agreement]
+        lease = "1s"
+        [[router]]
+        count = 4
+        [[clients]]
+        rate = 150
+        [release]
+        at = "500ms"
+        soak = "200ms"
+        samples = 5
+        wave = [{parts = ["r1"]}, {parts = ["r2", "r3", "r4"]}]
+        """;
+    @TempDir
+    private Path folder;
+
+    private Report play(String name) throws Exception {
+        return playText(Files.readString(Path.of("examples", "rehearsals", name + ".toml")));
+    }
+
+    private Report playText(String text) throws Exception {
+        Scenario scenario = ScenarioReader.read("release.toml", text, null);
+        ProcessLauncher own = ProcessLauncher.own("beaconturn.cli.Main");
+        return new Rehearsal(scenario, own, folder, said -> { }).play();
+    }
+
+    private static List<Integer> changed(Report report, boolean released) {
+        return report.entries().stream().filter(e -> e instanceof Entry.Changed c && c.released() == released)
+            .map(e -> ((Entry.Changed) e).router()).sorted().toList();
+    }
+
+    private static void held(Report report) {
+        assertEquals(List.of(), report.verdicts().stream().filter(v -> !v.held()).map(Verdict::rule).toList(),
+            report.text());
+    }
+
+    @Test
+    void aReleaseWhoseDriversAreKilledAndPausedRestartsEachRouterOnce() throws Exception {
+        // Four routers where the scenario has six, for the sake of time.
+        Report report = playText(Files.readString(Path.of("examples", "rehearsals", "release-rolls.toml"))
+            .replace("count = 3", "count = 2").replace("length = \"45s\"", "length = \"32s\""));
+        held(report);
+        assertEquals("done", report.ending(), report.text());
+        assertEquals(List.of(0, 1, 2, 3), changed(report, true), report.text());
+        assertEquals(List.of(), changed(report, false));
+    }
+
+    /** Two of the scenario's six, for the sake of time. */
+    @Test
+    void cacheServersAreRestartedOneAfterTheOtherAsTheyGetWarm() throws Exception {
+        Report report = playText(Files.readString(Path.of("examples", "rehearsals", "release-caches.toml"))
+            .replace("length = \"50s\"", "length = \"26s\"")
+            .replace("cold_for = \"4s\"", "cold_for = \"2s\"")
+            + "wave = [{parts = [\"c1\", \"c3\"]}]\n");
+        held(report);
+        assertEquals("done", report.ending(), report.text());
+        assertEquals(List.of("c1", "c3"), report.entries().stream().filter(e -> e instanceof Entry.Changed)
+            .map(e -> ((Entry.Changed) e).part()).toList());
+    }
+
+    @Test
+    void settingsComeIntoForceBeforeTheFirstStepAndGoBackWithTheRelease() throws Exception {
+        Report report = playText(Files.readString(Path.of("examples", "rehearsals", "release-settings.toml"))
+            .replace("length = \"30s\"", "length = \"20s\""));
+        held(report);
+        assertEquals("back", report.ending(), report.text());
+        List<Passage> versions = report.fleet().passages();
+        long first = report.entries().stream().filter(e -> e instanceof Entry.Changed)
+            .mapToLong(Entry::at).min().orElseThrow();
+        assertEquals(2, versions.size());
+        assertTrue(versions.get(0).settled() > 0 && versions.get(0).settled() < first, report.text());
+        assertTrue(versions.get(1).inForce() > 0, report.text());
+    }
+
+    /** An account that cannot fail is worthless: each defect of the agents breaks its rule. */
+    @ParameterizedTest
+    @CsvSource({"IGNORES_NUMBERS, never-too-many-out, none", "ACTS_WITHOUT_PERMIT, never-too-many-out, none",
+        "COMPARES_WITH_NOTHING, step-once, refuses"})
+    void aPlantedAgentIsNamed(PlantedAgent.Defect defect, String rule, String harm) throws Exception {
+        Scenario scenario =
+            ScenarioReader.read("planted.toml", PLANTED + "harm = \"" + harm + "\"\n", null);
+        Report report = new Rehearsal(scenario, new Planted(defect), folder, said -> { }).play();
+        Verdict verdict = report.verdicts().stream().filter(v -> v.rule().equals(rule)).findFirst()
+            .orElseThrow();
+        assertTrue(!verdict.held(), report.text());
+    }
+
+    /** Routers and the store as they should be, and agents with a defect. */
+    private record Planted(PlantedAgent.Defect defect) implements RouterLauncher {
+        private static final ProcessLauncher SOUND = ProcessLauncher.own("beaconturn.cli.Main");
+        private static final ProcessLauncher PLANTED = ProcessLauncher.own(PlantedAgent.class.getName());
+
+        @Override
+        public Running launch(Start start) throws IOException {
+            return SOUND.launch(start);
+        }
+
+        @Override
+        public List<String> command(List<String> words) {
+            if (words.size() < 2 || !words.get(1).equals("agent")) {
+                return SOUND.command(words);
+            }
+            List<String> all = new ArrayList<>(List.of(defect.name()));
+            all.addAll(words);
+            return PLANTED.command(all);
+        }
+
+        @Override
+        public boolean restarts() {
+            return true;
+        }
+    }
+
+    @Test
+    void whatHarmsIsSeenAtTheFirstRouterAndGoesBackByItself() throws Exception {
+        Report report = play("release-harms");
+        held(report);
+        assertEquals("back", report.ending(), report.text());
+        assertEquals(List.of(0), changed(report, true), report.text());
+        assertEquals(List.of(0), changed(report, false), report.text());
+        // Whichever of the agents drives the release says so.
+        StringBuilder said = new StringBuilder();
+        for (int i = 1; i <= 4; i++) {
+            said.append(Files.readString(folder.resolve("r" + i + ".agent.log")));
+        }
+        assertTrue(said.toString().contains("goes back: r1 does worse"), said.toString());
+    }
+}
--- a/src/test/java/beaconturn/rehearsal/ScenarioReaderTest.java
+++ b/src/test/java/beaconturn/rehearsal/ScenarioReaderTest.java
@@ -25,6 +25,30 @@
         return ScenarioReader.read("s.toml", text, null);
     }
 
+    @Test
+    void aStormOfASeedIsAlwaysTheSameScenario() throws TomlException {
+        Set<String> kinds = new HashSet<>();
+        for (long seed = 1; seed <= 100; seed++) {
+            for (Storm.About about : Storm.About.values()) {
+                assertEquals(Storm.text(about, seed, 5), Storm.text(about, seed, 5));
+                assertEquals(5, Storm.of(about, seed, 5).routers().size());
+            }
+            Scenario release = Storm.of(Storm.About.RELEASES, seed, 5);
+            release.faults().forEach(f -> kinds.add("of release " + f.kind().word()));
+            release.orders().forEach(o -> kinds.add(o.what()));
+            Scenario storm = Storm.of(Storm.About.VERSIONS, seed, 5);
+            for (int i = 1; i < storm.versions().size(); i++) {
+                // One that shares nothing with the version before it contradicts it.
+                assertTrue(storm.versions().get(i - 1).out().stream()
+                    .noneMatch(storm.versions().get(i).out()::contains));
+            }
+            storm.faults().forEach(fault -> kinds.add(fault.kind().word()));
+        }
+        assertTrue(kinds.containsAll(List.of("link-cut", "site-cut", "store-empty", "router-pause",
+            "of release agent-kill", "of release store-back", "drain", "budget", "halt", "back")),
+            kinds.toString());
+    }
+
     @Test
     void anEmptyFileIsAWholeScenario() throws TomlException {
         Scenario scenario = read("");
@@ -52,7 +76,15 @@
         "[[fault]];kind = \"stall\";from = \"9s\";to = \"8s\" | s.toml:4: fault[0].to: ends before",
         "[[fault]];kind = \"stall\";to = \"21s\" | s.toml:3: fault[0].to: after the end, allowed is up to",
         "[[fault]];kind = \"stall\";share = 0.5;on = [\"c1\"] | s.toml:3: fault[0].share: given beside on",
-        "[[fault]];kind = \"router-kill\";on = [\"r3\"] | s.toml:3: fault[0].on: there is no 'r3'"})
+        "[[fault]];kind = \"router-kill\";on = [\"r3\"] | s.toml:3: fault[0].on: there is no 'r3'",
+        "[[router]];count = 2;name = \"a\" | s.toml:3: router[0].name: given beside count, allowed is",
+        "[[router]];clock_fast = \"1s\";clock_slow = \"1s\" | s.toml:3: router[0].clock_slow: given beside",
+        "[agreement];[[version]];[[fault]];kind = \"link-cut\";after = \"dawn\" | s.toml:5: fault[0].after:"
+            + " 'dawn' is no cue, such as 'version 1 proposed'",
+        "[agreement];[[version]];[[fault]];kind = \"link-cut\";after = \"version 2 settled\" | s.toml:5:"
+            + " fault[0].after: version 2 is not among the 1 that are proposed",
+        "[agreement];[[version]];after = \"r9 says yes to version 1\" | s.toml:3: version[0].after:"
+            + " there is no router 'r9'"})
     void whatIsWrongIsOneLineWithFileLineAndKey(String text, String line) {
         TomlException e = assertThrows(TomlException.class, () -> read(text.replace(';', '\n')));
         assertTrue(e.getMessage().startsWith(line), e.getMessage());
--- /dev/null
+++ b/src/test/java/beaconturn/rehearsal/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of links with faults between two parties on loopback. */
+package beaconturn.rehearsal.fleet;
--- a/src/test/java/beaconturn/standin/DiscoveryTest.java
+++ b/src/test/java/beaconturn/standin/DiscoveryTest.java
@@ -45,6 +45,17 @@
         assertTrue(at.told.contains("told 0 c2 GONE"));
     }
 
+    @Test
+    void aDrainThatIsCalledOffBeforeItIsKnownIsNeverListed() {
+        at.world.begin(Fault.Kind.DRAIN, 1, 1);
+        at.pass(SECOND / 2);
+        at.world.end(Fault.Kind.DRAIN, 1);
+        at.pass(SECOND);
+        discovery.whole(0, asker);
+        at.pass(0);
+        assertEquals(List.of("whole c1:READY c2:READY"), heard);
+    }
+
     @Test
     void aWatchThatHeardNothingEndsWithNothing() {
         discovery.watch(0, discovery.version(), 20 * SECOND, asker);
