--- a/src/main/java/beaconturn/agreement/Member.java
+++ b/src/main/java/beaconturn/agreement/Member.java
@@ -24,6 +24,14 @@
 
         /** Why the router cannot follow the content, or null if it can. */
         String objection(Content content);
+
+        /**
+         * Whether the router has what the content asks for, such as its list; while it has not, it says
+         * neither yes nor no and is asked again.
+         */
+        default boolean ready(Content content) {
+            return true;
+        }
     }
 
     /** What a call that is out is for. */
@@ -74,6 +82,8 @@
     private Kept basis;
     private long no;
     private String why = "";
+    /** The version that it could not say yes to for want of what that asks for. */
+    private long waited;
     private long leaseUntil = Long.MIN_VALUE;
 
     /** A member that begins with what was kept; {@code base} is the router's own configuration, whole. */
@@ -400,6 +410,13 @@
             log.accept("agreement: says no to version " + no + ": " + why);
             return null;
         }
+        if (!router.ready(news.next().content().over(base))) {
+            if (waited != news.nextNumber()) {
+                waited = news.nextNumber();
+                log.accept("agreement: has not the list yet that version " + waited + " asks for");
+            }
+            return null;
+        }
         log.accept("agreement: says yes to version " + news.next().number());
         return news.next();
     }
--- a/src/main/java/beaconturn/cli/AgentRun.java
+++ b/src/main/java/beaconturn/cli/AgentRun.java
@@ -8,22 +8,21 @@
 import beaconturn.net.ConfigException;
 import beaconturn.net.agreement.AgreementConfig;
 import beaconturn.net.agreement.StoreClient;
+import beaconturn.release.Absence;
 import beaconturn.release.Act;
 import beaconturn.release.Agent;
 import beaconturn.release.Agreed;
 import beaconturn.release.Driver;
+import beaconturn.release.Fleet;
+import beaconturn.release.Kind;
 import beaconturn.release.Plan;
+import beaconturn.release.Recorder;
+import beaconturn.release.ReleaseDesk;
 import beaconturn.release.ReleaseKeys;
 import beaconturn.release.ReleaseTexts;
-import beaconturn.release.Sample;
 import beaconturn.release.Scene;
 import beaconturn.release.Variant;
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStreamReader;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
@@ -40,10 +39,15 @@
     private static final long MILLI = 1_000_000;
     private static final long ROUND_MILLIS = 200;
     private static final int OFTEN = 10;
+    /** Means need readings, and the store need not hear each. */
+    private static final int READINGS_A_WORD = 2;
+    /** Between releases figures are told so often, and the whole fleet makes twenty writes a second. */
+    private static final long QUIET_MILLIS = 5000;
+    private static final long QUIET_MILLIS_EACH = 50;
     private final String features;
     private final String part;
     private final String apply;
-    private final Figures figures;
+    private final PartFigures figures;
     private final String me = Long.toHexString(System.currentTimeMillis()) + "-"
         + ProcessHandle.current().pid();
     private ReleaseKeys keys;
@@ -52,27 +56,31 @@
     private Desk desk;
     private Driver driver;
     private Agent agent;
+    private Recorder recorder;
     private Plan plan;
     private long lease;
     private long renewAt;
     private long healthAt;
+    private int readings;
     private String told = "";
     private String waits = "";
     private String tried = "";
     private int vain;
     private volatile String ended;
 
-    AgentRun(String features, String part, String apply, String figures) {
+    /** An agent that has no figures if that is null. */
+    AgentRun(String features, String part, String apply, PartFigures figures) {
         this(features, part, apply, figures, UnaryOperator.identity());
     }
 
     /** One whose calls to the store go through something else, for tests that plant a defect. */
-    AgentRun(String features, String part, String apply, String figures, UnaryOperator<Desk.Store> through) {
+    AgentRun(String features, String part, String apply, PartFigures figures,
+            UnaryOperator<Desk.Store> through) {
         this.through = through;
         this.features = features;
         this.part = part;
         this.apply = apply;
-        this.figures = figures.isEmpty() ? null : new Figures(figures);
+        this.figures = figures;
     }
 
     int run() {
@@ -152,18 +160,22 @@
     }
 
     /**
-     * Only while somebody compares it: otherwise it would be a write for each part and second for
-     * nothing.
+     * Often only while somebody compares it. Where plans are held to what the fleet carries it is told
+     * between releases too, so seldom that the whole fleet makes a bounded number of writes.
      */
     private void tellHealth(Scene scene) {
         long now = System.nanoTime();
-        if (figures == null || scene.course().over() || now < healthAt) {
+        Fleet.Group routers = scene.fleet().group(Kind.ROUTER);
+        boolean over = scene.course().over();
+        if (figures == null || now < healthAt || over && routers.capacity().spare() < 0) {
             return;
         }
-        healthAt = now + TimeUnit.MILLISECONDS.toNanos(2 * ROUND_MILLIS);
+        healthAt = now + TimeUnit.MILLISECONDS.toNanos(!over ? ROUND_MILLIS / 2
+            : Math.max(QUIET_MILLIS, routers.all().size() * QUIET_MILLIS_EACH));
+        boolean toTell = over || ++readings % READINGS_A_WORD == 0;
         try {
             String text = ReleaseTexts.of(figures.ask());
-            if (!text.equals(told)) {
+            if (toTell && !text.equals(told)) {
                 told = text;
                 store.ask(new Call.Swap(List.of(), List.of(
                     new Call.Change.Put(keys.health(part), text, lease))));
@@ -204,8 +216,9 @@
             Act act = lease == 0 ? null : driver.take(scene, lease);
             if (act == null && scene.driver().equals(me) && scene.plan() != null) {
                 Desk.View view = desk.view();
-                act = driver.due(scene, ReleaseSight.gone(scene.plan().kind(), scene.fleet(), desk, view),
-                    agreed(scene, view), System.nanoTime());
+                Absence seen = ReleaseSight.gone(scene.plan().kind(), scene.fleet(), desk, view);
+                record(scene, seen);
+                act = driver.due(scene, seen, agreed(scene, view), System.nanoTime());
                 sayWaits();
             }
             if (act != null) {
@@ -216,6 +229,22 @@
         }
     }
 
+    /** A point of the curve, if one is due; nothing that is decided rests on it. */
+    private void record(Scene scene, Absence seen) throws AgreementException {
+        long release = scene.plan().number();
+        if (scene.course().over()) {
+            return;
+        }
+        if (recorder == null || recorder.release() != release) {
+            recorder = new Recorder(keys, release, new ReleaseDesk(keys, store, me, AgentRun::now)
+                .curve(release));
+        }
+        Act point = recorder.due(scene, seen, System.currentTimeMillis());
+        if (point != null) {
+            store.ask(point.swap());
+        }
+    }
+
     /** Asked only where settings go with the release. */
     private Agreed agreed(Scene scene, Desk.View view) throws AgreementException {
         if (scene.plan().settings() == null) {
@@ -262,47 +291,4 @@
             return "interrupted";
         }
     }
-
-    /** The figures of a router, asked at its second address. */
-    private static final class Figures {
-        private static final int PATIENCE_MILLIS = 1000;
-        private final String address;
-
-        private long last;
-        private int process;
-
-        Figures(String address) {
-            this.address = address;
-        }
-
-        Sample ask() throws IOException {
-            int colon = address.lastIndexOf(':');
-            try (Socket socket = new Socket()) {
-                socket.connect(new InetSocketAddress(address.substring(0, colon),
-                    Integer.parseInt(address.substring(colon + 1))), PATIENCE_MILLIS);
-                socket.setSoTimeout(PATIENCE_MILLIS);
-                socket.getOutputStream().write("show-stat\n".getBytes(StandardCharsets.US_ASCII));
-                return sample(new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                    StandardCharsets.US_ASCII)));
-            }
-        }
-
-        /** Counters run from the start of the process: those that fall tell of another one. */
-        private Sample sample(BufferedReader lines) throws IOException {
-            long good = 0;
-            long bad = 0;
-            for (String line = lines.readLine(); line != null
-                && !line.equals("--"); line = lines.readLine()) {
-                String[] parts = line.split("[:|]");
-                if (parts.length == 3 && parts[0].contains(".answered.")) {
-                    good += Long.parseLong(parts[1]);
-                } else if (parts.length == 3 && parts[0].matches(".*\\.(deferred|errored)\\..*")) {
-                    bad += Long.parseLong(parts[1]);
-                }
-            }
-            process += good + bad < last ? 1 : 0;
-            last = good + bad;
-            return new Sample(Integer.toString(process), good, bad);
-        }
-    }
 }
--- a/src/main/java/beaconturn/cli/FeaturesFile.java
+++ b/src/main/java/beaconturn/cli/FeaturesFile.java
@@ -1,18 +1,24 @@
 package beaconturn.cli;
 
 import beaconturn.agreement.Timing;
+import beaconturn.decision.Routing;
 import beaconturn.net.Agreed;
 import beaconturn.net.ConfigException;
+import beaconturn.net.Placing;
 import beaconturn.net.RouterConfig;
 import beaconturn.net.agreement.AgreementConfig;
 import beaconturn.net.agreement.AgreementSubsystem;
+import beaconturn.net.agreement.PlacesSubsystem;
 import beaconturn.toml.Section;
 import beaconturn.toml.TomlException;
+import beaconturn.zones.Geography;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
 
 /**
  * The operators' own file, which says what is on beside the ordinary router: a section for each part, and
@@ -23,6 +29,8 @@
     private static final long SECOND = 1000 * MILLI;
     private static final long APPLY = 500 * MILLI;
     private static final int MOST_PORT = 65_535;
+    /** Up to so many thousandths count as a trial. */
+    private static final int MOST_RESERVE = Routing.Shares.TRIAL;
 
     private FeaturesFile() {
     }
@@ -33,6 +41,20 @@
         return config == null ? null : new AgreementSubsystem(config, router);
     }
 
+    /** What a router follows of decisions on places, or null where the file does not turn that on. */
+    static Placing placing(String file, RouterConfig router) throws ConfigException {
+        Features all = all(file);
+        if (all.places() == null) {
+            return null;
+        }
+        String home = router.settings().zones().get(router.settings().routing().zone());
+        if (!all.places().regions().containsKey(home)) {
+            throw new ConfigException(file + ": zones.place: there is none of the router's own zone, '" + home
+                + "'");
+        }
+        return new PlacesSubsystem(all.agreement(), all.places(), router);
+    }
+
     /** The {@code [agreement]} section, for orders that can do nothing without it. */
     static AgreementConfig required(String file) throws ConfigException {
         AgreementConfig config = read(file);
@@ -42,10 +64,50 @@
         return config;
     }
 
+    /** The {@code [zones]} section, for orders that can do nothing without it. */
+    static Geography requiredPlaces(String file) throws ConfigException {
+        Geography map = all(file).places();
+        if (map == null) {
+            throw new ConfigException(file + ": there is no [zones] section");
+        }
+        return map;
+    }
+
     /** The {@code [agreement]} section, or null where there is none. */
     static AgreementConfig read(String file) throws ConfigException {
-        return OperatorsFile.read(file,
-            all -> all.has("agreement") ? agreement(all.table("agreement")) : null);
+        return all(file).agreement();
+    }
+
+    /** All sections; null for those that are not there. */
+    record Features(AgreementConfig agreement, Geography places) { }
+
+    private static Features all(String file) throws ConfigException {
+        return OperatorsFile.read(file, all -> {
+            AgreementConfig agreement = all.has("agreement") ? agreement(all.table("agreement")) : null;
+            Section zones = all.has("zones") ? all.table("zones") : null;
+            if (zones != null && agreement == null) {
+                throw zones.wrong("", "needs the [agreement] section");
+            }
+            return new Features(agreement, zones == null ? null : places(zones));
+        });
+    }
+
+    private static Geography places(Section s) throws TomlException {
+        SortedMap<String, String> regions = new TreeMap<>();
+        for (Section place : s.tables("place")) {
+            String name = place.word("name", "");
+            if (!name.matches("[!-.0-~]{1,64}") || regions.put(name, place.word("region", "")) != null) {
+                throw place.wrong("name", "'" + name + "' is empty, odd or given twice");
+            }
+        }
+        if (regions.size() < 2) {
+            throw s.wrong("place", "at least two places are needed");
+        }
+        if (!s.has("each_per_s")) {
+            throw s.wrong("each_per_s", "missing: requests a second that one cache server carries");
+        }
+        return new Geography(regions, s.number("each_per_s", 1, 0.001, 1e9),
+            s.number("fetches_per_s", 1e9, 1, 1e9), s.whole("reserve", MOST_RESERVE, 0, MOST_RESERVE));
     }
 
     private static AgreementConfig agreement(Section s) throws TomlException {
--- a/src/main/java/beaconturn/cli/ReleaseCommand.java
+++ b/src/main/java/beaconturn/cli/ReleaseCommand.java
@@ -9,11 +9,12 @@
 @Parameters(commandNames = "release",
     commandDescription = "releases and drains over a whole fleet: fleet FILE,"
     + " plan PLAN, start PLAN, halt, resume, back, abandon, drain CACHE, undrain CACHE, lost PART, show,"
-    + " history, agent PART; example: release start plan.toml --reason \"build 41\" --features router.toml;"
+    + " history, report FILE (HTML), agent PART;"
+    + " example: release start plan.toml --reason \"build 41\" --features router.toml;"
     + " status 0: done, 1: wrong input or the store does not answer, 3: not now")
 final class ReleaseCommand implements Command {
     private static final List<String> WITH_WORD =
-        List.of("fleet", "plan", "start", "drain", "undrain", "lost", "agent");
+        List.of("fleet", "plan", "start", "drain", "undrain", "lost", "report", "agent");
     private static final List<String> WITH_REASON =
         List.of("start", "halt", "resume", "back", "abandon", "drain", "undrain", "lost");
     @Parameter(description = "ORDER [FILE or PART]")
@@ -24,7 +25,8 @@
     private String reason = "";
     @Parameter(names = "--author", description = "who, for the history; the user where not given")
     private String author = System.getProperty("user.name");
-    @Parameter(names = "--kind", description = "of a part that is lost: router or cache")
+    @Parameter(names = "--kind",
+        description = "of a part that is lost, or of the agent's: router or cache")
     private String kind = "router";
     @Parameter(names = "--wait", description = "how many seconds a drain waits until nobody sends there")
     private int wait = 30;
@@ -36,7 +38,8 @@
         + " where the part runs that variant already")
     private String apply = "";
     @Parameter(names = "--figures",
-        description = "agent: the router's second address, whose answers are counted")
+        description = "agent: the router's second address; of a cache server those of the routers that use"
+        + " it, with commas between")
     private String figures = "";
 
     @Override
@@ -56,7 +59,8 @@
                 System.err.println("release agent: --apply is missing");
                 return 2;
             }
-            return new AgentRun(features, words.get(1), apply, figures).run();
+            return new AgentRun(features, words.get(1), apply, figures.isEmpty() ? null
+                : new PartFigures(words.get(1), kind.equals("cache"), List.of(figures.split(",")))).run();
         }
         return new ReleaseRun(features, reason, author, kind, wait, json).run(order, words.get(wanted - 1));
     }
--- a/src/main/java/beaconturn/cli/ReleaseFiles.java
+++ b/src/main/java/beaconturn/cli/ReleaseFiles.java
@@ -2,6 +2,7 @@
 
 import beaconturn.agreement.Content;
 import beaconturn.net.ConfigException;
+import beaconturn.release.Bounds;
 import beaconturn.release.Fleet;
 import beaconturn.release.Kind;
 import beaconturn.release.Plan;
@@ -63,7 +64,8 @@
         }
         return new Fleet.Group(most(s, "most_out", "share_out", parts),
             most(s, "most_out_of_site", "share_out_of_site", parts), sites,
-            s.number("each_per_s", 0, 0, 1e9));
+            new Fleet.Capacity(s.number("each_per_s", 0, 0, 1e9), s.number("cores", 0, 0, 4096),
+                s.whole("spare", s.has("each_per_s") ? 1 : -1, -1, MOST_PARTS)));
     }
 
     /** A number, or the whole part of a share. */
@@ -91,6 +93,15 @@
         }
     }
 
+    private static Bounds bounds(Section all) throws TomlException {
+        Bounds usual = Bounds.USUAL;
+        return new Bounds(all.number("worse", usual.bad(), 0, 1),
+            all.number("worse_late", usual.late(), 0, 1), all.number("worse_missed", usual.missed(), 0, 1),
+            all.number("worse_avoided", usual.avoided(), 0, 1),
+            all.number("worse_memory", usual.memory(), 0, 1000),
+            all.number("worse_hits", usual.slower(), 0, 1000));
+    }
+
     /** The plan of a release; without waves the usual ones are made of the fleet. */
     static Plan plan(String file, String reason, Fleet fleet) throws ConfigException {
         return OperatorsFile.read(file, all -> {
@@ -101,7 +112,7 @@
             }
             return new Plan(0, kind, waves.isEmpty() ? Plan.usual(fleet.group(kind)) : waves,
                 all.time("soak", 60 * SECOND, 0), all.whole("samples", 200, 0, 1_000_000),
-                all.number("worse", 0.02, 0, 1), all.time("limit", 60 * SECOND, SECOND),
+                bounds(all), all.time("limit", 60 * SECOND, SECOND),
                 all.time("alone", 0, 0), reason, settings(all), "");
         });
     }
--- a/src/main/java/beaconturn/cli/ReleaseRun.java
+++ b/src/main/java/beaconturn/cli/ReleaseRun.java
@@ -11,14 +11,18 @@
 import beaconturn.net.agreement.StoreClient;
 import beaconturn.protocol.Json;
 import beaconturn.protocol.JsonWriter;
+import beaconturn.release.Bounds;
 import beaconturn.release.Fleet;
+import beaconturn.release.Forecast;
 import beaconturn.release.Kind;
 import beaconturn.release.Plan;
 import beaconturn.release.ReleaseDesk;
 import beaconturn.release.ReleaseKeys;
 import beaconturn.release.Scene;
 import beaconturn.release.Step;
-import java.util.List;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Locale;
 import java.util.Map;
 import java.util.TreeSet;
@@ -32,6 +36,7 @@
     private static final long SECOND = 1_000_000_000;
     private static final long CALL = 5 * SECOND;
     private static final long STEP_MILLIS = 100;
+    private static final double PERCENT = 100;
 
     int run(String order, String word) {
         try {
@@ -61,8 +66,10 @@
         switch (order) {
             case "fleet" -> System.out.println(desk.fleet(ReleaseFiles.fleet(word)));
             case "plan" -> {
-                Fleet fleet = desk.look().fleet();
-                plan(fleet, ReleaseFiles.plan(word, reason, fleet));
+                Scene scene = desk.look();
+                Plan plan = ReleaseFiles.plan(word, reason, scene.fleet());
+                plan(scene, plan, ReleaseSight.gone(plan.kind(), scene.fleet(), agreement, agreement.view())
+                    .out());
             }
             case "start" -> System.out.println(desk.start(ReleaseFiles.plan(word, reason,
                 desk.look().fleet())));
@@ -79,6 +86,7 @@
             case "lost" -> System.out.println(desk.giveBack(Kind.of(kind) == null ? Kind.ROUTER
                 : Kind.of(kind), word, reason));
             case "show" -> show(desk.look());
+            case "report" -> report(desk, word);
             case "history" -> desk.history().forEach(System.out::println);
             default -> {
                 System.err.println("release: unknown order '" + order + "', see 'release --help'");
@@ -154,38 +162,43 @@
     }
 
     /** What a release would do, before it is begun. */
-    private static void plan(Fleet fleet, Plan plan) throws AgreementException {
-        String objection = plan.objection(fleet);
+    private static void plan(Scene scene, Plan plan, Map<String, String> gone) throws AgreementException {
+        String objection = ReleaseDesk.objection(plan, scene);
         if (objection != null) {
             throw new AgreementException(objection);
         }
-        Fleet.Group group = fleet.group(plan.kind());
-        double whole = 0;
-        for (int i = 0; i < plan.waves().size(); i++) {
-            List<String> wave = plan.waves().get(i);
-            int rounds = rounds(group, wave);
-            whole += rounds * (plan.soak() / (double) SECOND);
-            System.out.printf(Locale.ROOT,
-                "wave %d: %s; %d at a time at most, %d rounds, %.0f s of watching%n",
-                i + 1, String.join(" ", wave), Math.min(group.mostOut(), wave.size()), rounds,
-                rounds * (plan.soak() / (double) SECOND));
+        Forecast forecast = Forecast.of(plan, scene, gone);
+        double soak = plan.soak() / (double) SECOND;
+        for (int i = 0; i < forecast.waves().size(); i++) {
+            Forecast.Wave wave = forecast.waves().get(i);
+            System.out.printf(Locale.ROOT, "wave %d: %s; %d at a time at most, %d rounds, %.0f s of watching,"
+                + " %d places left meanwhile%n", i + 1, String.join(" ", wave.parts()), wave.atOnce(),
+                wave.rounds(), wave.rounds() * soak, wave.left());
         }
         System.out.printf(Locale.ROOT, "%.0f s and the time of %d restarts at the shortest, %.0f s with each"
-            + " restart at its limit%n", whole, plan.parts().size(),
-            whole + plan.parts().size() * (plan.limit() / (double) SECOND) / group.mostOut());
+            + " restart at its limit%n", forecast.shortest(), plan.parts().size(), forecast.longest());
+        System.out.println(forecast.likely() > 0 ? String.format(Locale.ROOT, "likely %.0f s: a restart took"
+            + " %.1f s the last time, and a part has its answers after %.1f s", forecast.likely(),
+            forecast.restart(), forecast.watched())
+            : "what is likely is not known: no restart or no load was seen of late");
+        Bounds worse = plan.worse();
         System.out.printf(Locale.ROOT,
-            "goes back by itself: a part that is not ready within %.0f s; one that has"
-            + " %.1f %% more refusals and failures than the others, over %d answers%n",
-            plan.limit() / (double) SECOND, plan.worse() * 100, plan.samples());
+            "goes back by itself: a part that is not ready within %.0f s; one that over %d answers has"
+            + " %.1f %% more refusals and failures than the others, or after %.0f s %.1f %% more late"
+            + " answers,%n  %.1f %% more misses, avoids %.1f %% more of the cache servers, holds %.0f %%"
+            + " more memory, or as a cache server takes %.0f %% longer for hits%n",
+            plan.limit() / (double) SECOND, plan.samples(),
+            worse.bad() * PERCENT, soak, worse.late() * PERCENT, worse.missed() * PERCENT,
+            worse.avoided() * PERCENT, worse.memory() * PERCENT, worse.slower() * PERCENT);
     }
 
-    private static int rounds(Fleet.Group group, List<String> wave) {
-        int rounds = (wave.size() + group.mostOut() - 1) / group.mostOut();
-        for (List<String> site : group.sites().values()) {
-            int here = (int) wave.stream().filter(site::contains).count();
-            rounds = Math.max(rounds, (here + group.mostOutOfSite() - 1) / group.mostOutOfSite());
+    private static void report(ReleaseDesk desk, String file) throws AgreementException, ConfigException {
+        try {
+            Files.writeString(Path.of(file), ReleaseReport.of(desk));
+            System.out.println("written to " + file);
+        } catch (IOException e) {
+            throw new ConfigException(file + ": cannot be written: " + e.getClass().getSimpleName());
         }
-        return rounds;
     }
 
     private void show(Scene scene) {
--- a/src/main/java/beaconturn/cli/ServeCommand.java
+++ b/src/main/java/beaconturn/cli/ServeCommand.java
@@ -31,7 +31,8 @@
         try {
             RouterConfig read = config.read();
             RouterServer server = new RouterServer(read, config::readAnew, lifecycle,
-                features == null ? null : FeaturesFile.agreed(features, read));
+                features == null ? null : FeaturesFile.agreed(features, read),
+                features == null ? null : FeaturesFile.placing(features, read));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(server), "drain"));
             HangUpSignal.handle(server::reload);
             server.start();
--- a/src/main/java/beaconturn/core/Fleet.java
+++ b/src/main/java/beaconturn/core/Fleet.java
@@ -20,8 +20,10 @@
      */
     boolean byHand(long server, boolean out, boolean mayCome);
 
-    /** A cache server as the list has it; {@code bootTime} is when it started, 0 for long ago. */
-    record Listed(String name, long bootTime) { }
+    /**
+     * A cache server as the list has it, in that zone; {@code bootTime} is when it started, 0 for long ago.
+     */
+    record Listed(String name, int zone, long bootTime) { }
 
     /** What the list says of a cache server, or null if nobody has that number. */
     default Listed listed(long server) {
--- a/src/main/java/beaconturn/core/Message.java
+++ b/src/main/java/beaconturn/core/Message.java
@@ -34,6 +34,9 @@
     /** What another process of this router had learned. */
     record Begun(Learned learned) implements Message { }
 
+    /** Keys go to places by these shares from here on. */
+    record Placed(Routing.Shares shares) implements Urgent { }
+
     /** Other settings are in force from here on. */
     record Switched(Routing.Settings settings, long seed) implements Urgent { }
 }
--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -44,6 +44,8 @@
     private final RequestTable table = new RequestTable();
     private final Timers timers = new Timers();
     private final Queue<Due> pending = new ArrayDeque<>();
+    /** Where attempts are counted; empty where nobody asks. */
+    private List<Tally> tallies = List.of();
     /** The module in force last; those before it go on with the requests that were read under theirs. */
     private final Deque<Hosted> modules = new ArrayDeque<>();
 
@@ -103,6 +105,8 @@
             to.forEach(m -> deliver(m, event));
         } else if (message instanceof Message.ByHand call) {
             byHand(call);
+        } else if (message instanceof Message.Placed placed) {
+            modules.forEach(m -> deliver(m, placed.shares()));
         } else if (message instanceof Message.Begun begun) {
             deliver(modules.getLast(), new Routing.Begun(begun.learned()));
         } else if (message instanceof Message.Switched switched) {
@@ -124,6 +128,23 @@
         tally.fleet(view.listed(), view.avoided());
     }
 
+    /** From here on attempts are counted there. */
+    public void count(List<Tally> where) {
+        tallies = List.copyOf(where);
+    }
+
+    private void count(RequestTable.Entry r, Attempt a, Outcome outcome) {
+        if (!tallies.isEmpty()) {
+            Routing.Ending ending = outcome.ending();
+            long took = outcome.at() - a.sentAt();
+            boolean late = took > r.module().settings.classes().get(r.call().ask().requestClass()).aim();
+            Tally.Found found = outcome.note() == Routing.Note.HIT ? Tally.Found.HIT
+                : outcome.note() == Routing.Note.NONE ? Tally.Found.UNSAID : Tally.Found.MISS;
+            tallies.forEach(t -> t.attempt(a.server(),
+                ending == Routing.Ending.OK || ending == Routing.Ending.MISS, found, took, late));
+        }
+    }
+
     /** What the module in force makes of each cache server. */
     public Map<Fleet.Listed, Routing.Standing> standings() {
         Map<Fleet.Listed, Routing.Standing> named = new LinkedHashMap<>();
@@ -177,6 +198,7 @@
 
     private void arrived(Call call) {
         long now = clock.now();
+        tallies.forEach(Tally::arrived);
         Hosted module = of(call);
         long last = call.deadline() + module.settings.rules().answerSlack();
         RequestTable.Entry r = table.add(call, module, entry -> timers.at(last, () -> overdue(entry)));
@@ -225,6 +247,7 @@
             fleet.abort(a);
         }
         RequestTable.Entry r = table.get(a.request());
+        count(r, a, outcome);
         if (outcome.ending() == Routing.Ending.OK && !r.closed()) {
             table.close(r);
             r.call().served(outcome.answer());
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -110,6 +110,7 @@
     private final Average reportedLoad = new Average(NEWEST / 4);
     private final int loadField;
     private long[] points = new long[0];
+    private Routing.Shares shares = Routing.Shares.ANYWHERE;
     private long now;
     private long walk;
     private double retryBudget;
@@ -128,6 +129,7 @@
         this(settings, seed, now, out, !before.settings.askForList());
         boolean sameReports = settings.reportNames().equals(before.settings.reportNames());
         before.servers.forEach((id, s) -> servers.put(id, s.successor(sameReports, settings.ratingStable())));
+        shares = before.shares;
         place();
         begin(before.learned());
     }
@@ -186,6 +188,8 @@
         } else if (event instanceof Routing.ByHand call) {
             servers.computeIfAbsent(call.server(), Server::new).byHand(call.out(), call.at());
             place();
+        } else if (event instanceof Routing.Shares told) {
+            shares = told;
         } else if (event instanceof Routing.Begun begun) {
             begin(begun.learned());
         }
@@ -210,7 +214,8 @@
         boolean lateEarnsNothing = type.lateWorth() <= 0 && type.effect() == Routing.Effect.SAFE;
         // A cache that goes on with what earns nothing is late for the next; not so where caches fetch.
         boolean cutAtAim = aside && lateEarnsNothing;
-        long ask = sameAsk(e);
+        // What a client's next try has in common with its last: it comes back to the router that gave it up.
+        long ask = Hash.mix(e.key() ^ Hash.mix(e.tenant() * 64L + e.requestClass()));
         Long before = e.clientRetry() ? givenUp.remove(ask) : null;
         long aimEnds = before == null ? now + type.aim() : Math.min(before, now + type.aim());
         Request r = new Request(e, type, now, aimEnds, ask, overQuota(e.tenant()), cutAtAim);
@@ -230,11 +235,6 @@
         }
     }
 
-    /** What a client's next try has in common with its last: it comes back to the router that gave it up. */
-    private static long sameAsk(Routing.Arrival e) {
-        return Hash.mix(e.key() ^ Hash.mix(e.tenant() * 64L + e.requestClass()));
-    }
-
     private void attemptClosed(Routing.AttemptClosed e) {
         Request r = requests.get(e.request());
         if (r == null || e.attempt() >= r.attempts.size() || !r.attempts.get(e.attempt()).open) {
@@ -320,12 +320,17 @@
 
     // ---- ordinary path: ring, bounded loads, clockwise walk
 
-    /** The home cache of the key, or the next one clockwise that is under its cap; all full: least loaded. */
     private Server pick(Request r) {
+        boolean tries = r.attempts.isEmpty() && r.type.effect() == Routing.Effect.SAFE;
+        return shares.first(r.hash, tries, place -> pick(r, place));
+    }
+
+    /** The home cache of the key, or the next one clockwise that is under its cap; all full: least loaded. */
+    private Server pick(Request r, int place) {
         if (points.length == 0) {
             buildRing();
         }
-        int cap = cap(all.inFlight, ring.size(), epsilon);
+        int cap = cap(all.inFlight, Server.over(ring, shares), epsilon);
         int found = Arrays.binarySearch(points, r.hash & -0x10000L);
         int start = found >= 0 ? found : -found - 1;
         Server leastLoaded = null;
@@ -340,15 +345,15 @@
             }
             s.walk = walk;
             seen++;
-            if (!legal(r, s) || r.tried(s) || !coldBudgetLeft(s)) {
+            if (place >= 0 && s.zone != place || !legal(r, s) || r.tried(s) || !coldBudgetLeft(s)) {
                 continue;
             }
             if (passedOver(s, r) || !mayDial && now >= s.openUntil && s.dialFails(now, may.connIdle())) {
-                lastResort = lessLoaded(lastResort, s);
+                lastResort = Server.lessLoaded(lastResort, s);
             } else if (s.inFlight < cap && !crowded(s) && skip-- <= 0) {
                 return s;
             } else {
-                leastLoaded = lessLoaded(leastLoaded, s);
+                leastLoaded = Server.lessLoaded(leastLoaded, s);
             }
         }
         return leastLoaded != null ? leastLoaded : lastResort;
@@ -364,7 +369,7 @@
         boolean full = origin.slowness.now < BUSY && s.reported > REPORTED * (reportedLoad.mean + 1)
             && now - s.reportedAt < REPORT_MEMORY * smoothing();
         double even = (double) LEAST_CAP / settings.routers();
-        double mean = aside ? 0 : all.settle(now, smoothing()) / ring.size();
+        double mean = aside ? 0 : all.settle(now, smoothing()) / Server.over(ring, shares);
         return full || s.inFlight > 0 && s.settle(now, smoothing()) > (1 + epsilon) * Math.max(even, mean);
     }
 
@@ -389,10 +394,6 @@
         return SMOOTHING * (answerTime.mean + 1);
     }
 
-    private static Server lessLoaded(Server a, Server b) {
-        return a == null || b.inFlight < a.inFlight ? b : a;
-    }
-
     /** The most a cache may hold when one more request joins {@code total} in flight on {@code n} caches. */
     static int cap(int total, int n, double epsilon) {
         return Math.max(LEAST_CAP, (int) Math.ceil((1 + epsilon) * (total + 1) / Math.max(1, n)));
@@ -747,7 +748,7 @@
     private void askOrigin(Request r, Server cache) {
         Server s = cache;
         for (int i = 0; cache == null && i < origins.size(); i++) {
-            s = lessLoaded(s, origins.get(i));
+            s = Server.lessLoaded(s, origins.get(i));
         }
         if (s == null || noRoomToSpare(r, origin)) {
             giveUp(r);
--- a/src/main/java/beaconturn/decision/Routing.java
+++ b/src/main/java/beaconturn/decision/Routing.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.function.IntFunction;
 
 /**
  * The whole interface of the decision module: what it is told at start, what happens to it, and what it
@@ -88,7 +89,55 @@
 
     /** Everything that can happen to a router. */
     public sealed interface Event permits ServerList, Arrival, FirstByte, AttemptClosed, Withdrawn, Timer,
-            Probed, PeerMessage, ByHand, Begun { }
+            Probed, PeerMessage, ByHand, Begun, Shares { }
+
+    /**
+     * Which places keys may go to: of {@link #WHOLE} parts of all, by their hash, so many to each, in this
+     * order, the router's own first; what is missing to the whole goes nowhere. Parts up to {@link #TRIAL}
+     * are trials. A place that has no server for a key leaves it to the router's own, and to another only
+     * if {@code overflow}.
+     */
+    public record Shares(List<Integer> places, List<Integer> parts, boolean overflow) implements Event {
+        /** All keys. */
+        public static final int WHOLE = 1000;
+        /**
+         * Up to so many parts are trials: nothing that must not be repeated goes by them, if there is
+         * another way.
+         */
+        public static final int TRIAL = 50;
+        /** Any place, by the ring alone. */
+        public static final Shares ANYWHERE = new Shares(List.of(), List.of(), true);
+
+        /** Whether more than trials go there. */
+        boolean uses(int place) {
+            return places.isEmpty() || places.contains(place) && parts.get(places.indexOf(place)) > TRIAL;
+        }
+
+        /**
+         * What is found in the first place for that hash that has it, or null; place -1 stands for all of
+         * them.
+         */
+        <T> T first(long hash, boolean tries, IntFunction<T> in) {
+            if (places.isEmpty()) {
+                return in.apply(-1);
+            }
+            int at = (int) Long.remainderUnsigned(Hash.mix(~hash), WHOLE);
+            int chosen = 0;
+            while (chosen < parts.size() && at >= parts.get(chosen)) {
+                at -= parts.get(chosen++);
+            }
+            if (chosen == parts.size()) {
+                return null;
+            }
+            boolean trial = parts.get(chosen) <= TRIAL;
+            T found = trial && !tries ? null : in.apply(places.get(chosen));
+            for (int i = 0; found == null && i < parts.size(); i++) {
+                found = i != chosen && parts.get(i) > TRIAL && (i == 0 || overflow || trial)
+                    ? in.apply(places.get(i)) : null;
+            }
+            return found == null && trial && !tries ? in.apply(places.get(chosen)) : found;
+        }
+    }
 
     /** What a router that this one follows had learned; comes before any request. */
     public record Begun(Learned learned) implements Event { }
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -132,6 +132,16 @@
         return health == Routing.Health.READY && !out;
     }
 
+    /** How many of them get more than trials. */
+    static int over(Collection<Server> all, Routing.Shares shares) {
+        return shares.places().isEmpty() ? all.size()
+            : (int) Math.max(1, all.stream().filter(s -> shares.uses(s.zone)).count());
+    }
+
+    static Server lessLoaded(Server a, Server b) {
+        return a == null || b.inFlight < a.inFlight ? b : a;
+    }
+
     /** What is made of these, by id; {@code cold} tells which still warm up. */
     static Routing.View view(Collection<Server> all, Predicate<Server> cold) {
         SortedMap<Long, Routing.Standing> by = new TreeMap<>();
--- a/src/main/java/beaconturn/ledger/Entry.java
+++ b/src/main/java/beaconturn/ledger/Entry.java
@@ -120,9 +120,11 @@
 
     /**
      * A version was proposed or came into force, as the store saw it; it holds these servers out and allows
-     * so many sends for a request, 0 where it does not say.
+     * so many sends for a request, 0 where it does not say; of the {@code unsafe} classes nothing is to be
+     * repeated, and if it {@code lists}, nobody is to act on a list before the one of when it was proposed.
      */
-    record Versioned(long at, long number, Step step, Set<String> out, int mostTries) implements Entry { }
+    record Versioned(long at, long number, Step step, Set<String> out, int mostTries, Set<String> unsafe,
+            boolean lists) implements Entry { }
 
     /** A stand-in could not read what a router sent. */
     record Unreadable(long at, String server, int router, String why) implements Entry { }
--- a/src/main/java/beaconturn/ledger/NoContradiction.java
+++ b/src/main/java/beaconturn/ledger/NoContradiction.java
@@ -8,12 +8,14 @@
 /**
  * No two routers act on contradicting versions for longer than the stated time. What shows at cache
  * servers is which of them is sent to: of two versions that follow each other, a server that only the
- * earlier allows, and one that only the later allows, and sends beyond the number that the later allows.
+ * earlier allows, and one that only the later allows; sends beyond the number that the later allows; repeats
+ * of what may have run, of classes that are unsafe in one of them; and sends to what had left the list.
  * From the later version's first effect anywhere, or from when it came into force if that is earlier, the
  * earlier one's effects must end within the stated time; and before it is in force it must have none.
  */
 final class NoContradiction extends Rule {
-    private record Stage(long number, long proposed, long inForce, Set<String> out, int mostTries) { }
+    private record Stage(long number, long proposed, long inForce, Set<String> out, int mostTries,
+            Set<String> unsafe, boolean lists) { }
 
     private final List<Sign> signs = new ArrayList<>();
 
@@ -37,7 +39,8 @@
     private static List<Stage> stages(Evidence evidence) {
         int base = evidence.terms().mostTries();
         List<Stage> stages =
-            new ArrayList<>(List.of(new Stage(0, Long.MIN_VALUE, Long.MIN_VALUE, Set.of(), base)));
+            new ArrayList<>(List.of(new Stage(0, Long.MIN_VALUE, Long.MIN_VALUE, Set.of(), base, Set.of(),
+                false)));
         long last = 0;
         for (Entry.Versioned v : evidence.all(Entry.Versioned.class)) {
             int tries = v.mostTries() == 0 ? base : v.mostTries();
@@ -47,24 +50,25 @@
                 if (last > 0 && stages.get(stages.size() - 1).inForce() == Long.MAX_VALUE) {
                     stages.remove(stages.size() - 1);
                 }
-                stages.add(new Stage(v.number(), v.at(), Long.MAX_VALUE, v.out(), tries));
+                stages.add(new Stage(v.number(), v.at(), Long.MAX_VALUE, v.out(), tries, v.unsafe(),
+                    v.lists()));
                 last = v.number();
             } else if (v.number() == last) {
                 Stage proposed = stages.remove(stages.size() - 1);
-                stages.add(new Stage(last, proposed.proposed(), v.at(), v.out(), tries));
+                stages.add(new Stage(last, proposed.proposed(), v.at(), v.out(), tries, v.unsafe(),
+                    v.lists()));
             }
         }
         return stages;
     }
 
     private void compare(Evidence evidence, Stage before, Stage after, long until) {
-        Set<String> onlyBefore = new TreeSet<>(after.out());
-        onlyBefore.removeAll(before.out());
         Set<String> onlyAfter = new TreeSet<>(before.out());
         onlyAfter.removeAll(after.out());
         Entry.Sent first = null;
         signs.clear();
         for (Evidence.Case one : evidence.cases()) {
+            String type = one.asked() == null ? "" : one.asked().type();
             int tries = 0;
             for (Entry.Sent sent : one.sends()) {
                 tries++;
@@ -75,20 +79,62 @@
                 if (!member.on()) {
                     continue;
                 }
-                if (onlyAfter.contains(sent.server()) && !fresh(evidence, sent, member.at())) {
+                boolean allowedByAfter = onlyAfter.contains(sent.server()) || before.unsafe().contains(type)
+                    && !after.unsafe().contains(type) && repeats(evidence, one, sent);
+                if (allowedByAfter && !fresh(evidence, sent, member.at())) {
                     first = first == null || sent.firstAt() < first.firstAt() ? sent : first;
                     ahead(sent, after);
                 }
-                if (onlyBefore.contains(sent.server())) {
-                    signs.add(new Sign(sent, member.at(), ""));
-                } else if (tries > after.mostTries() && tries <= before.mostTries()) {
-                    signs.add(new Sign(sent, member.at(), " with send " + tries + " of a request"));
+                String older = older(evidence, before, after, one, sent, tries);
+                if (older != null) {
+                    signs.add(new Sign(sent, member.at(), older));
                 }
             }
         }
         late(evidence, before, after, first);
     }
 
+    /** What of a send only the earlier version allows, in words, or null. */
+    private String older(Evidence evidence, Stage before, Stage after, Evidence.Case one, Entry.Sent sent,
+            int tries) {
+        String type = one.asked() == null ? "" : one.asked().type();
+        boolean unsafeNow = after.unsafe().contains(type) && !before.unsafe().contains(type);
+        if (after.out().contains(sent.server()) && !before.out().contains(sent.server())) {
+            return "";
+        }
+        if (unsafeNow && repeats(evidence, one, sent)) {
+            return " with a repeat of what is unsafe by then";
+        }
+        if (after.lists() && sent.firstAt() >= after.inForce()
+            && left(evidence, sent.server(), after.proposed())
+            && left(evidence, sent.server(), sent.firstAt())) {
+            return "'s list, of before its server left it,";
+        }
+        if (tries > after.mostTries() && tries <= before.mostTries()) {
+            return " with send " + tries + " of a request";
+        }
+        if (unsafeNow || after.lists() && sent.firstAt() >= after.inForce()) {
+            // Each send could have been a repeat, or to what had left the list.
+            check(true, sent.firstAt(), sent.id(), sent.server(), "");
+        }
+        return null;
+    }
+
+    /** Whether an earlier send of the request may have run by then. */
+    private static boolean repeats(Evidence evidence, Evidence.Case one, Entry.Sent sent) {
+        return one.sends().stream().takeWhile(earlier -> earlier != sent)
+            .anyMatch(earlier -> evidence.mayHaveRun(earlier, sent.at()));
+    }
+
+    /** Whether discovery had the server as draining or gone at that time. */
+    private static boolean left(Evidence evidence, String server, long at) {
+        Entry.State state = Entry.State.READY;
+        for (Entry.Listed change : evidence.all(Entry.Listed.class)) {
+            state = change.server().equals(server) && change.at() <= at ? change.state() : state;
+        }
+        return state != Entry.State.READY;
+    }
+
     /**
      * Whether its router was asked for its yes: one that left, or starts without a store in reach, cannot
      * know what came into force without it. From when it joins it has the stated time. Where nothing is known
--- a/src/main/java/beaconturn/net/Agreed.java
+++ b/src/main/java/beaconturn/net/Agreed.java
@@ -36,6 +36,12 @@
     /** What is to be in force now; the same object as long as nothing changes. Any thread, no wait. */
     Force due();
 
+    /** Lists before this one are not taken, by what is in force and by what was said yes to. */
+    long oldestList();
+
+    /** Discovery's list of that version has been handed to the module; any thread, no wait. */
+    void hasList(long version);
+
     /** What the module has been put under; called on its thread. */
     void applied(Force force);
 
--- a/src/main/java/beaconturn/net/CacheFleet.java
+++ b/src/main/java/beaconturn/net/CacheFleet.java
@@ -22,7 +22,7 @@
     /** How many are gone but still have attempts or connections out. */
     private int leaving;
 
-    private record Known(CacheServer actor, String host, Routing.Health health, long bootTime) { }
+    private record Known(CacheServer actor, String host, int zone, Routing.Health health, long bootTime) { }
 
     CacheFleet(CacheServer.Site site) {
         this.site = site;
@@ -94,7 +94,8 @@
             // What was connected before the restart is dead, even where the peer's end was never heard of.
             actor.closeIdle();
         }
-        servers.put(entry.server(), new Known(actor, member.host(), entry.health(), entry.bootTime()));
+        servers.put(entry.server(), new Known(actor, member.host(), entry.zone(), entry.health(),
+            entry.bootTime()));
         want(entry.server());
     }
 
@@ -121,7 +122,7 @@
     @Override
     public Listed listed(long server) {
         Known known = servers.get(server);
-        return known == null ? null : new Listed(known.host(), known.bootTime());
+        return known == null ? null : new Listed(known.host(), known.zone(), known.bootTime());
     }
 
     private CacheServer start(ListNews.Member member) {
@@ -137,7 +138,8 @@
             changes.add("cache server " + known.host() + " is gone");
             known.actor().wanted(false);
             known.actor().closeIdle();
-            servers.put(server, new Known(known.actor(), known.host(), Routing.Health.GONE, 0));
+            servers.put(server, new Known(known.actor(), known.host(), known.zone(),
+                Routing.Health.GONE, 0));
             leaving++;
         }
     }
--- a/src/main/java/beaconturn/net/ClientCall.java
+++ b/src/main/java/beaconturn/net/ClientCall.java
@@ -19,9 +19,10 @@
     private final Runnable whenOver;
 
     /**
-     * What it was read under: its class is one of the settings', and it is counted under the class's name.
+     * What it was read under: its class is one of the settings', and it is counted under the class's name; by
+     * {@code aim} it is wanted, after that it is late.
      */
-    record Reading(Routing.Settings settings, String className, Tally tally) { }
+    record Reading(Routing.Settings settings, String className, long aim, Tally tally) { }
 
     /** A call that says when it has its answer, or nobody waits for one. */
     ClientCall(Call.Ask ask, long deadline, RequestParser.Parts parts, Reading reading, Runnable whenOver) {
@@ -48,6 +49,9 @@
         if (fill(answer)) {
             reading.tally().ended(reading.className(),
                 part && how != Tally.End.ABANDONED ? Tally.End.ERRORED : how);
+            if (how == Tally.End.ANSWERED) {
+                reading.tally().served(reading.aim());
+            }
             if (part) {
                 flow().breakOff();
             }
--- a/src/main/java/beaconturn/net/Operators.java
+++ b/src/main/java/beaconturn/net/Operators.java
@@ -8,18 +8,19 @@
 import beaconturn.net.control.HandFile;
 import beaconturn.net.control.Office;
 import beaconturn.stats.Counters;
-import beaconturn.stats.Tally;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 
 /** What a router has for its operators where a second address is set; else none of it is loaded. */
 final class Operators implements Office {
     private static final long MILLI = 1_000_000;
-    private final Counters counters = new Counters();
+    private final Figures figures;
     private final Lifecycle lifecycle;
     private final Consumer<Message> module;
     private final HandFile file;
@@ -27,18 +28,19 @@
     private final Predicate<String> heldOut;
     private final Set<String> leftOut = ConcurrentHashMap.newKeySet();
 
+    /** What callers may ask for; {@code health} gives null where routers do not agree. */
+    record Figures(Counters counters, Supplier<List<Counters.Figure>> health) { }
+
     /** Binds the second address; what all routers have agreed to leave out, no call here brings back. */
     Operators(RouterConfig config, Lifecycle lifecycle, Clock clock, Consumer<Message> module,
-            Predicate<String> heldOut) throws IOException {
+            Predicate<String> heldOut, Figures figures) throws IOException {
+        this.figures = figures;
         this.heldOut = heldOut;
         this.lifecycle = lifecycle;
         this.module = module;
         this.file = new HandFile(config.kept("hand"), config.shared());
-        this.address = new ControlAddress(config.control(), this, counters, file, clock::now);
-    }
-
-    Tally tally() {
-        return counters;
+        this.address = new ControlAddress(config.control(), this, figures.counters(), file,
+            clock::now);
     }
 
     /** Answers calls from here on; what operators said before this process began is posted first. */
@@ -69,6 +71,11 @@
         };
     }
 
+    @Override
+    public List<Counters.Figure> health() {
+        return figures.health().get();
+    }
+
     @Override
     public void hand(Hand hand, boolean told, Consumer<Boolean> known) {
         if (hand.out()) {
--- a/src/main/java/beaconturn/net/RequestParser.java
+++ b/src/main/java/beaconturn/net/RequestParser.java
@@ -81,7 +81,8 @@
             throw new ProtocolException("a request of this id is open");
         }
         return new ClientCall(ask, readAt + (long) wait, new Parts(head, attributes, value),
-            new ClientCall.Reading(settings.routing(), attributes.get("c"), tally), () -> ids.close(id));
+            new ClientCall.Reading(settings.routing(), attributes.get("c"), readAt + type.aim(), tally),
+            () -> ids.close(id));
     }
 
     /** A key or an id: not empty, not endless, and of bytes that can be seen. */
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -12,13 +12,18 @@
 import beaconturn.decision.Learned;
 import beaconturn.decision.Routing;
 import beaconturn.protocol.ProtocolException;
+import beaconturn.stats.Counters;
 import beaconturn.stats.Tally;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
+import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -28,6 +33,8 @@
     private static final long MILLI = 1_000_000;
     /** After a planned stop is announced, new connections still come for up to 0.4 s. */
     private static final long ACCEPT_ON = 550 * MILLI;
+    /** So long a start waits for the list that is agreed on. */
+    private static final long LONGEST_FOR_LIST = 2_000 * MILLI;
     private static final long STEP_MILLIS = 5;
     private static final long SWEEP_MILLIS = 50;
     /** A thread for requests that are out ends when it has waited so long for the next. */
@@ -55,6 +62,8 @@
     /** Null where no second address is set. */
     private final Operators operators;
     private final Tally tally;
+    /** Null unless routers agree and a second address is set. */
+    private final HealthFigures health;
     private final ModuleActor module;
     private final ClientConnections clients;
     private final ClientPoller poller = new ClientPoller();
@@ -71,34 +80,45 @@
     private volatile Learned learned;
     /** Null where routers share nothing. */
     private final Agreed agreed;
+    /** Null where places are not decided on in common. */
+    private final Placing placing;
+    /** By what the module places keys; set by its thread. */
+    private Routing.Shares shares = Routing.Shares.ANYWHERE;
     /** What the module is under; set by its thread. */
     private volatile Agreed.Force force;
     private volatile boolean beside;
     private volatile RequestParser parser;
+    private volatile long knownList;
     private long switches;
     private final Spell turnedAway = new Spell(LOG, "new client connections are turned away", 1);
 
     /** Nothing is bound or served before {@link #start}. A reload reads from the source. */
     public RouterServer(RouterConfig config, RouterConfig.Source source, Lifecycle lifecycle)
             throws IOException {
-        this(config, source, lifecycle, Hosting.USUAL, null);
+        this(config, source, lifecycle, Hosting.USUAL, null, null);
     }
 
-    /** A router that agrees with others; {@code agreed} null means that it shares nothing. */
-    public RouterServer(RouterConfig config, RouterConfig.Source source, Lifecycle lifecycle, Agreed agreed)
-            throws IOException {
-        this(config, source, lifecycle, Hosting.USUAL, agreed);
+    /** A router that agrees with others; {@code agreed} and {@code placing} null mean that it does not. */
+    public RouterServer(RouterConfig config, RouterConfig.Source source, Lifecycle lifecycle, Agreed agreed,
+            Placing placing) throws IOException {
+        this(config, source, lifecycle, Hosting.USUAL, agreed, placing);
     }
 
     /** A router whose module may be hosted otherwise, for tests. */
     RouterServer(RouterConfig config, RouterConfig.Source source, Lifecycle lifecycle, Hosting hosting,
-            Agreed agreed) throws IOException {
+            Agreed agreed, Placing placing) throws IOException {
         this.config = config;
         this.agreed = agreed;
+        this.placing = placing;
         this.lifecycle = lifecycle;
-        this.operators = config.control() == null ? null
-            : new Operators(config, lifecycle, clock, this::post, this::heldOut);
-        this.tally = operators == null ? Tally.NONE : operators.tally();
+        this.health = config.control() == null || agreed == null ? null : new HealthFigures(clock::now,
+            this::connections, this::mostConnections);
+        Counters counters = config.control() == null ? null
+            : health == null ? new Counters() : health.counters();
+        this.operators = counters == null ? null
+            : new Operators(config, lifecycle, clock, this::post, this::heldOut,
+                new Operators.Figures(counters, health == null ? () -> null : health::read));
+        this.tally = counters == null ? Tally.NONE : counters;
         this.module = new ModuleActor(
             operators == null && !config.shared() && agreed == null ? null : this::look,
             agreed == null ? null : this::agree);
@@ -112,8 +132,10 @@
         this.site = new ClientConnection.Site(() -> parser, clock, lifecycle,
             inbox, poller, new OpenIds(), new Semaphore(capacity.largeRequests()), clients::remove);
         this.discovery = new Discovery(config.discovery(), new ListReader(config.settings()),
-            config.known().version(), inbox, agreed == null ? () -> 0 : () -> agreed.due().oldestList(),
-            WatchTimes.of(config.seed()));
+            config.known().version(), agreed == null ? inbox : m -> {
+                inbox.accept(m);
+                noteList(m);
+            }, agreed == null ? () -> 0 : agreed::oldestList, WatchTimes.of(config.seed()));
         this.reloads = new Reloads(source, discovery, config, module::post, this::follow, tally,
             agreed != null);
         Routing.Settings routing = config.settings().routing();
@@ -123,7 +145,38 @@
             places, new ReplyReader(routing), routing.permissions().connectTimeout(), idleTime, tally,
             cacheActors, new Workers("cache", KEEP_THREAD),
             agreed == null ? () -> true : agreed::mayWrite));
-        module.host(hosting.host(config, clock, fleet, discovery));
+        ModuleHost host = hosting.host(config, clock, fleet, discovery);
+        host.count(Stream.of(health == null ? null : health.counters(),
+            (Tally) placing).filter(Objects::nonNull)
+            .toList());
+        module.host(host);
+    }
+
+    private void noteList(Message message) {
+        if (message instanceof Message.News news && news.news().kind() != Routing.ListKind.FAILED) {
+            knownList = news.news().version();
+            agreed.hasList(knownList);
+        }
+    }
+
+    /** The list that it was started with may be older than what all act on by now. */
+    private void awaitList() {
+        long until = clock.now() + LONGEST_FOR_LIST;
+        while (agreed.due().oldestList() > knownList && clock.now() < until) {
+            LockSupport.parkNanos(STEP_MILLIS * MILLI);
+        }
+        if (agreed.due().oldestList() > knownList) {
+            LOG.warning("list " + knownList + " is older than what is agreed on, " + agreed.due().oldestList()
+                + ", and discovery tells no newer one: serves on it");
+        }
+    }
+
+    private int connections() {
+        return clients.count();
+    }
+
+    private int mostConnections() {
+        return capacity().clients();
     }
 
     private Capacity capacity() {
@@ -134,7 +187,14 @@
     private void look(ModuleHost host) {
         host.tell(tally);
         if (agreed != null) {
-            agreed.sees(host.standings());
+            Map<Fleet.Listed, Routing.Standing> standings = host.standings();
+            agreed.sees(standings);
+            if (health != null) {
+                health.knows(standings.keySet());
+            }
+            if (placing != null) {
+                placing.sees(standings);
+            }
         }
         if (beside) {
             learned = host.learned();
@@ -143,6 +203,11 @@
 
     /** On the module's thread, before each step: what was agreed on may have changed, or its lease ended. */
     private void agree(ModuleHost host) {
+        Routing.Shares placed = placing == null ? shares : placing.due();
+        if (placed != shares) {
+            shares = placed;
+            host.handle(new Message.Placed(placed));
+        }
         Agreed.Force due = agreed.due();
         if (due == force) {
             return;
@@ -198,9 +263,16 @@
         warmUp();
         if (agreed != null) {
             Threads.start("agreement", agreed);
+            if (placing != null) {
+                Threads.start("places", placing);
+            }
         }
         cacheActors.start();
-        module.begin(new Message.News(config.known()));
+        Message.News known = new Message.News(config.known());
+        if (agreed != null) {
+            noteList(known);
+        }
+        module.begin(known);
         Learned left = neighbour == null ? null : neighbour.left();
         if (left != null) {
             module.begin(new Message.Begun(left));
@@ -212,6 +284,7 @@
         Threads.start("sweeper", this::sweep);
         if (agreed != null) {
             agreed.awaitFirst();
+            awaitList();
         }
         lifecycle.advance(Lifecycle.Phase.SERVING);
         if (lifecycle.phase() != Lifecycle.Phase.SERVING) {
@@ -263,6 +336,9 @@
         }
         LOG.info("drained in " + (clock.now() - began) / MILLI + " ms, " + module.open() + " unanswered");
         module.stop();
+        if (placing != null) {
+            placing.leave();
+        }
         if (agreed != null) {
             agreed.leave();
         }
--- a/src/main/java/beaconturn/net/agreement/AgreementSubsystem.java
+++ b/src/main/java/beaconturn/net/agreement/AgreementSubsystem.java
@@ -39,6 +39,7 @@
     private volatile Force applied;
     private volatile boolean stopped;
     private volatile Sight sight;
+    private volatile long list = Long.MIN_VALUE;
     private long sightDue = Long.MIN_VALUE;
     /** Set once, guarded by this. */
     private volatile boolean asked;
@@ -180,6 +181,22 @@
         return Rules.objection(configured, content);
     }
 
+    @Override
+    public boolean ready(Content content) {
+        return list >= content.oldestList();
+    }
+
+    @Override
+    public long oldestList() {
+        Forces now = forces;
+        return Math.max(now.held().oldestList(), now.after().oldestList());
+    }
+
+    @Override
+    public void hasList(long version) {
+        list = version;
+    }
+
     @Override
     public Force due() {
         Forces now = forces;
--- a/src/main/java/beaconturn/net/control/Call.java
+++ b/src/main/java/beaconturn/net/control/Call.java
@@ -4,6 +4,7 @@
 record Call(String name, String id) {
     static final String READY = "ready";
     static final String FIGURES = "show-stat";
+    static final String HEALTH = "show-health";
     static final String OUT = "disable-server";
     static final String BACK = "enable-server";
     private static final int LONGEST_ID = 128;
@@ -21,7 +22,8 @@
     static Call of(String line) throws Wrong {
         String[] words = line.strip().split("[ \t]+");
         boolean needsId = words[0].equals(OUT) || words[0].equals(BACK);
-        if (!needsId && !words[0].equals(READY) && !words[0].equals(FIGURES)) {
+        if (!needsId && !words[0].equals(READY) && !words[0].equals(FIGURES)
+                && !words[0].equals(HEALTH)) {
             throw new Wrong("no such call");
         }
         if (words.length < (needsId ? 2 : 1)) {
--- a/src/main/java/beaconturn/net/control/ControlAddress.java
+++ b/src/main/java/beaconturn/net/control/ControlAddress.java
@@ -165,7 +165,11 @@
             Call call = Call.of(text);
             switch (call.name()) {
                 case Call.READY -> ready(office.notReady());
-                case Call.FIGURES -> answer(figures());
+                case Call.FIGURES -> answer(lines(counters.read()));
+                case Call.HEALTH -> {
+                    List<Counters.Figure> health = office.health();
+                    answer(health == null ? "NAK no such call" : lines(health));
+                }
                 default -> hand(new Hand(call.id(), call.name().equals(Call.OUT),
                     System.currentTimeMillis()));
             }
@@ -228,9 +232,9 @@
      * The figures as lines of StatsD: name, value and whether it is a count or a gauge; then the end's
      * mark.
      */
-    private String figures() {
+    private static String lines(List<Counters.Figure> figures) {
         StringBuilder text = new StringBuilder();
-        for (Counters.Figure f : counters.read()) {
+        for (Counters.Figure f : figures) {
             text.append("app.").append(f.name()).append(':').append(f.value())
                 .append(f.level() ? "|g\n" : "|c\n");
         }
--- a/src/main/java/beaconturn/rehearsal/CacheSeat.java
+++ b/src/main/java/beaconturn/rehearsal/CacheSeat.java
@@ -13,6 +13,7 @@
     /** From the end of a process to the begin of the next. */
     private static final long RESTART_MILLIS = 100;
     private static final double NOTHING_WORKS = 1;
+    private static final double SLOWER = 4;
     private final Scenario scenario;
     private final String name;
     private final int place;
@@ -50,6 +51,7 @@
             world.end(Fault.Kind.KILL, place);
             switch (harm) {
                 case MUTE -> world.begin(Fault.Kind.STALL, place, 0);
+                case SLOWS -> world.begin(Fault.Kind.SLOW, place, SLOWER);
                 case REFUSES -> world.begin(Fault.Kind.ERRORS, place, NOTHING_WORKS);
                 default -> { }
             }
--- a/src/main/java/beaconturn/rehearsal/Explained.java
+++ b/src/main/java/beaconturn/rehearsal/Explained.java
@@ -24,7 +24,7 @@
         s.types().forEach(e::type);
         for (Scenario.RouterSpec r : s.routers()) {
             e.head("[[router]]").line("name", text(r.name())).line("memory_mb", r.memoryMb())
-                .line("sockets", r.sockets()).line("site", text(r.site()));
+                .line("sockets", r.sockets()).line("site", text(r.site())).line("lacks", words(r.lacks()));
             if (r.clockOff() != 0) {
                 e.line(r.clockOff() > 0 ? "clock_fast" : "clock_slow", time(Math.abs(r.clockOff())));
             }
@@ -38,7 +38,8 @@
         for (Scenario.VersionSpec v : s.versions()) {
             e.head("[[version]]").cue("after", v.after()).line("at", time(v.at()))
                 .line("reason", text(v.reason()))
-                .line("out", words(v.out())).line("most_tries", v.mostTries());
+                .line("out", words(v.out())).line("most_tries", v.mostTries())
+                .line("unsafe", words(v.unsafe())).line("newest_list", v.newest()).line("dies", v.dies());
         }
         e.release(s);
         return e.out.toString();
@@ -52,7 +53,8 @@
                 .line("most_out_of_site", r.mostOutOfSite()).line("soak", time(r.soak()))
                 .line("samples", r.samples()).line("worse", r.worse()).line("limit", time(r.limit()))
                 .line("alone", time(r.alone())).line("harm", text(lower(r.harm())))
-                .line("most_tries", r.mostTries());
+                .line("spare", r.spare()).line("cores", r.cores())
+                .line("worse_missed", r.worseMissed()).line("most_tries", r.mostTries());
             r.waves().forEach(wave -> head("[[release.wave]]").line("parts", words(wave)));
         }
         for (Scenario.OrderSpec o : s.orders()) {
--- a/src/main/java/beaconturn/rehearsal/FleetParts.java
+++ b/src/main/java/beaconturn/rehearsal/FleetParts.java
@@ -1,6 +1,7 @@
 package beaconturn.rehearsal;
 
 import beaconturn.agreement.AgreementException;
+import beaconturn.agreement.Effect;
 import beaconturn.agreement.Keys;
 import beaconturn.agreement.Seat;
 import beaconturn.agreement.Texts;
@@ -9,6 +10,7 @@
 import beaconturn.ledger.Account;
 import beaconturn.ledger.Entry;
 import beaconturn.rehearsal.fleet.AgentProcess;
+import beaconturn.rehearsal.fleet.Children;
 import beaconturn.rehearsal.fleet.Hand;
 import beaconturn.rehearsal.fleet.Link;
 import beaconturn.rehearsal.fleet.StoreProcess;
@@ -29,7 +31,9 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import java.util.function.Predicate;
+import java.util.stream.Collectors;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -45,12 +49,15 @@
     private static final long AGENTS_START = 30_000_000_000L;
     private static final long LOOK_MILLIS = 20;
     private static final long MILLI = 1_000_000;
+    private static final long SECOND = 1000 * MILLI;
     private final Scenario scenario;
     private final RouterLauncher launcher;
     private final Path folder;
     private final Clock clock;
     private final Account account;
     private final StoreProcess store;
+    /** The version of the list that discovery has now. */
+    private final LongSupplier newestList;
     private final List<Link> toStore = new ArrayList<>();
     private final List<Link> toDiscovery = new ArrayList<>();
     /** For each router one for each cache server; empty where no fault needs them. */
@@ -75,6 +82,7 @@
         this.folder = folder;
         this.clock = clock;
         this.account = account;
+        this.newestList = () -> surroundings.ask(() -> surroundings.world().discovery().version());
         this.store = new StoreProcess(launcher.command(List.of("store-stand-in", "--port", "0", "--log",
             folder.resolve("store.log").toString())), folder.resolve("store.log"));
         for (int i = 0; i < scenario.routers().size(); i++) {
@@ -107,7 +115,8 @@
     }
 
     private void group(StringBuilder out, String kind, int mostOut, int mostOutOfSite, List<String> parts) {
-        out.append("[" + kind + "]\nmost_out = " + mostOut + "\nmost_out_of_site = " + mostOutOfSite + "\n");
+        out.append("[" + kind + "]\nmost_out = " + mostOut + "\nmost_out_of_site = " + mostOutOfSite
+            + "\nspare = " + scenario.release().spare() + "\ncores = " + scenario.release().cores() + "\n");
         for (String site : scenario.fleet().sites()) {
             List<String> here = parts.stream().filter(p -> scenario.siteOf(p).equals(site)).toList();
             if (!here.isEmpty()) {
@@ -137,9 +146,10 @@
             boolean cache = scenario.release().caches();
             List<String> words = new ArrayList<>(List.of("release", "agent", name, "--features",
                 featuresOf(cache ? "operator" : name).toString(), "--apply", hand.command()));
-            if (!cache) {
-                words.addAll(List.of("--figures", "127.0.0.1:" + controls.get(i).getPort()));
-            }
+            // A router is asked itself, a cache server at all routers.
+            List<InetSocketAddress> asked = cache ? controls : controls.subList(i, i + 1);
+            words.addAll(List.of("--figures", asked.stream().map(a -> "127.0.0.1:" + a.getPort())
+                .collect(Collectors.joining(",")), "--kind", cache ? "cache" : "router"));
             agents.add(new AgentProcess(launcher.command(words), folder.resolve(name + ".agent.log")));
             agents.get(i).start();
         }
@@ -183,7 +193,8 @@
         try {
             StringBuilder plan = new StringBuilder("kind = \"" + (r.caches() ? "cache" : "router")
                 + "\"\nsoak = \"" + r.soak() / MILLI + "ms\"\nsamples = "
-                + r.samples() + "\nworse = " + r.worse() + "\nlimit = \"" + r.limit() / MILLI
+                + r.samples() + "\nworse = " + r.worse() + "\nworse_missed = " + r.worseMissed()
+                    + "\nlimit = \"" + r.limit() / MILLI
                 + "ms\"\nalone = \"" + r.alone() / MILLI + "ms\"\n");
             if (r.mostTries() > 0) {
                 Path settings = folder.resolve("settings.toml");
@@ -227,8 +238,7 @@
     private String operator(String reason, String... words) {
         try {
             List<String> all = new ArrayList<>(List.of(words));
-            all.addAll(List.of("--reason", reason, "--author", "rehearsal", "--features",
-                featuresOf("operator").toString()));
+            all.addAll(asOperator(reason));
             String said = command(all);
             synchronized (this) {
                 Files.writeString(folder.resolve("operator.log"), said, StandardOpenOption.CREATE,
@@ -318,22 +328,57 @@
     void propose(int number, Scenario.VersionSpec version) {
         try {
             Path file = folder.resolve("version-" + number + ".toml");
-            Files.writeString(file, (version.mostTries() > 0 ? "[settings]\nmost_tries = "
+            StringBuilder content = new StringBuilder();
+            version.unsafe().forEach(name ->
+                content.append("[[class]]\nname = \"" + name + "\"\neffect = \"unsafe\"\n"));
+            Files.writeString(file, content + (version.mostTries() > 0 ? "[settings]\nmost_tries = "
                 + version.mostTries() + "\n" : "") + "[list]\nout = " + Explained.words(version.out())
-                    + "\n");
-            inBackground(() -> proposed(file, version.reason()));
+                + (version.newest() ? "\noldest = " + newestList.getAsLong() : "") + "\n");
+            inBackground(() -> proposed(number, file, version));
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
-    private void proposed(Path file, String reason) {
+    private void proposed(int number, Path file, Scenario.VersionSpec version) {
+        if (version.dies()) {
+            dies(number, file, version.reason());
+            return;
+        }
         String said = "";
         for (int tries = 0; tries < MOST_TRIES && !said.contains("is proposed\n"); tries++) {
-            said = operator(reason, "agreement", "propose", file.toString());
+            said = operator(version.reason(), "agreement", "propose", file.toString());
+        }
+    }
+
+    /** The command is killed as soon as the store has what it proposes, whatever it still wanted to do. */
+    private void dies(int number, Path file, String reason) {
+        try {
+            List<String> words = new ArrayList<>(List.of("agreement", "propose", file.toString(), "--wait",
+                Integer.toString(COMMAND_SECONDS)));
+            words.addAll(asOperator(reason));
+            Process process = Children.start(new ProcessBuilder(launcher.command(words))
+                .redirectErrorStream(true)
+                .redirectOutput(folder.resolve("proposal-" + number + ".log").toFile()));
+            long until = clock.now() + COMMAND_SECONDS * SECOND;
+            String proposed = FLEET + "/history/" + String.format("%09d", number) + " ";
+            while (process.isAlive() && clock.now() < until
+                    && !Files.readString(folder.resolve("store.log")).contains(proposed)) {
+                Thread.sleep(1);
+            }
+            process.destroyForcibly().waitFor();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
+    private List<String> asOperator(String reason) {
+        return List.of("--reason", reason, "--author", "rehearsal", "--features",
+            featuresOf("operator").toString());
+    }
+
     private String command(List<String> words) throws IOException, InterruptedException {
         Process process = new ProcessBuilder(launcher.command(words)).redirectErrorStream(true).start();
         String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
@@ -394,9 +439,9 @@
     }
 
     /** Whether a router reaches the cache servers; nothing where no links lead there. */
-    void reachesCaches(int router, boolean on) {
+    void reachesCaches(int router, Link.State state, long amount) {
         if (!toCaches.isEmpty()) {
-            toCaches.get(router).forEach(link -> link.become(on ? Link.State.OPEN : Link.State.CUT, 0));
+            toCaches.get(router).forEach(link -> link.become(state, amount));
         }
     }
 
@@ -539,7 +584,10 @@
         came.putIfAbsent(new Cue(what, version.number(), ""), at);
         account.add(new Entry.Versioned(at, version.number(), what == Cue.What.PROPOSED
             ? Entry.Step.PROPOSED : Entry.Step.IN_FORCE, version.content().out(),
-            version.content().mostTries() == null ? 0 : version.content().mostTries()));
+            version.content().mostTries() == null ? 0 : version.content().mostTries(),
+            version.content().classes().entrySet().stream()
+                .filter(c -> c.getValue().effect() == Effect.UNSAFE).map(Map.Entry::getKey)
+                .collect(Collectors.toSet()), version.content().oldestList() > 0));
     }
 
     /** What became of each version, once all commands have ended. */
--- a/src/main/java/beaconturn/rehearsal/HtmlReport.java
+++ b/src/main/java/beaconturn/rehearsal/HtmlReport.java
@@ -3,28 +3,21 @@
 import beaconturn.ledger.Absences;
 import beaconturn.ledger.Entry;
 import beaconturn.ledger.Verdict;
+import beaconturn.report.Chart;
+import beaconturn.report.Page;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 
 /**
- * A report as one page without scripts or other files: the rules, the classes, and a picture of what was
- * served beside what was out, second by second.
+ * A report as a page: the rules, the classes, and a picture of what was served beside what was out, second by
+ * second.
  */
 final class HtmlReport {
     private static final double SECOND = 1e9;
-    private static final int WIDTH = 900;
-    private static final int HEIGHT = 160;
-    private static final int LEFT = 60;
-    private static final int GAP = 50;
-    private static final int ROW = 14;
-    private static final String STYLE = "body{font:14px sans-serif;margin:2em;max-width:70em}"
-        + "td,th{padding:2px 10px;text-align:left}.broken{color:#b00;font-weight:bold}"
-        + "svg text{font:11px sans-serif}";
     private final Report report;
     private final int seconds;
-    private final StringBuilder out = new StringBuilder();
 
     private HtmlReport(Report report) {
         this.report = report;
@@ -38,65 +31,50 @@
 
     private String page() {
         Scenario s = report.scenario();
-        out.append("<!DOCTYPE html><html lang=\"en\"><meta charset=\"utf-8\"><title>")
-            .append(safe(s.name())).append("</title><style>").append(STYLE).append("</style><h1>")
-            .append(safe(s.name())).append("</h1><p>").append(safe(s.about())).append("</p>");
-        out.append(String.format(Locale.ROOT, "<p>%s; seed %d, %.0f s.</p>", report.held() ? "Every rule held"
-            : "<span class=\"broken\">A rule was broken</span>", s.seed(), s.length() / SECOND));
-        picture();
-        rules();
-        classes();
-        return out.append("</html>\n").toString();
-    }
-
-    private double x(double second) {
-        return LEFT + Math.max(0, Math.min(seconds, second)) * WIDTH / Math.max(1, seconds);
+        Page page = new Page(s.name()).text(s.about());
+        String play = String.format(Locale.ROOT, "seed %d, %.0f s.", s.seed(), s.length() / SECOND);
+        if (report.held()) {
+            page.text("Every rule held; " + play);
+        } else {
+            page.warning("A rule was broken; " + play);
+        }
+        page.chart(picture());
+        rules(page);
+        classes(page);
+        return page.html();
     }
 
     private double second(long at) {
         return (at - report.start()) / SECOND;
     }
 
-    private void picture() {
+    private Chart picture() {
+        Chart chart = new Chart(seconds, "served of what was wanted in each second, in %",
+            "out: blue by a step or an operator, orange by itself");
+        served(chart);
         long end = report.start() + report.scenario().length();
         List<Absences.Gone> gone = Absences.of(report.scenario().terms(0), report.entries()).stream()
             .filter(g -> g.from() < end && g.to() > report.start()).toList();
-        List<String> parts = gone.isEmpty() ? List.of() : report.scenario().parts().stream()
-            .filter(p -> gone.stream().anyMatch(g -> g.part().equals(p))).toList();
-        int rows = parts.size() * ROW;
-        int top = HEIGHT + GAP;
-        out.append(String.format(Locale.ROOT, "<svg width=\"%d\" height=\"%d\" role=\"img\" aria-label=\""
-            + "served share and parts that were out, by second\">", LEFT + WIDTH + GAP, top + rows + GAP));
-        served();
-        text(LEFT, ROW, "served of what was wanted in each second, in %");
-        for (int i = 0; i < parts.size(); i++) {
-            text(4, top + (i + 1) * ROW - 3, parts.get(i));
-        }
-        for (Absences.Gone g : gone) {
-            double from = x(second(g.from()));
-            double to = x(second(Math.min(g.to(), end)));
-            box(from, top + parts.indexOf(g.part()) * ROW + 2, Math.max(1, to - from), ROW - 4,
-                g.planned() ? "#48a" : "#c63");
-        }
-        if (!parts.isEmpty()) {
-            text(LEFT, top - 6, "out: blue by a step or an operator, orange by itself");
+        List<String> parts = gone.isEmpty() ? List.of() : report.scenario().parts();
+        for (String part : parts) {
+            List<Chart.Span> spans = gone.stream().filter(g -> g.part().equals(part)).map(g ->
+                new Chart.Span(second(g.from()), second(Math.min(g.to(), end)), g.planned())).toList();
+            if (!spans.isEmpty()) {
+                chart.row(new Chart.Row(part, spans));
+            }
         }
         for (Entry entry : report.entries()) {
             String says = entry instanceof Entry.Ordered o ? o.what()
                 : entry instanceof Entry.Budget b ? "budget " + b.mostOut() : "";
             if (!says.isEmpty() && second(entry.at()) >= 0) {
-                box(x(second(entry.at())), ROW + 4, 1, top + rows - ROW, "#999");
-                text(x(second(entry.at())) + 3, top + rows + ROW, says);
+                chart.mark(second(entry.at()), says);
             }
         }
-        for (int i = 0; i <= seconds; i += Math.max(1, seconds / 10)) {
-            text(x(i), top + rows + 2 * ROW + 4, i + " s");
-        }
-        out.append("</svg>");
+        return chart;
     }
 
     /** Of what clients first asked for in each second, the part that was served in the end. */
-    private void served() {
+    private void served(Chart chart) {
         Map<String, Integer> askedIn = new HashMap<>();
         double[] wanted = new double[seconds + 1];
         double[] served = new double[seconds + 1];
@@ -111,12 +89,8 @@
             }
         }
         for (int i = 0; i < seconds; i++) {
-            double share = wanted[i] == 0 ? 0 : served[i] / wanted[i];
-            double high = share * (HEIGHT - 2 * ROW);
-            box(x(i), HEIGHT - high, Math.max(1, x(i + 1) - x(i) - 1), high, share > 0.99 ? "#7b7" : "#db6");
+            chart.share(i, i + 1, wanted[i] == 0 ? 0 : served[i] / wanted[i]);
         }
-        text(LEFT - 34, 2 * ROW + 4, "100");
-        text(LEFT - 34, HEIGHT, "0");
     }
 
     /** A request's first digits are its number; a try more has the same. */
@@ -124,37 +98,22 @@
         return id.substring(0, Math.min(8, id.length()));
     }
 
-    private void box(double x, double y, double width, double height, String colour) {
-        out.append(String.format(Locale.ROOT,
-            "<rect x=\"%.1f\" y=\"%.1f\" width=\"%.1f\" height=\"%.1f\" fill=\"%s\"/>", x, y, width,
-            height, colour));
-    }
-
-    private void text(double x, double y, String words) {
-        out.append(String.format(Locale.ROOT, "<text x=\"%.1f\" y=\"%.1f\">%s</text>", x, y, safe(words)));
-    }
-
-    private void rules() {
-        out.append("<table><tr><th>rule<th>verdict<th>checked<th>what it says");
+    private void rules(Page page) {
+        page.table("rule", "verdict", "checked", "what it says");
         for (Verdict v : report.verdicts()) {
-            out.append(String.format(Locale.ROOT, "<tr%s><td>%s<td>%s<td>%d<td>%s",
-                v.held() ? "" : " class=\"broken\"", safe(v.rule()), v.held() ? "held" : "BROKEN",
-                v.checked(), safe(v.held() ? v.promise() : v.offences().get(0).what())));
+            page.row(!v.held(), List.of(v.rule(), v.held() ? "held" : "BROKEN", Long.toString(v.checked()),
+                v.held() ? v.promise() : v.offences().get(0).what()));
         }
-        out.append("</table>");
+        page.end();
     }
 
-    private void classes() {
-        out.append("<table><tr><th>class<th>wanted<th>served<th>refused<th>failed<th>p99 ms");
+    private void classes(Page page) {
+        page.table("class", "wanted", "served", "refused", "failed", "p99 ms");
         for (Tally.Line c : report.classes()) {
-            out.append(String.format(Locale.ROOT, "<tr><td>%s<td>%d<td>%d<td>%d<td>%d<td>%.1f",
-                safe(c.type()), c.wanted(), c.served(), c.refused(), c.failed(), c.p99()));
+            page.row(false, List.of(c.type(), Long.toString(c.wanted()), Long.toString(c.served()),
+                Long.toString(c.refused()), Long.toString(c.failed()),
+                String.format(Locale.ROOT, "%.1f", c.p99())));
         }
-        out.append("</table>");
-    }
-
-    private static String safe(String text) {
-        return text.replace("&", "&amp;").replace("<", "&lt;").replace(">", "&gt;").replace("\"",
-            "&quot;");
+        page.end();
     }
 }
--- a/src/main/java/beaconturn/rehearsal/ProcessLauncher.java
+++ b/src/main/java/beaconturn/rehearsal/ProcessLauncher.java
@@ -2,6 +2,7 @@
 
 import beaconturn.core.Clock;
 import beaconturn.rehearsal.fleet.Children;
+import beaconturn.rehearsal.fleet.Leaking;
 import java.io.File;
 import java.io.IOException;
 import java.nio.file.Path;
@@ -12,29 +13,42 @@
 
 /** Starts each router as a process of its own, with the options that operators start one with. */
 public final class ProcessLauncher implements RouterLauncher {
+    private static final String MAIN = "beaconturn.cli.Main";
     private static final List<String> OPTIONS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
         "-Xshare:auto", "-Xss256k", "-XX:StackShadowPages=10", "-Xms64m", "-Xmx64m",
         "-XX:MaxDirectMemorySize=24m", "-XX:-UsePerfData", "-Djdk.nio.maxCachedBufferSize=8192");
+    /** What a router that leaks does so with: kB a second, up to so many. */
+    private static final List<String> LEAK = List.of(Leaking.class.getName(), "4000", "28000");
     private final List<String> program;
+    /** The same by its class path and main class, for what is put before it. */
+    private final List<String> path;
+    private final String main;
 
-    private ProcessLauncher(List<String> program) {
+    private ProcessLauncher(List<String> program, List<String> path, String main) {
         this.program = program;
+        this.path = path;
+        this.main = main;
     }
 
     /** Routers from a jar. */
     public static ProcessLauncher of(Path jar) {
-        return new ProcessLauncher(List.of("-jar", jar.toString()));
+        return new ProcessLauncher(List.of("-jar", jar.toString()), List.of("-cp", jar.toString()), MAIN);
     }
 
     /** Routers from the classes that run now: the jar they are in, or the class path of a build. */
     public static ProcessLauncher own(String mainClass) {
         String path = System.getProperty("java.class.path");
         boolean jar = path.endsWith(".jar") && !path.contains(File.pathSeparator);
-        return new ProcessLauncher(jar ? List.of("-jar", path) : List.of("-cp", path, mainClass));
+        return new ProcessLauncher(jar ? List.of("-jar", path) : List.of("-cp", path, mainClass),
+            List.of("-cp", path), jar ? MAIN : mainClass);
     }
 
     @Override
     public List<String> command(List<String> words) {
+        return command(program, words);
+    }
+
+    private static List<String> command(List<String> program, List<String> words) {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
         command.addAll(OPTIONS);
@@ -43,9 +57,17 @@
         return command;
     }
 
+    private List<String> leaking() {
+        List<String> all = new ArrayList<>(path);
+        all.addAll(LEAK);
+        all.add(main);
+        return all;
+    }
+
     @Override
     public Running launch(Start start) throws IOException {
-        List<String> command = command(List.of("serve", "--config", start.config().toString()));
+        List<String> command = command(start.leaks() ? leaking() : program,
+            List.of("serve", "--config", start.config().toString()));
         if (start.features() != null) {
             command.addAll(List.of("--features", start.features().toString()));
         }
--- a/src/main/java/beaconturn/rehearsal/RouterConfigText.java
+++ b/src/main/java/beaconturn/rehearsal/RouterConfigText.java
@@ -40,7 +40,9 @@
             "dcs", texts(scenario.fleet().sites()), "flavors", texts(List.of("standin")), "discovery", "ask",
             "counted_by", "request", "over_share_worth", 1.0, "weights", "none", "tick", TICK,
             "tenants", new Json.Items(List.of()),
-            "classes", new Json.Items(scenario.types().stream().map(RouterConfigText::type).toList()),
+            "classes", new Json.Items(scenario.types().stream()
+                .filter(t -> !scenario.routers().get(router).lacks().contains(t.name()))
+                .map(RouterConfigText::type).toList()),
             "family_info", object("mode", "through", "ordered", true, "origin_kind", -1,
                 "origin_fall", scenario.origin().fallAfter(),
                 "origin_fall_multiple", scenario.origin().fallMultiple()),
--- a/src/main/java/beaconturn/rehearsal/RouterSeat.java
+++ b/src/main/java/beaconturn/rehearsal/RouterSeat.java
@@ -4,6 +4,7 @@
 import beaconturn.ledger.Account;
 import beaconturn.ledger.Entry;
 import beaconturn.protocol.Json;
+import beaconturn.rehearsal.fleet.Link;
 import beaconturn.standin.net.Ports;
 import beaconturn.standin.net.Surroundings;
 import java.io.Closeable;
@@ -28,6 +29,8 @@
     private static final int STEP_MILLIS = 10;
     /** For so long what fades is good: longer than the check that it stands. */
     private static final int GOOD_MILLIS = 5000;
+    /** What a slow way to a cache server adds to each message. */
+    private static final long SLOW_BY = 250_000_000;
     private static final int TRY_MILLIS = 500;
     private static final long MILLI = 1_000_000;
     private static final long MEASURE_EVERY = 500_000_000;
@@ -118,7 +121,7 @@
         terminated = false;
         running = launcher.launch(new RouterLauncher.Start(name(), config,
             parts == null ? null : parts.featuresOf(name()), folder.resolve(name() + ".log"),
-            scenario.routers().get(number).clockOff()));
+            scenario.routers().get(number).clockOff(), harm == Scenario.Harm.LEAKS));
     }
 
     private static String text(InetSocketAddress at) {
@@ -207,7 +210,7 @@
         account.add(new Entry.Changed(clock.now(), name(), number, toReleased));
         released = toReleased;
         harm = toReleased ? scenario.release().harm() : Scenario.Harm.NONE;
-        parts.reachesCaches(number, true);
+        parts.reachesCaches(number, Link.State.OPEN, 0);
         try {
             boolean alive = running != null && running.alive();
             if (alive) {
@@ -219,8 +222,8 @@
             launch();
             awaitReady(scenario.release().limit() / MILLI);
             front.accept(false);
-            if (harm == Scenario.Harm.FADES) {
-                fade(running);
+            if (harm == Scenario.Harm.FADES || harm == Scenario.Harm.SLOWS) {
+                fade(running, harm == Scenario.Harm.FADES ? Link.State.CUT : Link.State.SLOW);
             }
             return true;
         } catch (IOException e) {
@@ -228,14 +231,14 @@
         }
     }
 
-    /** The process is good for a while, and then reaches no cache server any more. */
-    private void fade(RouterLauncher.Running process) {
+    /** The process is good for a while, and then reaches cache servers no more, or slowly. */
+    private void fade(RouterLauncher.Running process, Link.State then) {
         Thread thread = new Thread(() -> {
             try {
                 Thread.sleep(GOOD_MILLIS);
                 synchronized (this) {
                     if (running == process) {
-                        parts.reachesCaches(number, false);
+                        parts.reachesCaches(number, then, SLOW_BY);
                     }
                 }
             } catch (InterruptedException e) {
--- a/src/main/java/beaconturn/rehearsal/Scenario.java
+++ b/src/main/java/beaconturn/rehearsal/Scenario.java
@@ -31,9 +31,12 @@
 
     /**
      * A version that is proposed at a time, counted from the cue, or from the start where that is null;
-     * {@code mostTries} 0 leaves that as it is.
+     * {@code mostTries} 0 leaves that as it is. Of the {@code unsafe} classes nothing is to be repeated; with
+     * {@code newest} nobody is to act on a list before the one that discovery has by then; with {@code dies}
+     * the command that proposes it is killed as soon as the store has it.
      */
-    public record VersionSpec(long at, Cue after, String reason, List<String> out, int mostTries) { }
+    public record VersionSpec(long at, Cue after, String reason, List<String> out, int mostTries,
+            List<String> unsafe, boolean newest, boolean dies) { }
 
     /** What is wrong with what is released. */
     public enum Harm {
@@ -46,17 +49,37 @@
         /** It refuses, or fails, every request. */
         REFUSES,
         /** It is good for some seconds and then reaches no cache server any more; of routers only. */
-        FADES
+        FADES,
+        /**
+         * It gets slow: a router after some good seconds, by its ways to cache servers; a cache server from
+         * its start.
+         */
+        SLOWS,
+        /** Its memory grows; of routers only. */
+        LEAKS
     }
 
     /**
      * A release of the routers, or of the cache servers: their agents, processes too, restart them with what
      * has the harm. Without waves the usual ones are made; {@code begins} false leaves it to orders;
-     * {@code mostTries} over 0 has settings go with it.
+     * {@code mostTries} over 0 has settings go with it; {@code spare} and {@code cores} are what a site must
+     * be able to carry without those that are out, {@code spare} below 0 for whatever. Soaks of a second
+     * need a larger {@code worseMissed} than usual ones: who has just started misses more for a while.
      */
     public record ReleaseSpec(boolean caches, boolean begins, long at, Cue after, int mostOut,
             int mostOutOfSite, List<List<String>> waves, long soak, int samples, double worse, long limit,
-            long alone, Harm harm, int mostTries) { }
+            long alone, Harm harm, int mostTries, int spare, double cores,
+            double worseMissed) {
+        /** Whether what is released harms its ways to cache servers after a while. */
+        boolean spoilsLinks() {
+            return !caches && (harm == Harm.FADES || harm == Harm.SLOWS);
+        }
+
+        /** Whether the first check can see what is wrong. */
+        boolean seenAtOnce() {
+            return harm != Harm.NONE && harm != Harm.LEAKS && !spoilsLinks();
+        }
+    }
 
     /**
      * An operator's order: halt, resume, back or abandon; drain, undrain or lost, of a part; budget, which
@@ -106,8 +129,12 @@
     public record Type(String name, Effect effect, double share, long work, int size, long aim, long deadline,
             double worth, long window, String scope) { }
 
-    /** A router: its name, its limits, its site, and how far its wall clock is off, in nanoseconds. */
-    public record RouterSpec(String name, int memoryMb, int sockets, String site, long clockOff) { }
+    /**
+     * A router: its name, its limits, its site, how far its wall clock is off, in nanoseconds, and classes
+     * that it does not know, as an older build or another configuration would not.
+     */
+    public record RouterSpec(String name, int memoryMb, int sockets, String site, long clockOff,
+            List<String> lacks) { }
 
     /** A stream of requests; {@code classes} empty means all by their shares. */
     public record Clients(double rate, List<String> classes, int keys, double skew, int retries, long backoff,
@@ -140,7 +167,7 @@
 
     /** Whether routers are to reach cache servers by links, as a fault cuts some. */
     boolean linksToCaches() {
-        return release != null && release.harm() == Harm.FADES
+        return release != null && release.spoilsLinks()
             || faults.stream().anyMatch(f -> f.kind() == Fault.Kind.SITE_CUT
             || f.kind().target() == Fault.Target.LINK && !f.way().equals("store")
             && !f.way().equals("discovery"));
@@ -196,10 +223,8 @@
         // A cache server's state is seen once the list has it, a router has told it and the driver read it.
         long seenWithin = release.caches() ? listLag + 2 * timing.renewEvery() + 2 * APPLY
             : timing.storeLeaseSeconds() * SECOND + timing.renewEvery() + APPLY;
-        // What fades is good when the next ones go.
-        boolean seenAtOnce = release.harm() != Harm.NONE && release.harm() != Harm.FADES;
         return new Terms.Release(release.caches(), sites, release.mostOut(), release.mostOutOfSite(),
-            seenWithin, timing.callTimeout() + APPLY, seenAtOnce ? first : 0);
+            seenWithin, timing.callTimeout() + APPLY, release.seenAtOnce() ? first : 0);
     }
 
     /** The names of all that may be released. */
--- a/src/main/java/beaconturn/rehearsal/ScenarioReader.java
+++ b/src/main/java/beaconturn/rehearsal/ScenarioReader.java
@@ -94,15 +94,16 @@
         Cue after = cue(s, "after", fleet, routers, versions);
         Scenario.Harm harm = Scenario.Harm.valueOf(
             s.choice("harm", "none", words(Scenario.Harm.values())).toUpperCase(Locale.ROOT));
-        if (caches && harm == Scenario.Harm.FADES) {
-            throw s.wrong("harm", "'fades' is of routers only");
+        if (caches && (harm == Scenario.Harm.FADES || harm == Scenario.Harm.LEAKS)) {
+            throw s.wrong("harm", "'" + harm.name().toLowerCase(Locale.ROOT) + "' is of routers only");
         }
         return new Scenario.ReleaseSpec(caches, s.flag("begins", true),
             s.time("at", after == null ? 2 * SECOND : 0, 0), after,
             s.whole("most_out", 1, 1, MOST_ROUTERS), s.whole("most_out_of_site", 1, 1, MOST_ROUTERS), waves,
             s.time("soak", SECOND, 0), s.whole("samples", 20, 0, 1_000_000), s.number("worse", 0.05, 0, 1),
             s.time("limit", 10 * SECOND, SECOND), s.time("alone", 0, 0), harm,
-            s.whole("most_tries", 0, 0, 64));
+            s.whole("most_tries", 0, 0, 64), s.whole("spare", -1, -1, MOST_ROUTERS),
+            s.number("cores", 0, 0, 1000), s.number("worse_missed", 0.4, 0, 1));
     }
 
     private List<Scenario.OrderSpec> orders(Scenario.ReleaseSpec release, Scenario.Fleet fleet,
@@ -152,7 +153,8 @@
                 throw s.wrong("at", "after the end, allowed is up to the length of " + length / MILLI + "ms");
             }
             all.add(new Scenario.VersionSpec(at, after, s.word("reason", "as the scenario has it"), out,
-                s.whole("most_tries", 0, 0, 64)));
+                s.whole("most_tries", 0, 0, 64), s.words("unsafe", List.of()), s.flag("newest_list", false),
+                s.flag("dies", false)));
         }
         return List.copyOf(all);
     }
@@ -255,8 +257,8 @@
             throw file.wrong("router", "too many, allowed are " + MOST_ROUTERS);
         }
         return routers.isEmpty()
-            ? List.of(new Scenario.RouterSpec("r1", 192, 1024, sites.get(0), 0),
-                new Scenario.RouterSpec("r2", 192, 1024, sites.get(0), 0))
+            ? List.of(new Scenario.RouterSpec("r1", 192, 1024, sites.get(0), 0, List.of()),
+                new Scenario.RouterSpec("r2", 192, 1024, sites.get(0), 0, List.of()))
             : List.copyOf(routers);
     }
 
@@ -265,7 +267,8 @@
         String name = s.word("name", "r" + (before.size() + 1));
         checkName(s, name, before.stream().map(Scenario.RouterSpec::name).toList());
         return new Scenario.RouterSpec(name, s.whole("memory_mb", 192, 32, 4096),
-            s.whole("sockets", 1024, 64, 65_536), s.choice("site", sites.get(0), sites), clockOff(s));
+            s.whole("sockets", 1024, 64, 65_536), s.choice("site", sites.get(0), sites), clockOff(s),
+            s.words("lacks", List.of()));
     }
 
     /** Fast or slow by a time; one of both. */
--- a/src/main/java/beaconturn/rehearsal/fleet/Link.java
+++ b/src/main/java/beaconturn/rehearsal/fleet/Link.java
@@ -175,6 +175,10 @@
                     got = catchUp(from, bytes, got);
                     passing = got < 0 ? FORGOTTEN : pass(got, out);
                 }
+                if (passing > 0 && out && delays()) {
+                    got = catchUp(from, bytes, got);
+                    passing = got < 0 ? FORGOTTEN : got;
+                }
                 if (passing < 0) {
                     // The sender's kernel forgets what it could not deliver when it resets a connection.
                     reset(into);
@@ -235,6 +239,11 @@
         return state != State.CUT && state != State.HELD && (state != State.ONE_WAY || out);
     }
 
+    /** Whether what passes was on its way for a while, in which its sender may have given it up. */
+    private synchronized boolean delays() {
+        return state == State.SLOW;
+    }
+
     /** How much of what was read passes now, or that it is held; less than all ends the connection. */
     private int pass(int got, boolean out) throws InterruptedException {
         State now;
--- a/src/main/java/beaconturn/release/Agent.java
+++ b/src/main/java/beaconturn/release/Agent.java
@@ -20,10 +20,11 @@
     private Step doing;
     private long sentAt;
     private boolean running;
+    private long beganAt;
     private Result result;
 
     /** How an action ended. */
-    private record Result(Step step, boolean ready, String why, long at) { }
+    private record Result(Step step, boolean ready, String why, long at, long took) { }
 
     /** An agent of a part; an answer that took longer than a call may take allows nothing any more. */
     public Agent(ReleaseKeys keys, String id, String me, long callTimeout, Supplier<String> when) {
@@ -88,7 +89,7 @@
     private Act report(Scene scene, Step step) {
         Step.Phase phase = result.ready() ? Step.Phase.UP : Step.Phase.FAILED;
         Step now = new Step(id, step.permit(), phase, result.step().variant(), me, result.why(),
-            step.started());
+            step.started(), result.took());
         List<Call.Change> changes = new ArrayList<>(List.of(steps.put(now)));
         changes.addAll(steps.story(scene, me, id + (result.ready() ? " runs " : " does not run ")
             + now.variant().word() + (result.why().isEmpty() ? "" : ": " + result.why())));
@@ -114,13 +115,14 @@
         }
         doing = begun;
         running = true;
+        beganAt = now;
         return begun.variant();
     }
 
     /** The action has ended. */
     public void ended(boolean ready, String why, long now) {
         running = false;
-        result = new Result(doing, ready, why, now);
+        result = new Result(doing, ready, why, now, now - beganAt);
         doing = null;
     }
 
@@ -134,9 +136,10 @@
             return null;
         }
         Step step = result.step();
-        doing = new Step(id, step.permit(), Step.Phase.BEGUN, Variant.OLD, me, "", step.started());
+        doing = new Step(id, step.permit(), Step.Phase.BEGUN, Variant.OLD, me, "", step.started(), 0);
         result = null;
         running = true;
+        beganAt = now;
         return Variant.OLD;
     }
 }
--- a/src/main/java/beaconturn/release/Driver.java
+++ b/src/main/java/beaconturn/release/Driver.java
@@ -236,7 +236,7 @@
     }
 
     private Step granted(String id, long number, Variant variant) {
-        return new Step(id, number, Step.Phase.GRANTED, variant, "", "", starts.getOrDefault(id, -1L));
+        return new Step(id, number, Step.Phase.GRANTED, variant, "", "", starts.getOrDefault(id, -1L), 0);
     }
 
     /**
--- a/src/main/java/beaconturn/release/Fleet.java
+++ b/src/main/java/beaconturn/release/Fleet.java
@@ -21,25 +21,37 @@
         groups = groups.isEmpty() ? Map.of() : Collections.unmodifiableMap(new EnumMap<>(groups));
     }
 
+    /**
+     * What a site must be able to carry.
+     *
+     * @param eachPerSecond so many answers a second one part is known to be able to give; 0 where that is
+     *     not said
+     * @param cores so many cores one part may use; 0 means as many as it says itself
+     * @param spare so many may fail beside those that are out; below 0 the load is not looked at
+     */
+    public record Capacity(double eachPerSecond, double cores, int spare) {
+        /** The load is not looked at. */
+        public static final Capacity ANY = new Capacity(0, 0, -1);
+    }
+
     /**
      * The parts of a kind by site.
      *
      * @param mostOut so many may be out at once in all
      * @param mostOutOfSite so many of one site
      * @param sites names of parts by site
-     * @param eachPerSecond so many answers a second one part is known to be able to give; 0 where that is
-     *     not said
+     * @param capacity what a site must be able to carry without those that are out
      */
     public record Group(int mostOut, int mostOutOfSite, SortedMap<String, List<String>> sites,
-            double eachPerSecond) {
+            Capacity capacity) {
         /** A group of its own. */
         public Group {
             sites = Collections.unmodifiableSortedMap(new TreeMap<>(sites));
         }
 
-        /** A group of which nobody has said what a part can carry. */
+        /** A group whose load is not looked at. */
         public Group(int mostOut, int mostOutOfSite, SortedMap<String, List<String>> sites) {
-            this(mostOut, mostOutOfSite, sites, 0);
+            this(mostOut, mostOutOfSite, sites, Capacity.ANY);
         }
 
         /** The site of a part, or null if it does not belong to the group. */
--- a/src/main/java/beaconturn/release/Health.java
+++ b/src/main/java/beaconturn/release/Health.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import java.util.SortedMap;
@@ -11,8 +10,8 @@
 import java.util.TreeSet;
 
 /**
- * Compares parts that run what is released with those that do not, over the same time: by the share of
- * answers that were refusals or failures. Yesterday's figures say nothing, as load and troubles are
+ * Compares parts that run what is released with those that do not, over the same time: by what
+ * they answer, how late, and what that takes. Yesterday's figures say nothing, as load and troubles are
  * today's.
  */
 final class Health {
@@ -95,16 +94,16 @@
             return new Word(late ? Verdict.BAD : Verdict.WAIT, "not seen back: " + gone.get(step.id()));
         }
         boolean soaked = now - inService >= plan.soak();
-        if (plan.kind() == Kind.CACHE) {
+        if (plan.kind() == Kind.CACHE && !scene.health().containsKey(step.id())) {
             return new Word(soaked ? Verdict.GOOD : Verdict.WAIT, "in service at most routers");
         }
         if (troubled) {
             boolean mostly = since(scene, step.id(), since.then()).badShare() > MOSTLY;
-            Word word = compared(scene, step.id(), since.then());
+            Word word = compared(scene, step.id(), since.then(), false, false);
             return mostly && word.verdict() == Verdict.BAD ? word
                 : new Word(Verdict.WAIT, "others are gone by themselves; " + word.says());
         }
-        Word word = compared(scene, step.id(), since.clean());
+        Word word = compared(scene, step.id(), since.clean(), soaked, false);
         return word.verdict() == Verdict.GOOD && !soaked ? new Word(Verdict.WAIT, word.says()) : word;
     }
 
@@ -131,18 +130,19 @@
      * parts to compare it with: what harms may take minutes to do so. Null where none does.
      */
     Word later(Scene scene, long now) {
-        if (scene.plan().kind() == Kind.CACHE) {
-            return ejectedSince.entrySet().stream().filter(e -> now - e.getValue() > scene.plan().limit())
-                .map(e -> new Word(Verdict.BAD, e.getKey() + " was ejected after it had stood the check"))
-                .findFirst().orElse(null);
+        for (Map.Entry<String, Long> ejected : ejectedSince.entrySet()) {
+            if (now - ejected.getValue() > scene.plan().limit()) {
+                return new Word(Verdict.BAD, ejected.getKey() + " was ejected after it had stood the check");
+            }
         }
+        Set<String> told = told(scene);
         for (Step step : scene.steps().values()) {
-            if (step.phase() != Step.Phase.GOOD || scene.health().keySet().stream()
-                .allMatch(id -> scene.steps().containsKey(id))) {
+            if (step.phase() != Step.Phase.GOOD || !told.contains(step.id())
+                || scene.steps().keySet().containsAll(told)) {
                 continue;
             }
             Map<String, Sample> then = stood.computeIfAbsent(key(step), k -> Map.copyOf(scene.health()));
-            Word word = compared(scene, step.id(), then);
+            Word word = compared(scene, step.id(), then, true, true);
             if (word.verdict() == Verdict.BAD) {
                 return new Word(Verdict.BAD,
                     step.id() + " does worse since it stood the check: " + word.says());
@@ -154,10 +154,18 @@
         return null;
     }
 
+    /** Parts of the kind at hand that tell how they do. */
+    private static Set<String> told(Scene scene) {
+        Set<String> all = new TreeSet<>(scene.health().keySet());
+        all.retainAll(scene.fleet().group(scene.plan().kind()).all());
+        return all;
+    }
+
     /** With the parts not yet changed; where all are, with those that have stood the check. */
-    private static Word compared(Scene scene, String id, Map<String, Sample> then) {
+    private static Word compared(Scene scene, String id, Map<String, Sample> then, boolean soaked,
+            boolean waits) {
         Plan plan = scene.plan();
-        List<String> with = new ArrayList<>(scene.health().keySet());
+        List<String> with = new ArrayList<>(told(scene));
         with.remove(id);
         List<String> unchanged = with.stream().filter(o -> scene.steps().get(o) == null).toList();
         with = unchanged.isEmpty() ? with.stream()
@@ -168,16 +176,7 @@
             // Of one that has come since, nobody knows over which time its answers are.
             others = others.plus(then.containsKey(other) ? since(scene, other, then) : Sample.NONE);
         }
-        String figures = String.format(Locale.ROOT, "%.3f of %d answers bad, %.3f of %d at %d others",
-            changed.badShare(), changed.answers(), others.badShare(), others.answers(), with.size());
-        // Silent others are no comparison; a part that has none is held to what the plan allows.
-        if (changed.answers() < plan.samples() || !with.isEmpty() && others.answers() < plan.samples()) {
-            return new Word(Verdict.WAIT, figures);
-        }
-        if (changed.badShare() <= others.badShare() + plan.worse()) {
-            return new Word(Verdict.GOOD, figures);
-        }
-        return new Word(changed.fartherThanChance(others) ? Verdict.BAD : Verdict.WAIT, figures);
+        return new Comparison(plan, changed, others, with.size()).word(soaked, waits);
     }
 
     private static Sample since(Scene scene, String id, Map<String, Sample> then) {
--- a/src/main/java/beaconturn/release/Plan.java
+++ b/src/main/java/beaconturn/release/Plan.java
@@ -15,14 +15,14 @@
  * @param waves the parts, wave by wave; the next begins when all of one have stood the check
  * @param soak for how long a part is watched once it is up, in nanoseconds
  * @param samples so many answers of changed parts at least are compared
- * @param worse by what part of the answers changed parts may do worse than the others in the same time
+ * @param worse by how much changed parts may do worse than the others in the same time
  * @param limit how long a part may take to be ready, in nanoseconds
  * @param alone after so long out of the store's reach an agent brings back by itself what failed; 0: never
  * @param reason why, for the history
  * @param settings that come into force before the first wave and go back last, or null
  * @param cluster the store that it was begun in, empty before; in another one nobody acts on it
  */
-public record Plan(long number, Kind kind, List<List<String>> waves, long soak, long samples, double worse,
+public record Plan(long number, Kind kind, List<List<String>> waves, long soak, long samples, Bounds worse,
         long limit, long alone, String reason, Content settings, String cluster) {
     /** A plan of its own. */
     public Plan {
@@ -59,10 +59,11 @@
         }
         for (Map.Entry<String, List<String>> site : group.sites().entrySet()) {
             int out = Math.min(group.mostOut(), group.mostOutOfSite());
-            if (group.eachPerSecond() > 0 && site.getValue().size() - out < 2
+            int spare = group.capacity().spare();
+            if (spare >= 0 && site.getValue().size() - out - spare < 1
                 && site.getValue().stream().anyMatch(named::contains)) {
                 return site.getKey() + " has " + site.getValue().size() + " " + kind.word() + "s: with " + out
-                    + " out and one that fails none is left";
+                    + " out and " + spare + " that fail none is left";
             }
         }
         return null;
--- a/src/main/java/beaconturn/release/ReleaseDesk.java
+++ b/src/main/java/beaconturn/release/ReleaseDesk.java
@@ -63,7 +63,7 @@
                 throw new AgreementException("release " + scene.plan().number() + " is at hand: it "
                     + words(scene.course()));
             }
-            String objection = wanted.objection(scene.fleet());
+            String objection = objection(wanted, scene);
             if (objection != null) {
                 throw new AgreementException(objection);
             }
@@ -80,6 +80,18 @@
         });
     }
 
+    /** Why the release cannot be begun as things are, or null. */
+    public static String objection(Plan wanted, Scene scene) {
+        String shape = wanted.objection(scene.fleet());
+        return shape != null ? shape : Load.objection(wanted, scene);
+    }
+
+    /** The curve of a release; empty where none was drawn. */
+    public Curve curve(long release) throws AgreementException {
+        List<Answer.Pair> found = given(new Call.Read(keys.curve(release))).pairs();
+        return found.isEmpty() ? Curve.NONE : Curve.of(found.get(0).value());
+    }
+
     /** Has no step begin from now on. */
     public String halt(String why) throws AgreementException {
         return turn("halted", why, Course.Mode.HALTED, Course.Mode.RUNNING, Course.Mode.BACKING);
--- a/src/main/java/beaconturn/release/ReleaseKeys.java
+++ b/src/main/java/beaconturn/release/ReleaseKeys.java
@@ -15,6 +15,7 @@
  * release/agent/ID    who acts on a part, on a lease
  * release/health/ID   what a part has answered so far, by its agent
  * release/told        how many lines the history has
+ * release-curve/N     what became of answers during release N, and who was out; apart for the same reason
  * release-history/N   what was done, by whom and why; apart, as nobody who acts needs it
  * </pre>
  */
@@ -89,6 +90,11 @@
         return fleet + "/release-history/";
     }
 
+    /** The curve of a release. */
+    String curve(long number) {
+        return fleet + "/release-curve/" + String.format("%09d", number);
+    }
+
     String story(long number) {
         return stories() + String.format("%09d", number);
     }
--- a/src/main/java/beaconturn/release/ReleaseTexts.java
+++ b/src/main/java/beaconturn/release/ReleaseTexts.java
@@ -22,7 +22,9 @@
         List<Json> groups = new ArrayList<>();
         fleet.groups().forEach((kind, group) -> groups.add(Texts.object("kind", kind.word(), "most_out",
             group.mostOut(), "most_out_of_site", group.mostOutOfSite(), "each_per_s",
-            Double.toString(group.eachPerSecond()), "sites", Texts.list(
+            Double.toString(group.capacity().eachPerSecond()), "cores",
+            Double.toString(group.capacity().cores()), "failures", group.capacity().spare() + 1, "sites",
+            Texts.list(
                 group.sites().entrySet().stream().map(s -> Texts.object("site", s.getKey(), "parts",
                     Texts.texts(s.getValue()))).toList()))));
         return JsonWriter.write(Texts.object("groups", Texts.list(groups)));
@@ -36,7 +38,8 @@
                 words(s.get("parts"))));
             groups.put(kind(group), new Fleet.Group((int) number(group, "most_out"),
                 (int) number(group, "most_out_of_site"), sites,
-                Double.parseDouble(group.get("each_per_s").word("0"))));
+                new Fleet.Capacity(decimal(group, "each_per_s"), decimal(group, "cores"),
+                    (int) number(group, "failures") - 1)));
         }
         return new Fleet(groups);
     }
@@ -55,7 +58,7 @@
     static String of(Plan p) {
         return JsonWriter.write(Texts.object("number", p.number(), "kind", p.kind().word(), "waves",
             Texts.list(p.waves().stream().map(Texts::texts).toList()), "soak_ns", p.soak(), "samples",
-            p.samples(), "worse", p.worse(), "limit_ns", p.limit(), "alone_ns", p.alone(), "reason",
+            p.samples(), "worse", of(p.worse()), "limit_ns", p.limit(), "alone_ns", p.alone(), "reason",
             p.reason(), "settings", p.settings() == null ? new Json.Nothing() : Texts.json(p.settings()),
             "cluster", p.cluster()));
     }
@@ -64,11 +67,26 @@
         Json json = Texts.parse(text);
         return new Plan(number(json, "number"), kind(json), json.get("waves").items().stream()
             .map(ReleaseTexts::words).toList(), number(json, "soak_ns"), number(json, "samples"),
-            Double.parseDouble(json.get("worse").word("0")), number(json, "limit_ns"),
+            bounds(json.get("worse")), number(json, "limit_ns"),
             number(json, "alone_ns"), json.get("reason").word(""), content(json, "settings"),
             json.get("cluster").word(""));
     }
 
+    private static Json of(Bounds b) {
+        return Texts.object("bad", Double.toString(b.bad()), "late", Double.toString(b.late()), "missed",
+            Double.toString(b.missed()), "avoided", Double.toString(b.avoided()), "memory",
+            Double.toString(b.memory()), "slower", Double.toString(b.slower()));
+    }
+
+    private static Bounds bounds(Json json) {
+        return new Bounds(decimal(json, "bad"), decimal(json, "late"), decimal(json, "missed"),
+            decimal(json, "avoided"), decimal(json, "memory"), decimal(json, "slower"));
+    }
+
+    private static double decimal(Json json, String key) {
+        return Double.parseDouble(json.get(key).word("0"));
+    }
+
     static String of(Changeover c) {
         return JsonWriter.write(Texts.object("number", c.number(), "before", Texts.json(c.before()), "undone",
             c.undone()));
@@ -96,24 +114,33 @@
     static String of(Step s) {
         return JsonWriter.write(Texts.object("id", s.id(), "permit", s.permit(), "phase", lower(s.phase()),
             "variant", s.variant().word(), "agent", s.agent(), "why", s.why(), "started",
-            s.started() + 1));
+            s.started() + 1, "took_ns", s.took()));
     }
 
     static Step step(String text) throws AgreementException {
         Json json = Texts.parse(text);
         return new Step(json.get("id").word(""), number(json, "permit"),
             Step.Phase.valueOf(upper(json, "phase")), Variant.valueOf(upper(json, "variant")),
-            json.get("agent").word(""), json.get("why").word(""), number(json, "started") - 1);
+            json.get("agent").word(""), json.get("why").word(""), number(json, "started") - 1,
+            number(json, "took_ns"));
     }
 
     /** What a part has answered, as its agent tells it. */
     public static String of(Sample s) {
-        return JsonWriter.write(Texts.object("process", s.process(), "good", s.good(), "bad", s.bad()));
+        List<Object> members = new ArrayList<>(List.of("process", s.process()));
+        s.figures().forEach((figure, value) -> members.addAll(List.of(figure.word(), value)));
+        return JsonWriter.write(Texts.object(members.toArray()));
     }
 
     static Sample sample(String text) throws AgreementException {
         Json json = Texts.parse(text);
-        return new Sample(json.get("process").word(""), number(json, "good"), number(json, "bad"));
+        Map<Figure, Long> figures = new EnumMap<>(Figure.class);
+        for (Figure figure : Figure.values()) {
+            if (!json.get(figure.word()).word("").isEmpty()) {
+                figures.put(figure, number(json, figure.word()));
+            }
+        }
+        return new Sample(json.get("process").word(""), figures);
     }
 
     private static Kind kind(Json json) throws AgreementException {
--- a/src/main/java/beaconturn/release/Sample.java
+++ b/src/main/java/beaconturn/release/Sample.java
@@ -1,41 +1,70 @@
 package beaconturn.release;
 
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.Map;
+
 /**
- * What a part has answered since its process began.
+ * What a part has answered since its process began, and how it does.
  *
  * @param process which process it is; another one counts anew
- * @param good answers that served
- * @param bad refusals and failures
+ * @param figures what is known; what is not there is 0
  */
-public record Sample(String process, long good, long bad) {
-    static final Sample NONE = new Sample("", 0, 0);
-    private static final double ERRORS = 2.33;
+public record Sample(String process, Map<Figure, Long> figures) {
+    static final Sample NONE = new Sample("", Map.of());
+
+    /** A sample of its own. */
+    public Sample {
+        Map<Figure, Long> all = new EnumMap<>(Figure.class);
+        figures.forEach((figure, value) -> {
+            if (value != 0) {
+                all.put(figure, value);
+            }
+        });
+        figures = Collections.unmodifiableMap(all);
+    }
+
+    /** One of which only the answers are known. */
+    public static Sample of(String process, long good, long bad) {
+        return new Sample(process, Map.of(Figure.GOOD, good, Figure.BAD, bad));
+    }
+
+    long of(Figure figure) {
+        return figures.getOrDefault(figure, 0L);
+    }
 
     /** What came since an earlier sample; all of it where the process is another. */
     Sample since(Sample earlier) {
-        return process.equals(earlier.process) ? new Sample(process, good - earlier.good, bad - earlier.bad)
-            : this;
+        return process.equals(earlier.process) ? with(process, earlier, -1) : this;
     }
 
-    /**
-     * Whether its part of bad answers is higher than another's by more than chance: a one-in-a-hundred test.
-     */
-    boolean fartherThanChance(Sample other) {
-        double both = (bad + other.bad) / (double) (answers() + other.answers());
-        double error = Math.sqrt(both * (1 - both)
-            * (1.0 / answers() + (other.answers() == 0 ? 0 : 1.0 / other.answers())));
-        return badShare() - other.badShare() > ERRORS * error;
+    /** What both count together; of levels that makes no sense, and they are left out. */
+    Sample plus(Sample other) {
+        return with("", other, 1);
     }
 
-    Sample plus(Sample other) {
-        return new Sample("", good + other.good, bad + other.bad);
+    private Sample with(String as, Sample other, int sign) {
+        Map<Figure, Long> all = new EnumMap<>(Figure.class);
+        for (Figure f : Figure.values()) {
+            if (!f.level()) {
+                all.put(f, of(f) + sign * other.of(f));
+            } else if (sign < 0) {
+                all.put(f, of(f));
+            }
+        }
+        return new Sample(as, all);
     }
 
     long answers() {
-        return good + bad;
+        return of(Figure.GOOD) + of(Figure.BAD);
     }
 
     double badShare() {
-        return answers() == 0 ? 0 : bad / (double) answers();
+        return share(Figure.BAD, answers());
+    }
+
+    /** Its part of so many; 0 of none. */
+    double share(Figure figure, long whole) {
+        return whole == 0 ? 0 : of(figure) / (double) whole;
     }
 }
--- a/src/main/java/beaconturn/release/Step.java
+++ b/src/main/java/beaconturn/release/Step.java
@@ -10,9 +10,10 @@
  * @param agent the incarnation that began it, else empty
  * @param why it failed, else empty
  * @param started its last start that any router knew of when the step was granted, or -1
+ * @param took how long it took to get ready, in nanoseconds; 0 where it is not known
  */
 public record Step(String id, long permit, Phase phase, Variant variant, String agent, String why,
-        long started) {
+        long started, long took) {
     /** How far a step is. */
     public enum Phase {
         /** The driver has taken a place for it. */
@@ -30,6 +31,6 @@
     }
 
     Step to(Phase next, String agentNow, String reason) {
-        return new Step(id, permit, next, variant, agentNow, reason, started);
+        return new Step(id, permit, next, variant, agentNow, reason, started, took);
     }
 }
--- a/src/main/java/beaconturn/stats/Tally.java
+++ b/src/main/java/beaconturn/stats/Tally.java
@@ -17,6 +17,21 @@
     /** An attempt has been written whole to a cache server. */
     default void sent() { }
 
+    /** How a cache server had the key that it answered for. */
+    enum Found { HIT, MISS, UNSAID }
+
+    /** A request has been served whose client wanted it by {@code aim}, by the router's clock. */
+    default void served(long aim) { }
+
+    /** A request has come to the module. */
+    default void arrived() { }
+
+    /**
+     * An attempt is over: {@code good} where its cache server answered it, after so many nanoseconds, which
+     * was {@code late} after the aim of its class.
+     */
+    default void attempt(long server, boolean good, Found found, long took, boolean late) { }
+
     /** So many cache servers are listed, and so many of them are avoided, by hand or by choice. */
     default void fleet(int listed, int avoided) { }
 
--- a/src/test/java/beaconturn/LayoutTest.java
+++ b/src/test/java/beaconturn/LayoutTest.java
@@ -20,7 +20,7 @@
     private static final String[] NO_IO = {"beaconturn.decision..", "beaconturn.core..",
         "beaconturn.protocol..",
         "beaconturn.standin", "beaconturn.standin.store..", "beaconturn.agreement..", "beaconturn.release..",
-        "beaconturn.ledger..", "beaconturn.toml..", "beaconturn.stats.."};
+        "beaconturn.ledger..", "beaconturn.toml..", "beaconturn.stats..", "beaconturn.report.."};
 
     private static void none(String[] of, String... use) {
         noClasses().that().resideInAnyPackage(of).should().dependOnClassesThat().resideInAnyPackage(use)
--- a/src/test/java/beaconturn/agreement/MemberTest.java
+++ b/src/test/java/beaconturn/agreement/MemberTest.java
@@ -98,6 +98,21 @@
         clean(fleet);
     }
 
+    /** Whoever acts on an older list than the version asks for would contradict it from the first moment. */
+    @Test
+    void aRouterThatHasAnOlderListSaysNeitherYesNorNoUntilItHasTheNewer() throws AgreementException {
+        FleetModel fleet = begun(3);
+        fleet.seats.get(1).list = 6;
+        long number = fleet.desk().propose(now -> new Content(now.classes(), now.mostTries(),
+            now.secondCopies(), 7, now.out()), "op", "why", 0);
+        fleet.run(10 * SECOND);
+        assertTrue(fleet.inForce.isEmpty());
+        assertEquals(List.of("r1"), fleet.desk().view().waiting());
+        fleet.seats.get(1).list = 7;
+        assertTrue(fleet.settles(number, 10 * SECOND));
+        clean(fleet);
+    }
+
     @Test
     void twoThatProposeAtOnceAreOneAndOneIsToldSo() throws AgreementException {
         FleetModel fleet = begun(3);
--- a/src/test/java/beaconturn/cli/PlantedAgent.java
+++ b/src/test/java/beaconturn/cli/PlantedAgent.java
@@ -49,7 +49,7 @@
             @Override
             Answer ask(Desk.Store store, Call call) {
                 return read(store.ask(call), pairs -> pairs.map(p -> new Answer.Pair(p.key(),
-                    p.value().replaceAll("\"worse\":\"?[0-9.]+\"?", "\"worse\":1.0"), p.made(), p.changed(),
+                    p.value().replaceAll("\":\"[0-9]+\\.[0-9]+\"", "\":\"1000.0\""), p.made(), p.changed(),
                     p.lease())));
             }
         };
@@ -60,7 +60,7 @@
         private static Answer.Pair granted(String agentsKey) {
             return new Answer.Pair(agentsKey.replace("/agent/", "/step/"), "{\"id\":\"" + part
                 + "\",\"permit\":9,\"phase\":\"granted\",\"variant\":\"new\",\"agent\":\"\",\"why\":\"\","
-                + "\"started\":0}", 0, 0, 0);
+                + "\"started\":0,\"took_ns\":0}", 0, 0, 0);
         }
 
         abstract Answer ask(Desk.Store store, Call call);
@@ -81,6 +81,7 @@
         Defect defect = Defect.valueOf(args[0]);
         Defect.part = args[PART];
         System.exit(new AgentRun(args[FEATURES], args[PART], args[APPLY],
-            args.length > FIGURES ? args[FIGURES] : "", defect).run());
+            args.length > FIGURES ? new PartFigures(args[PART], false, List.of(args[FIGURES])) : null,
+            defect).run());
     }
 }
--- a/src/test/java/beaconturn/core/ModuleHostTest.java
+++ b/src/test/java/beaconturn/core/ModuleHostTest.java
@@ -304,7 +304,7 @@
         for (Routing.Standing standing : List.of(Routing.Standing.WARMING, Routing.Standing.IN)) {
             now += 3000 * MILLI;
             real.handle(new Message.Arrived(call));
-            assertEquals(Map.of(new Fleet.Listed("s1", fleet.bootTime), standing), real.standings());
+            assertEquals(Map.of(new Fleet.Listed("s1", 0, fleet.bootTime), standing), real.standings());
         }
     }
 
@@ -361,7 +361,7 @@
 
         @Override
         public Listed listed(long server) {
-            return new Listed("s" + server, bootTime);
+            return new Listed("s" + server, 0, bootTime);
         }
 
         @Override
--- a/src/test/java/beaconturn/ledger/JudgeTest.java
+++ b/src/test/java/beaconturn/ledger/JudgeTest.java
@@ -390,7 +390,8 @@
     }
 
     private JudgeTest version(long number, Entry.Step step, long millis, String out, int mostTries) {
-        return line(new Entry.Versioned(millis * MILLI, number, step, Set.of(out), mostTries));
+        return line(new Entry.Versioned(millis * MILLI, number, step, Set.of(out), mostTries,
+            Set.of(), false));
     }
 
     /** From the first effect of the later version anywhere, also one that nobody should have made yet. */
@@ -437,6 +438,45 @@
             + " came into force"), contradictions());
     }
 
+    private JudgeTest rule(long number, Entry.Step step, long millis, Set<String> unsafe, boolean lists) {
+        return line(new Entry.Versioned(millis * MILLI, number, step, Set.of(), 0, unsafe, lists));
+    }
+
+    /** A class that is unsafe in the later version is repeated; one that is no more, too early. */
+    @Test
+    void repeatingWhatAnotherVersionForbidsIsSeen() {
+        Set<String> read = Set.of("read");
+        rule(1, Entry.Step.PROPOSED, 100, read, false).rule(1, Entry.Step.IN_FORCE, 200, read, false);
+        asked("read", 2000).sent(1, "c1", 2100).sent(2, "c2", 2150);
+        assertEquals(List.of(), contradictions());
+        sent(3, "c1", 2300);
+        assertEquals(List.of("router 0 acts on version 0 with a repeat of what is unsafe by then 2100.0 ms"
+            + " after version 1 came into force"), contradictions());
+        lines.removeIf(e -> e instanceof Entry.Sent);
+        sent(1, "c1", 2300).made(1, Entry.Made.BUSY, 2310).sent(2, "c2", 2320);
+        assertEquals(List.of(), contradictions(), "a turn-away never ran");
+        rule(2, Entry.Step.PROPOSED, 3000, Set.of(), false);
+        rule(2, Entry.Step.IN_FORCE, 4000, Set.of(), false);
+        sent(3, "c1", 3400);
+        assertEquals(List.of("router 0 acts on version 2 600.0 ms before it is in force"), contradictions());
+    }
+
+    /** Of a version of the list each send to what had left it counts, until that is listed again. */
+    @Test
+    void actingOnAnOlderListThanTheVersionsIsSeen() {
+        line(new Entry.Listed(500 * MILLI, "c1", Entry.State.DRAINING));
+        rule(1, Entry.Step.PROPOSED, 1000, Set.of(), true);
+        rule(1, Entry.Step.IN_FORCE, 1500, Set.of(), true);
+        line(new Entry.Listed(2000 * MILLI, "c2", Entry.State.DRAINING));
+        sent(1, "c1", 3400).sent(2, "c2", 4000).sent(3, "c3", 4000);
+        assertEquals(List.of(), contradictions(), "c2 left later");
+        sent(4, "c1", 3600);
+        assertEquals(List.of("router 0 acts on version 0's list, of before its server left it, 2100.0 ms"
+            + " after version 1 came into force"), contradictions());
+        line(new Entry.Listed(3500 * MILLI, "c1", Entry.State.READY));
+        assertEquals(List.of(), contradictions());
+    }
+
     private Verdict contradiction() {
         return Judge.judge(terms, lines).stream().filter(v -> v.rule().equals("no-contradiction"))
             .findFirst().orElseThrow();
--- a/src/test/java/beaconturn/net/BrokenRouter.java
+++ b/src/test/java/beaconturn/net/BrokenRouter.java
@@ -51,7 +51,7 @@
 
     /** A router with the defect; not started yet. */
     public static RouterServer of(Defect defect, RouterConfig config) throws IOException {
-        return new RouterServer(config, () -> config, new Lifecycle(), new BrokenRouter(defect), null);
+        return new RouterServer(config, () -> config, new Lifecycle(), new BrokenRouter(defect), null, null);
     }
 
     @Override
--- a/src/test/java/beaconturn/net/CacheServerTest.java
+++ b/src/test/java/beaconturn/net/CacheServerTest.java
@@ -34,7 +34,7 @@
     private final AtomicLong passed = new AtomicLong();
     private final Clock clock = () -> system.now() + passed.get();
     private final BlockingQueue<Message> module = new LinkedBlockingQueue<>();
-    static final ClientCall.Reading READ = new ClientCall.Reading(null, "read", Tally.NONE);
+    static final ClientCall.Reading READ = new ClientCall.Reading(null, "read", 0, Tally.NONE);
     private int sent;
 
     static CacheServer.Site site(Clock clock, Consumer<Message> module, Places places, long idleTime,
--- a/src/test/java/beaconturn/net/PlantedAgreement.java
+++ b/src/test/java/beaconturn/net/PlantedAgreement.java
@@ -36,7 +36,11 @@
         /** It goes on with the version that it has, whatever becomes of its lease. */
         IGNORES_LEASE,
         /** It takes a version into force as soon as it is proposed. */
-        RUNS_AHEAD
+        RUNS_AHEAD,
+        /** The same, seen by what it repeats. */
+        REPEATS,
+        /** It claims to have whatever list a version asks for, and takes any. */
+        CLAIMS_LISTS
     }
 
     private PlantedAgreement(Defect defect, AgreementSubsystem sound, StoreClient store) {
@@ -94,6 +98,9 @@
         if (defect == Defect.RUNS_AHEAD) {
             return early == null ? sounds : early;
         }
+        if (defect == Defect.CLAIMS_LISTS) {
+            return sounds;
+        }
         // Once it has a version of its own, it holds on to that until it is told of another one in force.
         if (held == null || sounds.says().matches("version [0-9]+")) {
             held = sounds;
@@ -111,6 +118,16 @@
         sound.applied(force);
     }
 
+    @Override
+    public long oldestList() {
+        return 0;
+    }
+
+    @Override
+    public void hasList(long version) {
+        sound.hasList(defect == Defect.CLAIMS_LISTS ? Long.MAX_VALUE : version);
+    }
+
     @Override
     public void sees(Map<Fleet.Listed, Routing.Standing> caches) {
         sound.sees(caches);
--- a/src/test/java/beaconturn/rehearsal/AgreementPlayTest.java
+++ b/src/test/java/beaconturn/rehearsal/AgreementPlayTest.java
@@ -103,11 +103,73 @@
             e.getMessage());
     }
 
-    /** The same day with one router that has a defect: it is named, and nobody else. */
+    private Report shipped(String name) throws Exception {
+        Path file = Path.of("examples", "rehearsals", name + ".toml");
+        Scenario scenario = ScenarioReader.read(file.toString(), Files.readString(file), null);
+        Report report = new Rehearsal(scenario, ProcessLauncher.own(MAIN), folder, text -> { }).play();
+        assertEquals(List.of(), broken(report), report.text());
+        assertTrue(contradiction(report).checked() > 0, report.text());
+        return report;
+    }
+
+    /** The command that proposed it is dead by then. */
+    @Test
+    void aVersionOfTheListComesIntoForceOnceAllHaveThatList() throws Exception {
+        Passage version = shipped("agreement-lists").fleet().passages().get(0);
+        assertTrue(version.inForce() > version.proposed() + 2_000_000_000L, "it waits for r3");
+        String log = Files.readString(folder.resolve("r3.log"));
+        assertTrue(log.contains("has not the list yet that version 1 asks for"), log);
+        assertEquals("version 1 is proposed\n", Files.readString(folder.resolve("proposal-1.log"))
+            .replaceFirst("^$", "version 1 is proposed\n"), "killed before it could say more");
+    }
+
+    @Test
+    void aVersionThatOneRouterCannotReadIsTurnedDownAndTheNextBindsThoseThatAreCutOff() throws Exception {
+        List<Passage> versions = shipped("agreement-effects").fleet().passages();
+        assertTrue(versions.get(0).inForce() < 0, "nobody acts on it");
+        assertTrue(versions.get(1).inForce() > 0);
+        String log = Files.readString(folder.resolve("store.log"));
+        assertTrue(log.contains("r3 says no: there is no class 'report' here"), log);
+    }
+
+    /** What a defect is seen by, where it is not by the servers that versions hold out. */
+    private static String day(PlantedAgreement.Defect defect) {
+        return switch (defect) {
+            case REPEATS -> DAY.replaceFirst("out = \\[\"c1\", \"c2\"]", "most_tries = 4")
+                .replaceFirst("out = \\[\"c3\", \"c4\"]", "unsafe = [\"level\"]")
+                + "[[fault]]\nkind = \"reset\"\non = [\"c1\", \"c2\", \"c3\"]\npart = 0.2\n"
+                + "from = \"0s\"\n";
+            case CLAIMS_LISTS -> """
+                length = "12s"
+                [agreement]
+                lease = "1s"
+                [[router]]
+                [[router]]
+                [[clients]]
+                rate = 120
+                [[fault]]
+                kind = "link-cut"
+                way = "discovery"
+                on = ["r1"]
+                from = "500ms"
+                [[fault]]
+                kind = "drain"
+                on = ["c1"]
+                from = "1s"
+                to = "11s"
+                [[version]]
+                at = "3s"
+                newest_list = true
+                """;
+            default -> DAY;
+        };
+    }
+
+    /** Such a day with one router that has a defect: it is named, and nobody else. */
     @ParameterizedTest
     @EnumSource(PlantedAgreement.Defect.class)
     void aPlantedRouterIsNamed(PlantedAgreement.Defect defect) throws Exception {
-        Scenario scenario = ScenarioReader.read("day.toml", DAY, null);
+        Scenario scenario = ScenarioReader.read("day.toml", day(defect), null);
         Report report = new Rehearsal(scenario, new Mixed(defect), folder, text -> { }).play();
         Verdict verdict = contradiction(report);
         assertTrue(!verdict.held(), report.text());
@@ -123,7 +185,7 @@
         @Override
         public Running launch(Start start) throws IOException {
             return start.name().equals("r1") ? new EmbeddedLauncher(c -> new RouterServer(c, () -> c,
-                new Lifecycle(), PlantedAgreement.of(defect, start.features(), c))).launch(start)
+                new Lifecycle(), PlantedAgreement.of(defect, start.features(), c), null)).launch(start)
                 : PROCESSES.launch(start);
         }
 
--- a/src/test/java/beaconturn/rehearsal/fleet/LinkTest.java
+++ b/src/test/java/beaconturn/rehearsal/fleet/LinkTest.java
@@ -115,6 +115,21 @@
         }
     }
 
+    /** Who gives up by a reset while it is on its way has not sent it: nobody could tell when it came. */
+    @Test
+    void whatWasResetOnASlowWayNeverArrives() throws Exception {
+        Socket reset = connect(LONG_MILLIS);
+        assertEquals(1, said(reset, 1));
+        link.become(Link.State.SLOW, SHORT_MILLIS * 1_000_000L);
+        reset.getOutputStream().write(3);
+        reset.setSoLinger(true, 0);
+        reset.close();
+        try (Socket fresh = connect(LONG_MILLIS)) {
+            assertEquals(5, said(fresh, 5));
+            assertEquals(List.of(1, 5), List.of(heard.take(), heard.take()));
+        }
+    }
+
     /** What is asked has arrived, nothing comes back, and the connection ends. */
     @Test
     void aLostAnswerEndsTheConnection() throws IOException {
--- a/src/test/java/beaconturn/release/AbsenceTest.java
+++ b/src/test/java/beaconturn/release/AbsenceTest.java
@@ -66,7 +66,8 @@
     private static Board caches() throws AgreementException {
         Board board = new Board();
         board.desk().fleet(new Fleet(Map.of(Kind.CACHE, CACHES)));
-        board.desk().start(new Plan(0, Kind.CACHE, List.of(List.of("c1", "c2")), 10, 0, 0, LIMIT, 0, "why",
+        board.desk().start(new Plan(0, Kind.CACHE, List.of(List.of("c1", "c2")), 10, 0,
+            Bounds.of(0), LIMIT, 0, "why",
             null, ""));
         return board;
     }
@@ -157,7 +158,8 @@
         assertEquals(Scene.REPLACED, driver.waits());
         assertThrows(AgreementException.class, () -> board.desk().back("no"));
         board.desk().abandon("seen who runs what");
-        board.desk().start(new Plan(0, Kind.CACHE, List.of(List.of("c1")), 10, 0, 0, LIMIT, 0, "why", null,
+        board.desk().start(new Plan(0, Kind.CACHE, List.of(List.of("c1")), 10, 0,
+            Bounds.of(0), LIMIT, 0, "why", null,
             ""));
         assertFalse(board.scene().replaced());
     }
--- a/src/test/java/beaconturn/release/Board.java
+++ b/src/test/java/beaconturn/release/Board.java
@@ -89,7 +89,7 @@
     /** The same of a process. */
     void health(String id, String process, long good, long bad) {
         ask(new Call.Swap(List.of(), List.of(new Call.Change.Put(KEYS.health(id),
-            ReleaseTexts.of(new Sample(process, good, bad)), 0))));
+            ReleaseTexts.of(Sample.of(process, good, bad)), 0))));
     }
 
     /** What stands there, without revisions and history: two boards that say the same are the same. */
@@ -115,7 +115,7 @@
 
     /** Begins a release in these waves, watched for no time and compared by so many answers. */
     Board begin(int samples, List<List<String>> waves) throws AgreementException {
-        desk().start(new Plan(0, Kind.ROUTER, waves, 0, samples, 0.1, 1, 0, "why", null, ""));
+        desk().start(new Plan(0, Kind.ROUTER, waves, 0, samples, Bounds.of(0.1), 1, 0, "why", null, ""));
         return this;
     }
 }
--- a/src/test/java/beaconturn/release/DriverTest.java
+++ b/src/test/java/beaconturn/release/DriverTest.java
@@ -232,11 +232,12 @@
     void aStepWaitsWhileItsSiteCouldNotCarryItsLoad() throws AgreementException {
         board = new Board();
         Fleet.Group group = new Fleet.Group(1, 1,
-            new TreeMap<>(Map.of("east", List.of("r1", "r2", "r3"), "west", List.of("r4", "r5"))), 100);
+            new TreeMap<>(Map.of("east", List.of("r1", "r2", "r3"), "west", List.of("r4", "r5"))),
+            new Fleet.Capacity(100, 0, 1));
         board.desk().fleet(new Fleet(Map.of(Kind.ROUTER, group)));
         AgreementException e = assertThrows(AgreementException.class,
             () -> board.begin(0, List.of(List.of("r4"))));
-        assertEquals("west has 2 routers: with 1 out and one that fails none is left", e.getMessage());
+        assertEquals("west has 2 routers: with 1 out and 1 that fail none is left", e.getMessage());
         board.begin(0, List.of(List.of("r1")));
         assertTrue(board.held(driver.take(board.scene(), 1)));
         List.of("r1", "r2", "r3").forEach(id -> board.health(id, 0, 0));
@@ -244,8 +245,8 @@
         assertEquals("r1: what its site carries is measured", driver.waits());
         List.of("r1", "r2", "r3").forEach(id -> board.health(id, 40, 0));
         assertNull(drive(1_000_000_000, Map.of()));
-        assertEquals("r1: east carries 120 answers a second, and 1 routers would be left with one that fails,"
-            + " for 100 each", driver.waits());
+        assertEquals("r1: east carries 120.0 answers a second, and 1 routers would be left with 1 that fail,"
+            + " for 100.0 each", driver.waits());
         assertNull(drive(2_000_000_000, Map.of("r3", "holds no lease")));
         assertTrue(driver.waits().contains("r3 (holds no lease)"), driver.waits());
         List.of("r1", "r2", "r3").forEach(id -> board.health(id, 50, 0));
@@ -345,7 +346,7 @@
         Agent agent = board.agent("r1", "a", TIMEOUT);
         assertNotNull(agent.answered(board.held(agent.due(board.scene(), 0)), 0));
         agent.ended(false, "status 1", 10);
-        Plan plan = new Plan(1, Kind.ROUTER, WAVES, 0, 0, 0, 1, 50, "", null, "");
+        Plan plan = new Plan(1, Kind.ROUTER, WAVES, 0, 0, Bounds.of(0), 1, 50, "", null, "");
         assertNull(agent.alone(plan, 59));
         assertEquals(Variant.OLD, agent.alone(plan, 60));
         agent.ended(true, "", 70);
--- a/src/test/java/beaconturn/release/ReleaseSettingsTest.java
+++ b/src/test/java/beaconturn/release/ReleaseSettingsTest.java
@@ -35,7 +35,8 @@
         long drained = agreement.propose(now -> new Content(now.classes(), 3, null, 0,
             new TreeSet<>(List.of("c1"))), "op", "drained", 0);
         settle(drained);
-        board.desk().start(new Plan(0, Kind.ROUTER, List.of(List.of("r1")), 0, 0, 0, 1, 0, "why", TWICE, ""));
+        board.desk().start(new Plan(0, Kind.ROUTER, List.of(List.of("r1")), 0, 0, Bounds.of(0), 1, 0, "why",
+            TWICE, ""));
         assertTrue(board.held(driver.take(board.scene(), 1)));
     }
 
