Places on processes: a lost zone, a cut one, a slow origin; orders for operators

Need: the deciders of places were proven in virtual time only. The kit gives routers a [zones] section, notes plans as the store saw them, and judges kept-near, no-stampede and one-decision by what cache servers and the store saw.

Found by the play of a slow origin: one zone got good a second before another, and the other, still bad, was moved (plan 1 8.5 s after all were bad together; kept-near broken, 266 of 1039 sends). Evidence of places is of different age (windows of 1.5 to 3 s), which the log of the office shows. Nothing is moved now while more than half of the places that are served near are bad, and 4 s longer (Decision.next); places that are away already do not count, so that a receiving one that fails is still left. Also: scripts that agents wait with ran on when a rehearsal was gone (seen in ps, hand.sh); they end with its folder now.

--- a/src/main/java/beaconturn/cli/CheckConfigCommand.java
+++ b/src/main/java/beaconturn/cli/CheckConfigCommand.java
@@ -22,8 +22,9 @@
                 + read.settings().classNames().size() + " classes, " + read.known().members().size()
                 + " cache servers known");
             if (features != null) {
-                System.out.println("features are sound: agreement "
-                    + (FeaturesFile.read(features) == null ? "off" : "on"));
+                FeaturesFile.Features on = FeaturesFile.all(features);
+                System.out.println("features are sound: agreement " + (on.agreement() == null ? "off" : "on")
+                    + ", zones " + (on.places() == null ? "off" : "on"));
             }
             return 0;
         } catch (ConfigException e) {
--- a/src/main/java/beaconturn/cli/FeaturesFile.java
+++ b/src/main/java/beaconturn/cli/FeaturesFile.java
@@ -81,7 +81,8 @@
     /** All sections; null for those that are not there. */
     record Features(AgreementConfig agreement, Geography places) { }
 
-    private static Features all(String file) throws ConfigException {
+    /** What the file turns on. */
+    static Features all(String file) throws ConfigException {
         return OperatorsFile.read(file, all -> {
             AgreementConfig agreement = all.has("agreement") ? agreement(all.table("agreement")) : null;
             Section zones = all.has("zones") ? all.table("zones") : null;
--- a/src/main/java/beaconturn/cli/Main.java
+++ b/src/main/java/beaconturn/cli/Main.java
@@ -23,7 +23,7 @@
             .addCommand(new ServeCommand()).addCommand(new CheckConfigCommand())
             .addCommand(new RehearseCommand()).addCommand(new StandInCommand())
             .addCommand(new AgreementCommand()).addCommand(new StoreStandInCommand())
-            .addCommand(new ReleaseCommand()).addCommand(new SimHostCommand())
+            .addCommand(new ReleaseCommand()).addCommand(new ZonesCommand()).addCommand(new SimHostCommand())
             .addCommand(new VersionCommand()).build();
         if (args.length > 0 && args[args.length - 1].equals("--help")) {
             return help(commands, args[0]);
--- a/src/main/java/beaconturn/ledger/Entry.java
+++ b/src/main/java/beaconturn/ledger/Entry.java
@@ -1,5 +1,6 @@
 package beaconturn.ledger;
 
+import java.util.Map;
 import java.util.Set;
 
 /** One line of the account; times are nanoseconds of one clock. */
@@ -126,6 +127,12 @@
     record Versioned(long at, long number, Step step, Set<String> out, int mostTries, Set<String> unsafe,
             boolean lists) implements Entry { }
 
+    /** A plan of places stands from now on: to which places the keys of each go, in thousandths. */
+    record Planned(long at, long number, Map<String, Map<String, Integer>> rows) implements Entry { }
+
+    /** A fault that the scenario has put there begins, or has ended. */
+    record Troubled(long at, boolean on) implements Entry { }
+
     /** A stand-in could not read what a router sent. */
     record Unreadable(long at, String server, int router, String why) implements Entry { }
 
--- a/src/main/java/beaconturn/ledger/Judge.java
+++ b/src/main/java/beaconturn/ledger/Judge.java
@@ -13,7 +13,8 @@
         List<Rule> rules = List.of(new OneAnswer(), new MadeForIt(), new NoEffectTwice(), new Copies(),
             new Attempts(), new HarmlessRefusal(), new NothingAfter(), new PassedOn(), new Drains(),
             new ColdServers(), new OriginKept(), new Books(), new RoutersRun(), new NoContradiction(),
-            new NeverTooManyOut(), new HaltBinds(), new StepOnce());
+            new NeverTooManyOut(), new HaltBinds(), new StepOnce(), new PlaceRules.KeptNear(),
+            new PlaceRules.NoStampede(), new PlaceRules.OneDecision());
         return rules.stream().map(rule -> rule.on(evidence)).toList();
     }
 }
--- /dev/null
+++ b/src/main/java/beaconturn/ledger/PlaceRules.java
@@ -0,0 +1,165 @@
+package beaconturn.ledger;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/** What the rules on places look at: sends by second, the place of each cache server, and plans. */
+final class PlaceRules {
+    private static final long SECOND = 1_000_000_000;
+
+    private PlaceRules() {
+    }
+
+    /** The place of each cache server. */
+    private static Map<String, String> places(Evidence evidence) {
+        Map<String, String> places = new HashMap<>();
+        evidence.all(Entry.Started.class).forEach(s -> places.put(s.server(), s.zone()));
+        return places;
+    }
+
+    /** The first send of each request, in the order of time, as retries go where the first did not. */
+    private static List<Entry.Sent> firsts(Evidence evidence) {
+        List<Entry.Sent> all = new ArrayList<>();
+        evidence.cases().forEach(one -> one.sends().stream().limit(1).forEach(all::add));
+        all.sort((a, b) -> Long.compare(a.firstAt(), b.firstAt()));
+        return all;
+    }
+
+    /** Traffic stays near while nothing is wrong, and is back near some time after. */
+    static final class KeptNear extends Rule {
+        KeptNear() {
+            super("kept-near", "traffic stays in its place while that can carry it");
+        }
+
+        @Override
+        void judge(Evidence evidence) {
+            Terms.Zones terms = evidence.terms().zones();
+            if (terms == null) {
+                return;
+            }
+            Map<String, String> places = places(evidence);
+            SortedMap<Long, int[]> seconds = new TreeMap<>();
+            for (Entry.Sent sent : firsts(evidence)) {
+                if (calm(evidence, sent.firstAt(), terms.backWithin())) {
+                    int[] count = seconds.computeIfAbsent(sent.firstAt() / (5 * SECOND), s -> new int[2]);
+                    count[places.get(sent.server()).equals(terms.homes().get(sent.router())) ? 0 : 1]++;
+                }
+            }
+            seconds.forEach((second, count) -> {
+                double all = count[0] + count[1];
+                double least = terms.trial() + 4 * Math.sqrt(terms.trial() / all) + 2 / all;
+                check(count[1] / all <= least, second * 5 * SECOND, "", "", count[1] + " of " + (int) all
+                    + " first sends of five seconds went to other places, though all could be served near");
+            });
+        }
+
+        private static boolean calm(Evidence evidence, long at, long within) {
+            int on = 0;
+            long since = Long.MIN_VALUE / 2;
+            for (Entry.Troubled t : evidence.all(Entry.Troubled.class)) {
+                if (t.at() <= at) {
+                    on += t.on() ? 1 : -1;
+                    since = t.at();
+                }
+            }
+            return on <= 0 && at - since > within;
+        }
+    }
+
+    /** No place is sent more by all together than its cache servers can do, but for a moment. */
+    static final class NoStampede extends Rule {
+        NoStampede() {
+            super("no-stampede", "no place is sent more than a stated multiple of what it can do");
+        }
+
+        @Override
+        void judge(Evidence evidence) {
+            Terms.Zones terms = evidence.terms().zones();
+            if (terms == null) {
+                return;
+            }
+            Map<String, Double> can = new HashMap<>();
+            Map<String, Entry.Started> last = new HashMap<>();
+            for (Entry.Started s : evidence.all(Entry.Started.class)) {
+                if (last.put(s.server(), s) == null) {
+                    can.merge(s.zone(), s.capacity(), Double::sum);
+                }
+            }
+            Map<String, String> places = places(evidence);
+            Map<String, SortedMap<Long, Long>> work = new TreeMap<>();
+            for (Entry.Sent sent : evidence.all(Entry.Sent.class)) {
+                work.computeIfAbsent(places.get(sent.server()), p -> new TreeMap<>())
+                    .merge(sent.at() / SECOND, sent.work(), Long::sum);
+            }
+            work.forEach((place, seconds) -> seconds.forEach((second, sum) -> {
+                double most = sum / (can.get(place) * SECOND);
+                check(most <= terms.peak(), second * SECOND, "", place, "sent "
+                    + Math.round(100 * most) / 100.0 + " times what its cache servers can do in a second");
+            }));
+        }
+    }
+
+    /** Each router sends by a plan that stands, or did within the stated time. */
+    static final class OneDecision extends Rule {
+        OneDecision() {
+            super("one-decision", "nobody sends by an older decision beyond the stated time");
+        }
+
+        @Override
+        void judge(Evidence evidence) {
+            Terms.Zones terms = evidence.terms().zones();
+            if (terms == null) {
+                return;
+            }
+            Map<String, String> places = places(evidence);
+            List<Entry.Planned> plans = evidence.all(Entry.Planned.class);
+            Map<String, int[]> counts = new TreeMap<>();
+            Map<String, Double> allowed = new TreeMap<>();
+            for (Entry.Sent sent : firsts(evidence)) {
+                String home = terms.homes().get(sent.router());
+                String place = places.get(sent.server());
+                for (String other : terms.homes().stream().distinct().toList()) {
+                    if (other.equals(home)) {
+                        continue;
+                    }
+                    String key = sent.firstAt() / (2 * SECOND) + " " + sent.router() + " " + other;
+                    int[] count = counts.computeIfAbsent(key, k -> new int[2]);
+                    count[other.equals(place) ? 1 : 0]++;
+                    allowed.merge(key, allotted(evidence, plans, home, other, sent.firstAt()), Math::max);
+                }
+            }
+            counts.forEach((key, count) -> {
+                double all = count[0] + count[1];
+                double most = allowed.get(key);
+                double bound = most + 5 * Math.sqrt(most * (1 - most) / all) + 3 / all;
+                String[] words = key.split(" ");
+                check(count[1] / all <= bound, Long.parseLong(words[0]) * 2 * SECOND, "", words[2], "router "
+                    + words[1] + " sent " + count[1] + " of " + (int) all
+                        + " there, where plans of the stated time"
+                    + " allot " + Math.round(1000 * most) + " of 1000");
+            });
+        }
+
+        /** The most that a plan allots which stands, or stood within the stated time. */
+        private static double allotted(Evidence evidence, List<Entry.Planned> plans, String home,
+            String place,
+                long at) {
+            long from = at - evidence.terms().stated() - evidence.terms().sendSlack();
+            // A trial, and what every plan leaves to who has no lease.
+            double most = 0.05;
+            for (int i = 0; i < plans.size(); i++) {
+                long until = i + 1 < plans.size() ? plans.get(i + 1).at() : Long.MAX_VALUE;
+                if (plans.get(i).at() <= at && until >= from) {
+                    int part = plans.get(i).rows().getOrDefault(home, Map.of()).getOrDefault(place, 0);
+                    // Where much is allotted, what the own place has no room for may go there too.
+                    most = Math.max(most, part > 50 ? 1 : part / 1000.0);
+                }
+            }
+            return most;
+        }
+    }
+}
--- a/src/main/java/beaconturn/ledger/Terms.java
+++ b/src/main/java/beaconturn/ledger/Terms.java
@@ -1,5 +1,6 @@
 package beaconturn.ledger;
 
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -18,10 +19,11 @@
  * @param fallAfter ... over so long, it is pushed over
  * @param stated for how long two routers may act on contradicting versions
  * @param release what is promised of a release, or null
+ * @param zones what is promised of places, or null
  */
 public record Terms(Map<String, Type> types, int mostTries, boolean secondCopies, long answerSlack,
         long drainGrace, long sendSlack, long askWithin, double coldShare, long coldFor, double fallMultiple,
-        long fallAfter, long stated, Release release) {
+        long fallAfter, long stated, Release release, Zones zones) {
     /**
      * What is promised of a release.
      *
@@ -36,6 +38,16 @@
     public record Release(boolean caches, Map<String, String> sites, int mostOut, int mostOutOfSite,
             long seenWithin, long halt, int harmful) { }
 
+    /**
+     * What is promised of places.
+     *
+     * @param homes the place of each router, by its number
+     * @param backWithin so long after the last trouble all keys are served near again
+     * @param trial the part that is sent elsewhere at all times
+     * @param peak no place is sent more than so many times what its cache servers can do in a second
+     */
+    public record Zones(List<String> homes, long backWithin, double trial, double peak) { }
+
     /** Whether a request may run more than once. */
     public enum Effect { SAFE, KEYED, UNSAFE }
 
--- a/src/main/java/beaconturn/rehearsal/Explained.java
+++ b/src/main/java/beaconturn/rehearsal/Explained.java
@@ -42,6 +42,11 @@
                 .line("unsafe", words(v.unsafe())).line("newest_list", v.newest()).line("dies", v.dies());
         }
         e.release(s);
+        if (s.zones() != null) {
+            e.head("[zones]").line("each_per_s", s.zones().each()).line("fetches_per_s", s.zones().fetches())
+                .line("reserve", s.zones().reserve()).line("back_within", time(s.zones().backWithin()))
+                .line("peak", s.zones().peak());
+        }
         return e.out.toString();
     }
 
--- a/src/main/java/beaconturn/rehearsal/FleetParts.java
+++ b/src/main/java/beaconturn/rehearsal/FleetParts.java
@@ -16,6 +16,8 @@
 import beaconturn.rehearsal.fleet.StoreProcess;
 import beaconturn.standin.Fault;
 import beaconturn.standin.net.Surroundings;
+import beaconturn.zones.Plan;
+import beaconturn.zones.ZonesTexts;
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -30,6 +32,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Predicate;
@@ -308,7 +311,18 @@
         Scenario.Agreement a = scenario.agreement();
         Files.writeString(featuresOf(name), "[agreement]\nendpoints = [\"127.0.0.1:" + at.getPort()
             + "\"]\nfleet = \"" + FLEET + "\"\nlease = \"" + a.lease() / MILLI + "ms\"\ndrift = " + a.drift()
-            + "\n" + (kept == null ? "" : "folder = \"" + kept + "\"\n"));
+            + "\n" + (kept == null ? "" : "folder = \"" + kept + "\"\n") + zones());
+    }
+
+    private String zones() {
+        Scenario.ZonesSpec z = scenario.zones();
+        if (z == null) {
+            return "";
+        }
+        StringBuilder text = new StringBuilder("[zones]\neach_per_s = " + z.each() + "\nfetches_per_s = "
+            + z.fetches() + "\nreserve = " + z.reserve() + "\n");
+        scenario.fleet().sites().forEach(site -> text.append("[[zones.place]]\nname = \"" + site + "\"\n"));
+        return text.toString();
     }
 
     /** The operators' file of a router. */
@@ -521,6 +535,8 @@
                     saw(at, Cue.What.IN_FORCE, Texts.version(change.value()));
                 } else if (change.key().equals(keys.common() + "settled")) {
                     came.putIfAbsent(new Cue(Cue.What.SETTLED, Long.parseLong(change.value()), ""), at);
+                } else if (change.key().equals(FLEET + "/zones/plan")) {
+                    planned(at, ZonesTexts.plan(change.value()));
                 } else if (change.key().startsWith(release)) {
                     ofRelease(at, change.key().substring(release.length()), change.value());
                 } else if (change.key().startsWith(keys.rosters())) {
@@ -549,6 +565,12 @@
         }
     }
 
+    private void planned(long at, Plan plan) {
+        Map<String, Map<String, Integer>> rows = new TreeMap<>();
+        plan.rows().forEach((place, row) -> rows.put(place, row.parts()));
+        account.add(new Entry.Planned(at, plan.number(), rows));
+    }
+
     private void budget(long at, String text) {
         String kind = scenario.release().caches() ? "cache" : "router";
         Matcher m = Pattern.compile("\"kind\":\"" + kind
--- a/src/main/java/beaconturn/rehearsal/Rehearsal.java
+++ b/src/main/java/beaconturn/rehearsal/Rehearsal.java
@@ -190,6 +190,9 @@
     private void begin(Scenario.FaultSpec fault, long base) {
         long from = base + fault.from();
         Fault.Target target = fault.kind().target();
+        if (scenario.zones() != null) {
+            step(from, () -> account.add(new Entry.Troubled(clock.now(), true)));
+        }
         if (target == Fault.Target.ROUTER) {
             fault.target().forEach(name -> beginRouter(fault, scenario.router(name), from));
         } else if (fault.kind().needsAgreement()) {
@@ -205,6 +208,9 @@
     }
 
     private void end(Scenario.FaultSpec fault, long to) {
+        if (scenario.zones() != null) {
+            step(to, () -> account.add(new Entry.Troubled(clock.now(), false)));
+        }
         Fault.Target target = fault.kind().target();
         if (target == Fault.Target.ROUTER) {
             fault.target().forEach(name -> endRouter(fault, scenario.router(name), to));
--- a/src/main/java/beaconturn/rehearsal/Scenario.java
+++ b/src/main/java/beaconturn/rehearsal/Scenario.java
@@ -19,7 +19,10 @@
 public record Scenario(String name, String about, long seed, long length, Fleet fleet, Origin.Shape origin,
         long listLag, Rules rules, List<Type> types, List<RouterSpec> routers, List<Clients> clients,
         List<FaultSpec> faults, Agreement agreement, List<VersionSpec> versions, ReleaseSpec release,
-        List<OrderSpec> orders) {
+        List<OrderSpec> orders, ZonesSpec zones) {
+
+    /** What operators say of places, which are the sites; null where nothing is decided of them in common. */
+    public record ZonesSpec(double each, double fetches, int reserve, long backWithin, double peak) { }
 
     /** How routers agree; the times of {@link Timing}. */
     public record Agreement(long lease, double drift) {
@@ -87,6 +90,8 @@
      */
     public record OrderSpec(long at, Cue after, String what, String part, int mostOut) { }
 
+    /** As the plans of routers have it. */
+    private static final double TRIAL = 0.01;
     private static final long APPLY = 500_000_000;
     private static final long SECOND = 1_000_000_000;
 
@@ -207,7 +212,8 @@
         return new Terms(known, rules.mostTries(), rules.secondCopies(), rules.answerSlack() + slack,
             rules.drainGrace(), slack, rules.askWithin(), shape.coldShare(), shape.coldFor(),
             shape.fallMultiple(), shape.fallAfter(), agreement == null ? 0 : agreement.timing().stated(),
-            release == null ? null : releaseTerms());
+            release == null ? null : releaseTerms(), zones == null ? null : new Terms.Zones(
+                routers.stream().map(RouterSpec::site).toList(), zones.backWithin(), TRIAL, zones.peak()));
     }
 
     /**
--- a/src/main/java/beaconturn/rehearsal/ScenarioReader.java
+++ b/src/main/java/beaconturn/rehearsal/ScenarioReader.java
@@ -65,9 +65,10 @@
         }
         Scenario.ReleaseSpec release = release(agreement, fleet, routers, proposed.size());
         List<Scenario.OrderSpec> orders = orders(release, fleet, routers, proposed.size());
+        Scenario.ZonesSpec zones = zones(agreement, fleet);
         file.end();
         return new Scenario(name, about, chosen, length, fleet, origin, lag, rules, types, routers, clients,
-            faults, agreement, versions, release, orders);
+            faults, agreement, versions, release, orders, zones);
     }
 
     private Scenario.ReleaseSpec release(Scenario.Agreement agreement, Scenario.Fleet fleet,
@@ -133,6 +134,21 @@
         return new Scenario.Agreement(s.time("lease", 2 * SECOND, SECOND), s.number("drift", 0.01, 0, 0.2));
     }
 
+    private Scenario.ZonesSpec zones(Scenario.Agreement agreement,
+        Scenario.Fleet fleet) throws TomlException {
+        if (!file.has("zones")) {
+            return null;
+        }
+        Section s = file.table("zones");
+        if (agreement == null || fleet.sites().size() < 2) {
+            throw s.wrong("", "needs an [agreement] table and two sites at least");
+        }
+        return new Scenario.ZonesSpec(s.number("each_per_s", 100, 0.1, 1e6), s.number("fetches_per_s", 1e6,
+            1, 1e6),
+            s.whole("reserve", 50, 0, 50), s.time("back_within", 30 * SECOND, 0), s.number("peak", 1.2,
+                0.1, 100));
+    }
+
     private static List<Scenario.VersionSpec> versions(List<Section> proposed, Scenario.Agreement agreement,
             Scenario.Fleet fleet, List<Scenario.RouterSpec> routers, long length) throws TomlException {
         List<Scenario.VersionSpec> all = new ArrayList<>();
--- a/src/main/java/beaconturn/rehearsal/fleet/Hand.java
+++ b/src/main/java/beaconturn/rehearsal/fleet/Hand.java
@@ -31,7 +31,9 @@
         script = folder.resolve("hand.sh");
         Files.writeString(script, "#!/bin/sh\n# Lays a wish and waits until the kit has carried it out.\n"
             + "wish=\"$PART+$VARIANT+$$\"\n: > '" + wishes + "'/\"$wish\"\n"
-            + "while [ ! -s '" + done + "'/\"$wish\" ]; do sleep 0.05; done\n"
+            // Whoever is to answer may be gone, and the folder with it.
+            + "while [ ! -s '" + done + "'/\"$wish\" ]; do [ -d '" + done
+                + "' ] || exit 1; sleep 0.05; done\n"
             + "exit \"$(cat '" + done + "'/\"$wish\")\"\n");
     }
 
--- a/src/main/java/beaconturn/zones/Decision.java
+++ b/src/main/java/beaconturn/zones/Decision.java
@@ -25,6 +25,9 @@
     private final Geography map;
     private final Pace pace;
     private final Pool pool;
+    private final long window;
+    private boolean shared;
+    private long sharedUntil = Long.MIN_VALUE;
     private final SortedMap<String, Long> badSince = new TreeMap<>();
     private final SortedMap<String, Long> goodSince = new TreeMap<>();
     private final SortedMap<String, Long> steppedAt = new TreeMap<>();
@@ -40,6 +43,7 @@
     public Decision(Geography map, Pace pace, long window, long stale) {
         this.map = map;
         this.pace = pace;
+        this.window = window;
         this.pool = new Pool(map, window, stale);
     }
 
@@ -54,8 +58,8 @@
         map.places().forEach(p -> all.put(p, pool.of(p).name().toLowerCase(Locale.ROOT)
             .replace('_', ' ') + ", " + pool.says(p)));
         pool.broken().forEach(r -> all.put(r, "broken router: finds nothing good while its neighbours do"));
-        if (pool.shared()) {
-            all.put("all", "bad at once: a cause that they share, nothing is moved");
+        if (shared) {
+            all.put("all", "most are bad at once: a cause that they share, nothing is moved");
         }
         return all;
     }
@@ -69,8 +73,13 @@
             planAt = now;
         }
         map.places().forEach(p -> watch(p, now));
-        if (pool.shared()) {
-            waits = "all places are bad at once: nothing is moved";
+        shared = shared(plan);
+        sharedUntil = shared ? now + 2 * window + pace.confirm() : sharedUntil;
+        if (now < sharedUntil) {
+            // Evidence of some places is older than of others: the end of what they share does not show at
+            // once.
+            waits = "most places are, or were a moment ago, bad at once: nothing is moved";
+            badSince.replaceAll((place, since) -> now);
             return null;
         }
         Draft draft = new Draft(plan, now);
@@ -81,6 +90,18 @@
         return draft.done(me, now);
     }
 
+    /** Whether more than half of the places that are served near, and two at least, are bad at once. */
+    private boolean shared(Plan plan) {
+        List<Verdict> near = map.places().stream().filter(p -> !away(plan.states().get(p))).map(pool::of)
+            .filter(v -> v != Verdict.UNKNOWN).toList();
+        long bad = near.stream().filter(v -> v == Verdict.BROKEN).count();
+        return bad > 1 && 2 * bad > near.size();
+    }
+
+    private static boolean away(Plan.State state) {
+        return state == Plan.State.FAILED_OVER || state == Plan.State.SPLIT;
+    }
+
     private void watch(String place, long now) {
         boolean bad = lost(place);
         if (bad) {
@@ -145,7 +166,7 @@
             if (order != null && order.what() == Order.What.HOLD) {
                 return;
             }
-            boolean away = state == Plan.State.FAILED_OVER || state == Plan.State.SPLIT;
+            boolean away = away(state);
             boolean gone = now - badSince.getOrDefault(home, now) >= pace.confirm()
                 && badSince.containsKey(home);
             int near = near(home, row, state, gone || drained);
@@ -264,8 +285,7 @@
             steppedAt.put(home, now);
             Plan.State before = states.getOrDefault(home, Plan.State.NEAR);
             Plan.State next = state(home, before, row, step, gone);
-            boolean out = next == Plan.State.FAILED_OVER || next == Plan.State.SPLIT;
-            if (out && before != Plan.State.FAILED_OVER && before != Plan.State.SPLIT) {
+            if (away(next) && !away(before)) {
                 boolean longNear = nearAt.containsKey(home) && now - nearAt.get(home) >= pace.longest();
                 flaps.put(home, longNear ? 0 : flaps.getOrDefault(home, -1) + 1);
             }
@@ -286,9 +306,8 @@
             if (step.of(home) >= Row.WHOLE - trial(home)) {
                 return Plan.State.NEAR;
             }
-            boolean away = before == Plan.State.FAILED_OVER || before == Plan.State.SPLIT
-                || before == Plan.State.RETURNING;
-            return away ? Plan.State.RETURNING : Plan.State.SPILLING;
+            return away(before) || before == Plan.State.RETURNING ? Plan.State.RETURNING
+                : Plan.State.SPILLING;
         }
 
         /** A part of the way from one row to another. */
--- a/src/main/java/beaconturn/zones/Pool.java
+++ b/src/main/java/beaconturn/zones/Pool.java
@@ -28,7 +28,6 @@
     private final SortedMap<String, Verdict> places = new TreeMap<>();
     private final SortedMap<String, String> says = new TreeMap<>();
     private final SortedSet<String> broken = new TreeSet<>();
-    private boolean shared;
 
     /** What one router has told, and what it had told a window ago and two. */
     private static final class Voice {
@@ -119,8 +118,6 @@
         for (String place : map.places()) {
             places.put(place, judge(place));
         }
-        List<Verdict> known = places.values().stream().filter(v -> v != Verdict.UNKNOWN).toList();
-        shared = places.size() > 1 && known.size() > 1 && known.stream().allMatch(v -> v == Verdict.BROKEN);
     }
 
     /** Whether a router finds nothing good while most of its neighbours find their own place good. */
@@ -204,11 +201,6 @@
         return ways.containsKey(home) && ways.get(home).get(place) == Verdict.GOOD;
     }
 
-    /** Whether all places are bad at once: one cause that they share, and moving mends nothing. */
-    boolean shared() {
-        return shared;
-    }
-
     /** Routers that find nothing good while their neighbours do. */
     SortedSet<String> broken() {
         return broken;
--- a/src/test/java/beaconturn/LayoutTest.java
+++ b/src/test/java/beaconturn/LayoutTest.java
@@ -19,7 +19,8 @@
         "beaconturn.standin.net.."};
     private static final String[] NO_IO = {"beaconturn.decision..", "beaconturn.core..",
         "beaconturn.protocol..",
-        "beaconturn.standin", "beaconturn.standin.store..", "beaconturn.agreement..", "beaconturn.release..",
+        "beaconturn.standin", "beaconturn.standin.store..", "beaconturn.agreement..",
+        "beaconturn.release..", "beaconturn.zones..",
         "beaconturn.ledger..", "beaconturn.toml..", "beaconturn.stats..", "beaconturn.report.."};
 
     private static void none(String[] of, String... use) {
@@ -62,7 +63,11 @@
             "beaconturn.standin..", "beaconturn.ledger..");
         none(at("beaconturn.release.."), "beaconturn.core..", "beaconturn.decision..",
             "beaconturn.standin..", "beaconturn.ledger..", "beaconturn.toml..");
-        none(at("beaconturn.agreement.."), "beaconturn.release..");
+        none(at("beaconturn.zones.."), "beaconturn.core..", "beaconturn.decision..", "beaconturn.standin..",
+            "beaconturn.ledger..", "beaconturn.toml..", "beaconturn.release..");
+        none(at("beaconturn.report.."), "beaconturn.core..", "beaconturn.rehearsal..",
+            "beaconturn.release..");
+        none(at("beaconturn.agreement.."), "beaconturn.release..", "beaconturn.zones..");
         none(at("beaconturn.decision.."), "beaconturn.core..", "beaconturn.protocol..", "beaconturn.ledger..",
             "beaconturn.standin..");
         none(at("beaconturn.protocol..", "beaconturn.toml.."), "beaconturn.core..", "beaconturn.decision..",
@@ -79,9 +84,11 @@
     void whatDecidesOrModelsDoesNoIoAndHasNoClock() {
         none(NO_IO, "java.net..", "java.nio.channels..", "java.nio.file..");
         none(at("beaconturn.decision..", "beaconturn.agreement..", "beaconturn.release..",
+            "beaconturn.zones..",
             "beaconturn.standin", "beaconturn.ledger.."), "java.time..");
         noClasses().that().resideInAnyPackage("beaconturn.decision..", "beaconturn.protocol..",
-            "beaconturn.agreement..", "beaconturn.release..", "beaconturn.standin.store..",
+            "beaconturn.agreement..", "beaconturn.release..", "beaconturn.zones..",
+                "beaconturn.standin.store..",
                 "beaconturn.standin",
             "beaconturn.ledger..").should().callMethod(System.class, "nanoTime")
             .orShould().callMethod(System.class, "currentTimeMillis")
--- a/src/test/java/beaconturn/ledger/JudgeTest.java
+++ b/src/test/java/beaconturn/ledger/JudgeTest.java
@@ -23,7 +23,7 @@
             "ack", new Terms.Type(Terms.Effect.UNSAFE, "all", 0)), 3, secondCopies, 20 * MILLI, 500 * MILLI,
             50 * MILLI, 10 * SECOND, 0.2, 10 * SECOND, 4, SECOND, 2 * SECOND, new Terms.Release(
                 false, new TreeMap<>(Map.of("r0", "east", "r1", "east", "r2", "west", "r3", "west")), 2, 1,
-                SECOND, SECOND, 1));
+                SECOND, SECOND, 1), null);
     }
 
     JudgeTest() {
--- a/src/test/java/beaconturn/ledger/ReleaseRulesTest.java
+++ b/src/test/java/beaconturn/ledger/ReleaseRulesTest.java
@@ -16,7 +16,8 @@
     private static Terms terms(boolean caches, int harmful) {
         return new Terms(Map.of(), 3, true, 0, 0, 0, 10 * SECOND, 0.2, 10 * SECOND, 4, SECOND, 0,
             new Terms.Release(caches, new TreeMap<>(caches ? Map.of("c1", "east", "c2", "west", "c3", "west")
-                : Map.of("r0", "east", "r1", "west", "r2", "west")), 2, 1, 2 * SECOND, SECOND, harmful));
+                : Map.of("r0", "east", "r1", "west", "r2", "west")), 2, 1, 2 * SECOND, SECOND, harmful),
+                    null);
     }
 
     private ReleaseRulesTest changed(double at, String part, boolean released) {
--- /dev/null
+++ b/src/test/java/beaconturn/rehearsal/PlacesPlayTest.java
@@ -0,0 +1,189 @@
+package beaconturn.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.agreement.Timing;
+import beaconturn.cli.EmbeddedLauncher;
+import beaconturn.core.Fleet;
+import beaconturn.core.Lifecycle;
+import beaconturn.decision.Routing;
+import beaconturn.ledger.Entry;
+import beaconturn.ledger.Verdict;
+import beaconturn.net.Placing;
+import beaconturn.net.RouterConfig;
+import beaconturn.net.RouterServer;
+import beaconturn.net.agreement.AgreementConfig;
+import beaconturn.net.agreement.AgreementSubsystem;
+import beaconturn.net.agreement.PlacesSubsystem;
+import beaconturn.zones.Geography;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Routers of three places, the store and faults between them, judged by what cache servers and the store saw.
+ */
+@Timeout(120)
+class PlacesPlayTest {
+    private static final String DAY = """
+        length = "16s"
+        [fleet]
+        caches = 9
+        sites = ["east", "south", "west"]
+        cold_for = "2s"
+        [agreement]
+        lease = "1s"
+        [zones]
+        each_per_s = 150
+        back_within = "3s"
+        [[router]]
+        site = "east"
+        [[router]]
+        site = "east"
+        [[router]]
+        site = "south"
+        [[router]]
+        site = "west"
+        [[clients]]
+        rate = 200
+        """;
+    private static final String LOST = """
+        [[fault]]
+        kind = "kill"
+        on = ["c1", "c4", "c7"]
+        from = "4s"
+        """;
+    @TempDir
+    private Path folder;
+
+    private Report play(String text, RouterLauncher launcher) throws Exception {
+        return new Rehearsal(ScenarioReader.read("day.toml", text, null), launcher, folder,
+            said -> { }).play();
+    }
+
+    private static List<Entry.Planned> plans(Report report) {
+        return report.entries().stream().filter(e -> e instanceof Entry.Planned).map(e -> (Entry.Planned) e)
+            .toList();
+    }
+
+    private static List<String> broken(Report report) {
+        return report.verdicts().stream().filter(v -> !v.held()).map(Verdict::rule).toList();
+    }
+
+    @Test
+    void theKeysOfALostPlaceGoElsewhereInSecondsAndNobodyIsPushedOver() throws Exception {
+        Report report = play(DAY + LOST, ProcessLauncher.own("beaconturn.cli.Main"));
+        assertEquals(List.of(), broken(report), report.text());
+        List<Entry.Planned> plans = plans(report);
+        assertTrue(!plans.isEmpty() && plans.get(0).rows().get("east").get("east") <= 50, report.text());
+        long after = plans.get(0).at() - report.start();
+        assertTrue(after < 9_000_000_000L, "within five seconds: " + after);
+    }
+
+    /** What a router is made to do that it should not. */
+    private enum Defect { IGNORES_SHARES, LIES }
+
+    /**
+     * One that ignores what is decided is named; one that finds all places bad, whatever they are, moves
+     * nothing.
+     */
+    @ParameterizedTest
+    @EnumSource(Defect.class)
+    void aPlantedRouterIsNamedOrMovesNothing(Defect defect) throws Exception {
+        Report report = play(DAY.replace("16s", "10s"), new Mixed(defect));
+        if (defect == Defect.LIES) {
+            assertEquals(List.of(), broken(report), report.text());
+            assertEquals(List.of(), plans(report), report.text());
+        } else {
+            assertEquals(List.of("kept-near", "one-decision"), broken(report), report.text());
+            assertTrue(report.verdicts().stream().flatMap(v -> v.offences().stream())
+                .allMatch(o -> !o.what().startsWith("router") || o.what().startsWith("router 0 ")),
+                    report.text());
+        }
+    }
+
+    /** The first router is one of this process with a defect, the others are processes as they should be. */
+    private record Mixed(Defect defect) implements RouterLauncher {
+        private static final ProcessLauncher PROCESSES = ProcessLauncher.own("beaconturn.cli.Main");
+
+        @Override
+        public Running launch(Start start) throws IOException {
+            return start.name().equals("r1") ? new EmbeddedLauncher(c -> router(start.features(),
+                c)).launch(start)
+                : PROCESSES.launch(start);
+        }
+
+        private RouterServer router(Path features, RouterConfig config) throws IOException {
+            Matcher port = Pattern.compile("127\\.0\\.0\\.1:([0-9]+)").matcher(Files.readString(features));
+            assertTrue(port.find());
+            AgreementConfig agreement = new AgreementConfig(List.of(new InetSocketAddress("127.0.0.1",
+                Integer.parseInt(port.group(1)))), "/rehearsal",
+                new Timing(1_000_000_000, 0.01, 500_000_000), null);
+            Geography map = new Geography(new TreeMap<>(Map.of("east", "", "south", "", "west", "")), 150,
+                1e6, 50);
+            return new RouterServer(config, () -> config, new Lifecycle(),
+                new AgreementSubsystem(agreement, config),
+                new Planted(defect, new PlacesSubsystem(agreement, map, config)));
+        }
+
+        @Override
+        public List<String> command(List<String> words) {
+            return PROCESSES.command(words);
+        }
+
+        @Override
+        public boolean restarts() {
+            return false;
+        }
+    }
+
+    /** Its defect stands between the router and its sound part. */
+    private record Planted(Defect defect, PlacesSubsystem sound) implements Placing {
+        @Override
+        public void run() {
+            sound.run();
+        }
+
+        @Override
+        public Routing.Shares due() {
+            return defect == Defect.IGNORES_SHARES ? Routing.Shares.ANYWHERE : sound.due();
+        }
+
+        @Override
+        public void sees(Map<Fleet.Listed, Routing.Standing> caches) {
+            Map<Fleet.Listed, Routing.Standing> told = new HashMap<>(caches);
+            if (defect == Defect.LIES) {
+                told.replaceAll((listed, standing) -> Routing.Standing.EJECTED);
+            }
+            sound.sees(told);
+        }
+
+        @Override
+        public void arrived() {
+            sound.arrived();
+        }
+
+        @Override
+        public void attempt(long server, boolean good, Found found, long took, boolean late) {
+            sound.attempt(server, good, found, took, late);
+        }
+
+        @Override
+        public void leave() {
+            sound.leave();
+        }
+    }
+}
--- a/src/test/java/beaconturn/zones/DecisionTest.java
+++ b/src/test/java/beaconturn/zones/DecisionTest.java
@@ -100,6 +100,34 @@
         assertEquals(0, world.plan().number(), world.said());
     }
 
+    /** Most places get bad, and good again, some seconds after each other: it is still one cause. */
+    @Test
+    void whatMostSufferFromMovesNothingAlsoWhenItDoesNotEndAtOnce() {
+        WorldModel world = three(400);
+        world.spots.get("east").bad = true;
+        world.run(SECOND / 2);
+        world.spots.get("west").bad = true;
+        world.run(15 * SECOND);
+        calm(world);
+        world.spots.get("west").bad = false;
+        world.run(3 * SECOND);
+        calm(world);
+        world.spots.get("east").bad = false;
+        world.run(10 * SECOND);
+        assertEquals(0, world.plan().number(), world.said());
+    }
+
+    /** One after the other, as the first is away by then. */
+    @Test
+    void wherePlacesThatReceiveFailTooTheirPartGoesOn() {
+        WorldModel world = three(250);
+        world.spots.get("east").bad = true;
+        world.run(8 * SECOND);
+        world.spots.get("west").bad = true;
+        world.run(8 * SECOND);
+        assertTrue(world.served("east", SECOND) > 0.9 && world.served("west", SECOND) > 0.9, world.said());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"bad", "good", "stuck"})
     void oneRouterThatLiesMovesNothingAlone(String lie) {
