Places: fresh answers count before ejections; nothing of them is linked at a start

Seen in the play of a flapping zone: 9 s after it was well its evidence still changed between broken and good, and its keys did not come back. By trials alone a router's module takes its servers back one by one and late, and half of them ejected stood for a broken place whatever was answered (Pool.view). Answers of the last seconds count first now, ejections where there are none.

--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -198,7 +198,9 @@
 
     private void arrived(Call call) {
         long now = clock.now();
-        tallies.forEach(Tally::arrived);
+        for (Tally tally : tallies) {
+            tally.arrived();
+        }
         Hosted module = of(call);
         long last = call.deadline() + module.settings.rules().answerSlack();
         RequestTable.Entry r = table.add(call, module, entry -> timers.at(last, () -> overdue(entry)));
--- a/src/main/java/beaconturn/decision/Request.java
+++ b/src/main/java/beaconturn/decision/Request.java
@@ -58,6 +58,11 @@
         return openCount() > 0;
     }
 
+    /** Whether it may go where it might fail: it was not sent yet, and may be repeated. */
+    boolean tries() {
+        return attempts.isEmpty() && type.effect() == Routing.Effect.SAFE;
+    }
+
     boolean tried(Server s) {
         for (Attempt a : attempts) {
             if (a.server == s) {
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -321,8 +321,8 @@
     // ---- ordinary path: ring, bounded loads, clockwise walk
 
     private Server pick(Request r) {
-        boolean tries = r.attempts.isEmpty() && r.type.effect() == Routing.Effect.SAFE;
-        return shares.first(r.hash, tries, place -> pick(r, place));
+        return shares == Routing.Shares.ANYWHERE ? pick(r, -1)
+            : shares.first(r.hash, r.tries(), place -> pick(r, place));
     }
 
     /** The home cache of the key, or the next one clockwise that is under its cap; all full: least loaded. */
--- a/src/main/java/beaconturn/net/Operators.java
+++ b/src/main/java/beaconturn/net/Operators.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
-import java.util.function.Supplier;
 
 /** What a router has for its operators where a second address is set; else none of it is loaded. */
 final class Operators implements Office {
@@ -28,8 +27,8 @@
     private final Predicate<String> heldOut;
     private final Set<String> leftOut = ConcurrentHashMap.newKeySet();
 
-    /** What callers may ask for; {@code health} gives null where routers do not agree. */
-    record Figures(Counters counters, Supplier<List<Counters.Figure>> health) { }
+    /** What callers may ask for; {@code health} is null where routers do not agree. */
+    record Figures(Counters counters, HealthFigures health) { }
 
     /** Binds the second address; what all routers have agreed to leave out, no call here brings back. */
     Operators(RouterConfig config, Lifecycle lifecycle, Clock clock, Consumer<Message> module,
@@ -73,7 +72,7 @@
 
     @Override
     public List<Counters.Figure> health() {
-        return figures.health().get();
+        return figures.health() == null ? null : figures.health().read();
     }
 
     @Override
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -17,13 +17,13 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
-import java.util.stream.Stream;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
@@ -117,7 +117,7 @@
             : health == null ? new Counters() : health.counters();
         this.operators = counters == null ? null
             : new Operators(config, lifecycle, clock, this::post, this::heldOut,
-                new Operators.Figures(counters, health == null ? () -> null : health::read));
+                new Operators.Figures(counters, health));
         this.tally = counters == null ? Tally.NONE : counters;
         this.module = new ModuleActor(
             operators == null && !config.shared() && agreed == null ? null : this::look,
@@ -146,12 +146,21 @@
             cacheActors, new Workers("cache", KEEP_THREAD),
             agreed == null ? () -> true : agreed::mayWrite));
         ModuleHost host = hosting.host(config, clock, fleet, discovery);
-        host.count(Stream.of(health == null ? null : health.counters(),
-            (Tally) placing).filter(Objects::nonNull)
-            .toList());
+        host.count(counting());
         module.host(host);
     }
 
+    private List<Tally> counting() {
+        List<Tally> all = new ArrayList<>();
+        if (health != null) {
+            all.add(health.counters());
+        }
+        if (placing != null) {
+            all.add(placing);
+        }
+        return all;
+    }
+
     private void noteList(Message message) {
         if (message instanceof Message.News news && news.news().kind() != Routing.ListKind.FAILED) {
             knownList = news.news().version();
--- a/src/main/java/beaconturn/zones/Pool.java
+++ b/src/main/java/beaconturn/zones/Pool.java
@@ -91,10 +91,15 @@
             return Verdict.NOT_LISTED;
         }
         long all = seen.good() + seen.bad();
-        if (2 * seen.ejected() >= seen.listed() || all >= FEWEST && seen.bad() > MOST_BAD * all) {
+        if (all >= FEWEST && seen.bad() > MOST_BAD * all) {
             return Verdict.BROKEN;
         }
-        return seen.good() > seen.bad() ? Verdict.GOOD : Verdict.UNKNOWN;
+        if (seen.good() > seen.bad()) {
+            // Also where servers are ejected still: by trials alone they come back late, and answers are
+            // newer.
+            return Verdict.GOOD;
+        }
+        return 2 * seen.ejected() >= seen.listed() ? Verdict.BROKEN : Verdict.UNKNOWN;
     }
 
     private void judge(long now) {
