Places: one way to a name's number, one beginning of rules, no report thrown away

Read again, behaviour as it was. CacheNames wrapped NameHash, which the adapter of places can call itself. The follower made a report of all cache servers at each turn of its loop, twenty a second, and again before each word to the store; it needs one a window and one a word. The three rules of places began alike and each worked out the places of cache servers: OfPlaces does. Pool asked in four places whose reports grow. In Decision a comment stood above the wrong field, two conditions said one thing each in two steps, and a parameter was read by nobody; Row.home and two fields of the follower were not used.

--- a/src/main/java/beaconturn/ledger/PlaceRules.java
+++ b/src/main/java/beaconturn/ledger/PlaceRules.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
 
@@ -14,11 +16,23 @@
     private PlaceRules() {
     }
 
-    /** The place of each cache server. */
-    private static Map<String, String> places(Evidence evidence) {
-        Map<String, String> places = new HashMap<>();
-        evidence.all(Entry.Started.class).forEach(s -> places.put(s.server(), s.zone()));
-        return places;
+    /** A rule that has something to judge only where places are decided on in common. */
+    private abstract static class OfPlaces extends Rule {
+        OfPlaces(String name, String promise) {
+            super(name, promise);
+        }
+
+        /** By what is promised, and the place of each cache server. */
+        abstract void judge(Evidence evidence, Terms.Zones terms, Map<String, String> places);
+
+        @Override
+        final void judge(Evidence evidence) {
+            if (evidence.terms().zones() != null) {
+                Map<String, String> places = new HashMap<>();
+                evidence.all(Entry.Started.class).forEach(s -> places.put(s.server(), s.zone()));
+                judge(evidence, evidence.terms().zones(), places);
+            }
+        }
     }
 
     /** The first send of each request, in the order of time, as retries go where the first did not. */
@@ -30,18 +44,13 @@
     }
 
     /** Traffic stays near while nothing is wrong, and is back near some time after. */
-    static final class KeptNear extends Rule {
+    static final class KeptNear extends OfPlaces {
         KeptNear() {
             super("kept-near", "traffic stays in its place while that can carry it");
         }
 
         @Override
-        void judge(Evidence evidence) {
-            Terms.Zones terms = evidence.terms().zones();
-            if (terms == null) {
-                return;
-            }
-            Map<String, String> places = places(evidence);
+        void judge(Evidence evidence, Terms.Zones terms, Map<String, String> places) {
             SortedMap<Long, int[]> seconds = new TreeMap<>();
             for (Entry.Sent sent : firsts(evidence)) {
                 if (calm(evidence, sent.firstAt(), terms.backWithin())) {
@@ -71,25 +80,20 @@
     }
 
     /** No place is sent more by all together than its cache servers can do, but for a moment. */
-    static final class NoStampede extends Rule {
+    static final class NoStampede extends OfPlaces {
         NoStampede() {
             super("no-stampede", "no place is sent more than a stated multiple of what it can do");
         }
 
         @Override
-        void judge(Evidence evidence) {
-            Terms.Zones terms = evidence.terms().zones();
-            if (terms == null) {
-                return;
-            }
+        void judge(Evidence evidence, Terms.Zones terms, Map<String, String> places) {
             Map<String, Double> can = new HashMap<>();
-            Map<String, Entry.Started> last = new HashMap<>();
+            Set<String> counted = new HashSet<>();
             for (Entry.Started s : evidence.all(Entry.Started.class)) {
-                if (last.put(s.server(), s) == null) {
+                if (counted.add(s.server())) {
                     can.merge(s.zone(), s.capacity(), Double::sum);
                 }
             }
-            Map<String, String> places = places(evidence);
             Map<String, SortedMap<Long, Long>> work = new TreeMap<>();
             for (Entry.Sent sent : evidence.all(Entry.Sent.class)) {
                 work.computeIfAbsent(places.get(sent.server()), p -> new TreeMap<>())
@@ -104,18 +108,13 @@
     }
 
     /** Each router sends by a plan that stands, or did within the stated time. */
-    static final class OneDecision extends Rule {
+    static final class OneDecision extends OfPlaces {
         OneDecision() {
             super("one-decision", "nobody sends by an older decision beyond the stated time");
         }
 
         @Override
-        void judge(Evidence evidence) {
-            Terms.Zones terms = evidence.terms().zones();
-            if (terms == null) {
-                return;
-            }
-            Map<String, String> places = places(evidence);
+        void judge(Evidence evidence, Terms.Zones terms, Map<String, String> places) {
             List<Entry.Planned> plans = evidence.all(Entry.Planned.class);
             Map<String, int[]> counts = new TreeMap<>();
             Map<String, Double> allowed = new TreeMap<>();
--- a/src/main/java/beaconturn/net/NameHash.java
+++ b/src/main/java/beaconturn/net/NameHash.java
@@ -4,7 +4,7 @@
 import java.nio.charset.StandardCharsets;
 
 /** The number that stands for a name; FNV-1a, so that every router and every start finds the same one. */
-final class NameHash {
+public final class NameHash {
     private static final long BASIS = 0xcbf29ce484222325L;
     private static final long PRIME = 0x100000001b3L;
 
@@ -12,7 +12,7 @@
     }
 
     /** The number of a cache server comes from its name, which is the same at every router. */
-    static long of(String host) {
+    public static long of(String host) {
         byte[] name = host.getBytes(StandardCharsets.UTF_8);
         return of(new Slice(name, 0, name.length));
     }
--- a/src/main/java/beaconturn/net/agreement/PlacesSubsystem.java
+++ b/src/main/java/beaconturn/net/agreement/PlacesSubsystem.java
@@ -4,7 +4,7 @@
 import beaconturn.core.Clock;
 import beaconturn.core.Fleet;
 import beaconturn.decision.Routing;
-import beaconturn.net.CacheNames;
+import beaconturn.net.NameHash;
 import beaconturn.net.Placing;
 import beaconturn.net.RouterConfig;
 import beaconturn.zones.Follower;
@@ -178,7 +178,7 @@
 
         private void count(Map<Fleet.Listed, Routing.Standing> now) {
             now.keySet().forEach(listed -> {
-                long id = CacheNames.number(listed.name());
+                long id = NameHash.of(listed.name());
                 OfServer of = servers.get(id);
                 if (of != null && listed.zone() < zones.size()) {
                     long[] last = told.computeIfAbsent(id, i -> new long[3]);
--- a/src/main/java/beaconturn/zones/Decision.java
+++ b/src/main/java/beaconturn/zones/Decision.java
@@ -31,9 +31,9 @@
     private final SortedMap<String, Long> badSince = new TreeMap<>();
     private final SortedMap<String, Long> goodSince = new TreeMap<>();
     private final SortedMap<String, Long> steppedAt = new TreeMap<>();
-    /** Since when the plan at hand stands, by this office's clock. */
     private final SortedMap<String, Long> nearAt = new TreeMap<>();
     private final SortedMap<String, Long> overSince = new TreeMap<>();
+    /** Since when the plan at hand stands, by this office's clock. */
     private long planAt;
     private long planSeen = -1;
     private long largeAt = Long.MIN_VALUE / 2;
@@ -166,21 +166,17 @@
             if (order != null && order.what() == Order.What.HOLD) {
                 return;
             }
-            boolean away = away(state);
-            boolean gone = now - badSince.getOrDefault(home, now) >= pace.confirm()
-                && badSince.containsKey(home);
+            boolean gone = badSince.containsKey(home) && now - badSince.get(home) >= pace.confirm();
             int near = near(home, row, state, gone || drained);
             if (order != null && order.what() == Order.What.WEIGHT) {
                 near = Math.min(near, order.weight());
             }
-            if (away && near > row.of(home)) {
-                if (!drained && !back(home, flaps.getOrDefault(home, 0), now)) {
-                    waits = home + " has to be good for longer before its keys come back";
-                    near = row.of(home);
-                }
+            if (away(state) && near > row.of(home) && !drained
+                && !back(home, flaps.getOrDefault(home, 0), now)) {
+                waits = home + " has to be good for longer before its keys come back";
+                near = row.of(home);
             }
-            boolean returns = near > row.of(home);
-            if (returns) {
+            if (near > row.of(home)) {
                 if (now - steppedAt.getOrDefault(home, Long.MIN_VALUE / 2) < pace.step()) {
                     return;
                 }
@@ -284,7 +280,7 @@
             rows.put(home, step);
             steppedAt.put(home, now);
             Plan.State before = states.getOrDefault(home, Plan.State.NEAR);
-            Plan.State next = state(home, before, row, step, gone);
+            Plan.State next = state(home, before, step, gone);
             if (away(next) && !away(before)) {
                 boolean longNear = nearAt.containsKey(home) && now - nearAt.get(home) >= pace.longest();
                 flaps.put(home, longNear ? 0 : flaps.getOrDefault(home, -1) + 1);
@@ -299,7 +295,7 @@
                 + ": " + pool.of(home).name().toLowerCase(Locale.ROOT) + ", " + pool.says(home));
         }
 
-        private Plan.State state(String home, Plan.State before, Row row, Row step, boolean gone) {
+        private Plan.State state(String home, Plan.State before, Row step, boolean gone) {
             if (gone) {
                 return pool.of(home) == Verdict.LINK ? Plan.State.SPLIT : Plan.State.FAILED_OVER;
             }
--- a/src/main/java/beaconturn/zones/Follower.java
+++ b/src/main/java/beaconturn/zones/Follower.java
@@ -73,10 +73,8 @@
     private long decideAt;
     private Plan step;
     private Call.Swap swap;
-    private String waits = "";
     private String says = "";
     private Report before;
-    private Report last;
     private long beforeAt;
     private boolean nearBad;
     private volatile Held held;
@@ -119,8 +117,8 @@
 
     /** To be called before each step and now and then: looks at its own evidence and its lease. */
     public void look(long at) {
-        last = router.sees(me, number, at < leaseUntil ? plan.number() : 0);
         if (before == null || at - beforeAt >= WINDOW) {
+            Report last = router.sees(me, number, at < leaseUntil ? plan.number() : 0);
             if (before != null) {
                 Seen seen = last.places().getOrDefault(home, Seen.NONE)
                     .since(before.places().getOrDefault(home, Seen.NONE));
@@ -153,7 +151,6 @@
             return out(Aim.READ, new Call.Read(keys.plan()));
         }
         if (at >= tellAt) {
-            look(at);
             number++;
             Report report = router.sees(me, number, plan.number());
             return out(Aim.TELL, new Call.Swap(
@@ -297,7 +294,6 @@
         }
         Plan there = scene.plan() == null ? Plan.first(map) : scene.plan();
         step = decision.next(there, scene.reports(), scene.orders(), me, at);
-        waits = decision.waits();
         tellEvidence();
         if (step != null) {
             List<Call.Condition> conditions = new ArrayList<>(List.of(scene.unchanged(keys.office()),
@@ -310,6 +306,7 @@
 
     /** In the log of whoever holds the office, each time that it is something else. */
     private void tellEvidence() {
+        String waits = decision.waits();
         String all = decision.says() + (waits.isEmpty() ? "" : "; waits: " + waits);
         if (!all.equals(says)) {
             log.accept("zones: evidence " + all);
--- a/src/main/java/beaconturn/zones/Pool.java
+++ b/src/main/java/beaconturn/zones/Pool.java
@@ -8,6 +8,7 @@
 import java.util.SortedSet;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.stream.Stream;
 
 /**
  * What routers report, pooled. One router counts as one voice of its place, whatever it claims to have seen:
@@ -80,9 +81,13 @@
         judge(now);
     }
 
+    private Stream<Voice> growing(long now) {
+        return voices.values().stream().filter(v -> now - v.grewAt <= stale);
+    }
+
     private List<Voice> heard(String home, long now) {
-        return voices.values().stream().filter(v -> v.last.home().equals(home) && now - v.grewAt <= stale
-            && !broken.contains(v.last.router())).toList();
+        return growing(now).filter(v -> v.last.home().equals(home) && !broken.contains(v.last.router()))
+            .toList();
     }
 
     /** What one router makes of one place. */
@@ -213,21 +218,18 @@
 
     /** Requests a second that the routers of a place take. */
     double perSecond(String home, long now) {
-        return voices.values().stream().filter(v -> v.last.home().equals(home) && now - v.grewAt <= stale)
-            .mapToDouble(v -> v.perSecond(now)).sum();
+        return growing(now).filter(v -> v.last.home().equals(home)).mapToDouble(v -> v.perSecond(now)).sum();
     }
 
     /** Cache servers there that are warm, as most routers of any place have it: the median. */
     int warm(String place, long now) {
-        List<Integer> all = voices.values().stream().filter(v -> now - v.grewAt <= stale
-            && !broken.contains(v.last.router())).map(v -> v.last.places().getOrDefault(place,
-                Seen.NONE).warm())
-            .sorted().toList();
+        List<Integer> all = growing(now).filter(v -> !broken.contains(v.last.router()))
+            .map(v -> v.last.places().getOrDefault(place, Seen.NONE).warm()).sorted().toList();
         return all.isEmpty() ? 0 : all.get(all.size() / 2);
     }
 
     /** Routers that are heard. */
     Collection<Report> reports(long now) {
-        return voices.values().stream().filter(v -> now - v.grewAt <= stale).map(v -> v.last).toList();
+        return growing(now).map(v -> v.last).toList();
     }
 }
--- a/src/main/java/beaconturn/zones/Row.java
+++ b/src/main/java/beaconturn/zones/Row.java
@@ -32,11 +32,6 @@
         parts = Collections.unmodifiableMap(new LinkedHashMap<>(parts));
     }
 
-    /** The place itself. */
-    public String home() {
-        return parts.keySet().iterator().next();
-    }
-
     /** All of it at home. */
     static Row near(String home) {
         return new Row(Map.of(home, WHOLE));
