--- a/src/test/java/beaconturn/rehearsal/AgreementPlayTest.java
+++ b/src/test/java/beaconturn/rehearsal/AgreementPlayTest.java
@@ -4,11 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import beaconturn.cli.EmbeddedLauncher;
-import beaconturn.core.Lifecycle;
 import beaconturn.ledger.Verdict;
-import beaconturn.net.PlantedAgreement;
-import beaconturn.net.RouterServer;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,8 +12,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
-import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.EnumSource;
 
 /** Routers, the store and clients as processes, with faults between them, judged by what the others saw. */
 @Timeout(120)
@@ -28,7 +22,7 @@
      * force. Each fault waits for what it is to meet: how long a command takes to start is the machine's
      * affair.
      */
-    private static final String DAY = """
+    static final String DAY = """
         length = "15s"
         [agreement]
         lease = "1s"
@@ -62,7 +56,7 @@
         return report.verdicts().stream().filter(v -> !v.held()).map(Verdict::rule).toList();
     }
 
-    private static Verdict contradiction(Report report) {
+    static Verdict contradiction(Report report) {
         return report.verdicts().stream().filter(v -> v.rule().equals("no-contradiction")).findFirst()
             .orElseThrow();
     }
@@ -131,72 +125,4 @@
         String log = Files.readString(folder.resolve("store.log"));
         assertTrue(log.contains("r3 says no: there is no class 'report' here"), log);
     }
-
-    /** What a defect is seen by, where it is not by the servers that versions hold out. */
-    private static String day(PlantedAgreement.Defect defect) {
-        return switch (defect) {
-            case REPEATS -> DAY.replaceFirst("out = \\[\"c1\", \"c2\"]", "most_tries = 4")
-                .replaceFirst("out = \\[\"c3\", \"c4\"]", "unsafe = [\"level\"]")
-                + "[[fault]]\nkind = \"reset\"\non = [\"c1\", \"c2\", \"c3\"]\npart = 0.2\n"
-                + "from = \"0s\"\n";
-            case CLAIMS_LISTS -> """
-                length = "12s"
-                [agreement]
-                lease = "1s"
-                [[router]]
-                [[router]]
-                [[clients]]
-                rate = 120
-                [[fault]]
-                kind = "link-cut"
-                way = "discovery"
-                on = ["r1"]
-                from = "500ms"
-                [[fault]]
-                kind = "drain"
-                on = ["c1"]
-                from = "1s"
-                to = "11s"
-                [[version]]
-                at = "3s"
-                newest_list = true
-                """;
-            default -> DAY;
-        };
-    }
-
-    /** Such a day with one router that has a defect: it is named, and nobody else. */
-    @ParameterizedTest
-    @EnumSource(PlantedAgreement.Defect.class)
-    void aPlantedRouterIsNamed(PlantedAgreement.Defect defect) throws Exception {
-        Scenario scenario = ScenarioReader.read("day.toml", day(defect), null);
-        Report report = new Rehearsal(scenario, new Mixed(defect), folder, text -> { }).play();
-        Verdict verdict = contradiction(report);
-        assertTrue(!verdict.held(), report.text());
-        assertTrue(verdict.offences().get(0).what().contains("router 0 act"), report.text());
-    }
-
-    /**
-     * The first router is one of this process with a defect, the others are processes as they should be.
-     */
-    private record Mixed(PlantedAgreement.Defect defect) implements RouterLauncher {
-        private static final ProcessLauncher PROCESSES = ProcessLauncher.own(MAIN);
-
-        @Override
-        public Running launch(Start start) throws IOException {
-            return start.name().equals("r1") ? new EmbeddedLauncher(c -> new RouterServer(c, () -> c,
-                new Lifecycle(), PlantedAgreement.of(defect, start.features(), c), null)).launch(start)
-                : PROCESSES.launch(start);
-        }
-
-        @Override
-        public List<String> command(List<String> words) {
-            return PROCESSES.command(words);
-        }
-
-        @Override
-        public boolean restarts() {
-            return false;
-        }
-    }
 }
