--- a/src/main/java/beaconturn/cli/RehearseCommand.java
+++ b/src/main/java/beaconturn/cli/RehearseCommand.java
@@ -33,7 +33,7 @@
     @Parameter(names = "--storms", description = "play so many scenarios made of chance instead, a search;"
         + " those that break a rule are kept in a folder each below --keep-logs; --seed is the first one's")
     private int storms;
-    @Parameter(names = "--of", description = "what storms are about: versions or releases")
+    @Parameter(names = "--of", description = "what storms are about: versions, releases or places")
     private String of = "versions";
     @Parameter(names = "--routers", description = "how many routers a storm has")
     private int routers = 3;
@@ -50,8 +50,8 @@
                     + ", --at-once from 1 on");
                 return 2;
             }
-            if (!of.equals("versions") && !of.equals("releases")) {
-                System.err.println("rehearse: --of is versions or releases");
+            if (!List.of("versions", "releases", "places").contains(of)) {
+                System.err.println("rehearse: --of is versions, releases or places");
                 return 2;
             }
             return StormsRun.of(of, storms, seed == null ? 1 : seed, routers, atOnce, logs).run();
--- a/src/main/java/beaconturn/ledger/PlaceRules.java
+++ b/src/main/java/beaconturn/ledger/PlaceRules.java
@@ -27,16 +27,39 @@
 
         @Override
         final void judge(Evidence evidence) {
-            if (evidence.terms().zones() != null) {
-                Map<String, String> places = new HashMap<>();
-                evidence.all(Entry.Started.class).forEach(s -> places.put(s.server(), s.zone()));
-                judge(evidence, evidence.terms().zones(), places);
+            if (evidence.terms().zones() != null && evidence.terms().zones().decided()) {
+                judge(evidence, evidence.terms().zones(), places(evidence));
             }
         }
     }
 
+    /** The place of each cache server. */
+    static Map<String, String> places(Evidence evidence) {
+        Map<String, String> places = new HashMap<>();
+        evidence.all(Entry.Started.class).forEach(s -> places.put(s.server(), s.zone()));
+        return places;
+    }
+
+    /** What all together send to each place in each second, as a multiple of what it can do. */
+    static Map<String, SortedMap<Long, Double>> loads(Evidence evidence, Map<String, String> places) {
+        Map<String, Double> can = new HashMap<>();
+        Set<String> counted = new HashSet<>();
+        for (Entry.Started s : evidence.all(Entry.Started.class)) {
+            if (counted.add(s.server())) {
+                can.merge(s.zone(), s.capacity(), Double::sum);
+            }
+        }
+        Map<String, SortedMap<Long, Double>> loads = new TreeMap<>();
+        for (Entry.Sent sent : evidence.all(Entry.Sent.class)) {
+            String place = places.get(sent.server());
+            loads.computeIfAbsent(place, p -> new TreeMap<>()).merge(sent.at() / SECOND,
+                sent.work() / (can.get(place) * SECOND), Double::sum);
+        }
+        return loads;
+    }
+
     /** The first send of each request, in the order of time, as retries go where the first did not. */
-    private static List<Entry.Sent> firsts(Evidence evidence) {
+    static List<Entry.Sent> firsts(Evidence evidence) {
         List<Entry.Sent> all = new ArrayList<>();
         evidence.cases().forEach(one -> one.sends().stream().limit(1).forEach(all::add));
         all.sort((a, b) -> Long.compare(a.firstAt(), b.firstAt()));
@@ -87,23 +110,9 @@
 
         @Override
         void judge(Evidence evidence, Terms.Zones terms, Map<String, String> places) {
-            Map<String, Double> can = new HashMap<>();
-            Set<String> counted = new HashSet<>();
-            for (Entry.Started s : evidence.all(Entry.Started.class)) {
-                if (counted.add(s.server())) {
-                    can.merge(s.zone(), s.capacity(), Double::sum);
-                }
-            }
-            Map<String, SortedMap<Long, Long>> work = new TreeMap<>();
-            for (Entry.Sent sent : evidence.all(Entry.Sent.class)) {
-                work.computeIfAbsent(places.get(sent.server()), p -> new TreeMap<>())
-                    .merge(sent.at() / SECOND, sent.work(), Long::sum);
-            }
-            work.forEach((place, seconds) -> seconds.forEach((second, sum) -> {
-                double most = sum / (can.get(place) * SECOND);
-                check(most <= terms.peak(), second * SECOND, "", place, "sent "
-                    + Math.round(100 * most) / 100.0 + " times what its cache servers can do in a second");
-            }));
+            loads(evidence, places).forEach((place, seconds) -> seconds.forEach((second, load) ->
+                check(load <= terms.peak(), second * SECOND, "", place, "sent "
+                    + Math.round(100 * load) / 100.0 + " times what its cache servers can do in a second")));
         }
     }
 
--- a/src/main/java/beaconturn/ledger/Terms.java
+++ b/src/main/java/beaconturn/ledger/Terms.java
@@ -41,12 +41,13 @@
     /**
      * What is promised of places.
      *
+     * @param decided whether routers decide in common at all; where not, nothing of it is promised
      * @param homes the place of each router, by its number
      * @param backWithin so long after the last trouble all keys are served near again
      * @param trial the part that is sent elsewhere at all times
      * @param peak no place is sent more than so many times what its cache servers can do in a second
      */
-    public record Zones(List<String> homes, long backWithin, double trial, double peak) { }
+    public record Zones(boolean decided, List<String> homes, long backWithin, double trial, double peak) { }
 
     /** Whether a request may run more than once. */
     public enum Effect { SAFE, KEYED, UNSAFE }
--- a/src/main/java/beaconturn/rehearsal/Explained.java
+++ b/src/main/java/beaconturn/rehearsal/Explained.java
@@ -43,9 +43,10 @@
         }
         e.release(s);
         if (s.zones() != null) {
-            e.head("[zones]").line("each_per_s", s.zones().each()).line("fetches_per_s", s.zones().fetches())
-                .line("reserve", s.zones().reserve()).line("back_within", time(s.zones().backWithin()))
-                .line("peak", s.zones().peak());
+            e.head("[zones]").line("decided", s.zones().decided()).line("each_per_s", s.zones().each())
+                .line("fetches_per_s", s.zones().fetches()).line("reserve", s.zones().reserve())
+                .line("back_within", time(s.zones().backWithin())).line("peak", s.zones().peak())
+                .line("regions", words(s.zones().regions()));
         }
         return e.out.toString();
     }
@@ -105,6 +106,9 @@
             .line("skew", c.skew()).line("retries", c.retries()).line("backoff", time(c.backoff()))
             .line("try_share", c.tryShare()).line("notice", time(c.notice())).line("from", time(c.from()))
             .line("to", time(c.to()));
+        if (!c.site().isEmpty()) {
+            line("site", text(c.site()));
+        }
     }
 
     private void fault(Scenario.FaultSpec f) {
--- a/src/main/java/beaconturn/rehearsal/Report.java
+++ b/src/main/java/beaconturn/rehearsal/Report.java
@@ -1,5 +1,6 @@
 package beaconturn.rehearsal;
 
+import beaconturn.ledger.Crossings;
 import beaconturn.ledger.Entry;
 import beaconturn.ledger.Offence;
 import beaconturn.ledger.Story;
@@ -71,6 +72,9 @@
         if (fleet != null) {
             agreed(out);
         }
+        if (scenario.zones() != null) {
+            places(out);
+        }
         return out.toString();
     }
 
@@ -96,6 +100,34 @@
             scenario.versions().size(), contradiction() / 1e6);
     }
 
+    /** How far traffic went from its place; null where routers know of no places. */
+    Crossings crossings() {
+        return scenario.zones() == null ? null : Crossings.of(scenario.terms(0), entries);
+    }
+
+    /** What was decided of places, in its order. */
+    List<Entry.Planned> plans() {
+        return entries.stream().filter(e -> e instanceof Entry.Planned).map(e -> (Entry.Planned) e).toList();
+    }
+
+    private void places(StringBuilder out) {
+        Crossings c = crossings();
+        for (Entry.Planned plan : plans()) {
+            out.append(String.format(Locale.ROOT, "plan %d at %.1f s: %s%n", plan.number(),
+                (plan.at() - start) / SECOND, plan.rows()));
+        }
+        double worst =
+            new ServedBySecond(entries, start, (int) Math.ceil(scenario.length() / SECOND)).worst();
+        out.append(String.format(Locale.ROOT, "places: %.1f %% of first sends went to others, %.1f %% before"
+            + " the first trouble; at most %.2f times what its cache servers can do in a second (%s); %d"
+            + " calls at the origin; worst ten seconds %.1f %% served", 100 * c.crossed(),
+            100 * c.crossedCalm(), c.peak(), c.busiest(), c.fetches(), 100 * worst));
+        out.append(c.decidedAfter() < 0 ? "" : String.format(Locale.ROOT,
+            "; the first plan %.1f s after the trouble", c.decidedAfter() / SECOND));
+        out.append(c.backAfter() < 0 ? "\n" : String.format(Locale.ROOT, "; the last %.1f s after its end%n",
+            c.backAfter() / SECOND));
+    }
+
     private void agreed(StringBuilder out) {
         for (Passage p : fleet.passages()) {
             out.append(String.format(Locale.ROOT, "version %d proposed at %.3f s, %s, %s%n", p.number(),
--- a/src/main/java/beaconturn/rehearsal/RouterConfigText.java
+++ b/src/main/java/beaconturn/rehearsal/RouterConfigText.java
@@ -36,8 +36,8 @@
         CacheShape shape = scenario.fleet().shape();
         List<String> reports = shape.reports();
         return object("index", router, "replicas_of_me", scenario.routers().size(), "zone",
-            scenario.fleet().sites().indexOf(scenario.routers().get(router).site()),
-            "dcs", texts(scenario.fleet().sites()), "flavors", texts(List.of("standin")), "discovery", "ask",
+            scenario.fleet().places().indexOf(scenario.routers().get(router).site()),
+            "dcs", texts(scenario.fleet().places()), "flavors", texts(List.of("standin")), "discovery", "ask",
             "counted_by", "request", "over_share_worth", 1.0, "weights", "none", "tick", TICK,
             "tenants", new Json.Items(List.of()),
             "classes", new Json.Items(scenario.types().stream()
--- a/src/main/java/beaconturn/rehearsal/Scenario.java
+++ b/src/main/java/beaconturn/rehearsal/Scenario.java
@@ -21,8 +21,13 @@
         List<FaultSpec> faults, Agreement agreement, List<VersionSpec> versions, ReleaseSpec release,
         List<OrderSpec> orders, ZonesSpec zones) {
 
-    /** What operators say of places, which are the sites; null where nothing is decided of them in common. */
-    public record ZonesSpec(double each, double fetches, int reserve, long backWithin, double peak) { }
+    /**
+     * What operators say of places, which are the sites; null where none are known. Only where it is
+     * {@code decided} do routers know of them; else the play shows what they do without. There is a region
+     * for each site, or none where all are of one.
+     */
+    public record ZonesSpec(boolean decided, double each, double fetches, int reserve, long backWithin,
+            double peak, List<String> regions) { }
 
     /** How routers agree; the times of {@link Timing}. */
     public record Agreement(long lease, double drift) {
@@ -95,8 +100,16 @@
     private static final long APPLY = 500_000_000;
     private static final long SECOND = 1_000_000_000;
 
-    /** The cache servers: how many, where, and what each can do. */
+    /**
+     * The cache servers: how many, where, and what each can do. They stand in the sites by turns; a site
+     * that is named more than once has the more of them.
+     */
     public record Fleet(int caches, List<String> sites, int cell, CacheShape shape) {
+        /** The sites, each once. */
+        List<String> places() {
+            return sites.stream().distinct().toList();
+        }
+
         /** Names of the cache servers, place by place. */
         List<String> names() {
             return IntStream.range(0, caches).mapToObj(Scenario::cacheName).toList();
@@ -141,9 +154,12 @@
     public record RouterSpec(String name, int memoryMb, int sockets, String site, long clockOff,
             List<String> lacks) { }
 
-    /** A stream of requests; {@code classes} empty means all by their shares. */
+    /**
+     * A stream of requests; {@code classes} empty means all by their shares, {@code site} empty that the
+     * front deals them to routers of all sites; else to those of that site while it knows of one that is up.
+     */
     public record Clients(double rate, List<String> classes, int keys, double skew, int retries, long backoff,
-            double tryShare, long notice, long from, long to) { }
+            double tryShare, long notice, long from, long to, String site) { }
 
     /**
      * A fault; {@code target} names cache servers or routers, and is empty for the origin, discovery and
@@ -213,7 +229,8 @@
             rules.drainGrace(), slack, rules.askWithin(), shape.coldShare(), shape.coldFor(),
             shape.fallMultiple(), shape.fallAfter(), agreement == null ? 0 : agreement.timing().stated(),
             release == null ? null : releaseTerms(), zones == null ? null : new Terms.Zones(
-                routers.stream().map(RouterSpec::site).toList(), zones.backWithin(), TRIAL, zones.peak()));
+                zones.decided(), routers.stream().map(RouterSpec::site).toList(), zones.backWithin(), TRIAL,
+                zones.peak()));
     }
 
     /**
--- a/src/main/java/beaconturn/standin/Fault.java
+++ b/src/main/java/beaconturn/standin/Fault.java
@@ -32,6 +32,8 @@
         VANISH(Target.CACHE, true),
         /** Listed as draining, then gone once it is empty; it turns away from the grace on. */
         DRAIN(Target.CACHE, true),
+        /** The list calls it gone, though it lives. */
+        UNLIST(Target.CACHE, false),
         /** Turns away from now on, and is listed as draining seconds later. */
         DRAIN_LATE(Target.CACHE, true),
         /** The process dies and starts again at the fault's end, cold and empty. */
--- a/src/main/java/beaconturn/standin/World.java
+++ b/src/main/java/beaconturn/standin/World.java
@@ -85,6 +85,7 @@
                 cache.set(kind, 1);
                 discovery.change(cache.listing().with(Listing.Health.DRAINING), (long) amount);
             }
+            case UNLIST -> discovery.change(cache.listing().with(Listing.Health.GONE), 0);
             default -> cache.set(kind, amount == 0 ? 1 : amount);
         }
         changed.accept(place);
@@ -100,6 +101,7 @@
                 cache.set(kind, 0);
                 discovery.change(cache.listing(), 0);
             }
+            case UNLIST -> discovery.change(cache.listing(), 0);
             default -> cache.set(kind, 0);
         }
         changed.accept(place);
--- a/src/main/java/beaconturn/zones/Decision.java
+++ b/src/main/java/beaconturn/zones/Decision.java
@@ -22,6 +22,8 @@
     /** A spill ends once so much of what is carried is wanted. */
     private static final double ENOUGH = 0.8;
     private static final int MOST_FLAPS = 5;
+    /** From such a part of its attempts on a place suffers, bad or not. */
+    private static final double SUFFERS = 0.25;
     private final Geography map;
     private final Pace pace;
     private final Pool pool;
@@ -234,8 +236,8 @@
                 if (rest <= 0) {
                     break;
                 }
-                boolean closed = lost(other) || pool.bad(home, other) || orders.stream()
-                    .anyMatch(o -> o.place().equals(other) && o.what() == Order.What.DRAIN);
+                boolean closed = lost(other) || pool.bad(home, other) || noBetter(home, other)
+                    || orders.stream().anyMatch(o -> o.place().equals(other) && o.what() == Order.What.DRAIN);
                 int most = closed ? 0 : (int) Math.max(0, Row.WHOLE * room(home, other) / wants);
                 int part = Math.min(rest, Math.max(most, rest <= Row.TRIAL && !closed ? rest : 0));
                 if (part > 0) {
@@ -250,6 +252,15 @@
             return new Row(parts);
         }
 
+        /**
+         * Whether another place suffers by itself, and not clearly less: where a cause is shared some find
+         * just more than half of their attempts bad and others just less.
+         */
+        private boolean noBetter(String home, String other) {
+            double there = pool.badShare(other);
+            return there > SUFFERS && 2 * there > pool.badShare(home);
+        }
+
         /** Requests a second that a place has room for, beside its own and what others may send there. */
         private double room(String home, String place) {
             double taken = 0;
--- a/src/main/java/beaconturn/zones/Pool.java
+++ b/src/main/java/beaconturn/zones/Pool.java
@@ -201,6 +201,22 @@
         return says.getOrDefault(place, "nothing is known");
     }
 
+    /**
+     * The part of the attempts of a place's own routers that failed there or were late; 0 where none are
+     * told.
+     */
+    double badShare(String place) {
+        long good = 0;
+        long bad = 0;
+        for (Voice voice : voices.values()) {
+            if (voice.last.home().equals(place) && !broken.contains(voice.last.router())) {
+                good += voice.seen(place).good();
+                bad += voice.seen(place).bad();
+            }
+        }
+        return good + bad == 0 ? 0 : bad / (double) (good + bad);
+    }
+
     /** Whether those of one place find another, or their own, bad. */
     boolean bad(String home, String place) {
         return ways.containsKey(home) && ways.get(home).get(place) == Verdict.BROKEN;
--- a/src/test/java/beaconturn/rehearsal/ScenarioReaderTest.java
+++ b/src/test/java/beaconturn/rehearsal/ScenarioReaderTest.java
@@ -43,8 +43,11 @@
                     .noneMatch(storm.versions().get(i).out()::contains));
             }
             storm.faults().forEach(fault -> kinds.add(fault.kind().word()));
+            Storm.of(Storm.About.PLACES, seed, 5).faults().forEach(f -> kinds.add("of places "
+                + f.kind().word() + " " + f.way()));
         }
         assertTrue(kinds.containsAll(List.of("link-cut", "site-cut", "store-empty", "router-pause",
+            "of places unlist ", "of places kill ", "of places answer-lost south",
             "of release agent-kill", "of release store-back", "drain", "budget", "halt", "back")),
             kinds.toString());
     }
@@ -137,4 +140,32 @@
             : p.at() >= 6 * SECOND && p.at() < 8 * SECOND));
         assertEquals(2, plan.stream().map(p -> p.type().name()).distinct().count());
     }
+
+    /** A site that is named twice has twice the cache servers; clients of a site keep to its routers. */
+    @Test
+    void placesMayBeUnequalAndOfSeveralRegions() throws TomlException {
+        String text = """
+            [fleet]
+            caches = 6
+            sites = ["east", "east", "west"]
+            [agreement]
+            [zones]
+            regions = ["one", "two"]
+            [[router]]
+            site = "west"
+            [[clients]]
+            site = "west"
+            """;
+        Scenario scenario = read(text);
+        assertEquals(List.of("c1", "c2", "c4", "c5"),
+            scenario.fleet().names().stream().filter(n -> scenario.siteOf(n).equals("east")).toList());
+        assertEquals(List.of("east", "west"), scenario.fleet().places());
+        assertEquals("west", scenario.clients().get(0).site());
+        assertEquals("s.toml:10: clients[0].site: no router stands in 'east', they stand in west",
+            assertThrows(TomlException.class, () -> read(text.replace("[[clients]]\nsite = \"west\"",
+                "[[clients]]\nsite = \"east\""))).getMessage());
+        assertEquals("s.toml:6: zones.regions: 1 of them, allowed is one for each of the sites east, west",
+            assertThrows(TomlException.class, () -> read(text.replace(", \"two\"", ""))).getMessage());
+        assertEquals(scenario, read(Shipped.explain(scenario)));
+    }
 }
--- a/src/test/java/beaconturn/standin/DiscoveryTest.java
+++ b/src/test/java/beaconturn/standin/DiscoveryTest.java
@@ -45,6 +45,20 @@
         assertTrue(at.told.contains("told 0 c2 GONE"));
     }
 
+    /** The list is wrong: the server lives and serves on. */
+    @Test
+    void aLivingServerIsCalledGoneAndListedAgain() {
+        at.world.begin(Fault.Kind.UNLIST, 1, 1);
+        discovery.whole(0, asker);
+        at.pass(0);
+        assertEquals(List.of("whole c1:READY"), heard);
+        assertTrue(!at.world.at(1).dead());
+        at.world.end(Fault.Kind.UNLIST, 1);
+        discovery.whole(0, asker);
+        at.pass(0);
+        assertEquals("whole c1:READY c2:READY", heard.get(1));
+    }
+
     @Test
     void aDrainThatIsCalledOffBeforeItIsKnownIsNeverListed() {
         at.world.begin(Fault.Kind.DRAIN, 1, 1);
