A zone that is out and parts that are released wait for each other; the account mended

Need: operators' drains of zones did not go through the budget of absence. An order that drains a zone now holds only while no part of another site is out under a permit, and counts the permits' counter up in the same transaction, so that a step decided on meanwhile does not hold; while a zone is drained, failed over or returning, no step of a release nor a drain of a part begins at other sites, as they stand in for it; at the zone itself it may, which is what zones are drained for. Way back is not held up.

--- a/src/main/java/beaconturn/cli/AgentRun.java
+++ b/src/main/java/beaconturn/cli/AgentRun.java
@@ -22,6 +22,7 @@
 import beaconturn.release.ReleaseTexts;
 import beaconturn.release.Scene;
 import beaconturn.release.Variant;
+import beaconturn.zones.ZonesKeys;
 import java.io.IOException;
 import java.util.List;
 import java.time.Instant;
@@ -216,7 +217,8 @@
             Act act = lease == 0 ? null : driver.take(scene, lease);
             if (act == null && scene.driver().equals(me) && scene.plan() != null) {
                 Desk.View view = desk.view();
-                Absence seen = ReleaseSight.gone(scene.plan().kind(), scene.fleet(), desk, view);
+                Absence seen = ReleaseSight.gone(scene.plan().kind(), scene.fleet(), desk, view,
+                    new ZonesKeys(keys.fleet()), store);
                 record(scene, seen);
                 act = driver.due(scene, seen, agreed(scene, view), System.nanoTime());
                 sayWaits();
--- a/src/main/java/beaconturn/cli/ReleaseRun.java
+++ b/src/main/java/beaconturn/cli/ReleaseRun.java
@@ -11,6 +11,7 @@
 import beaconturn.net.agreement.StoreClient;
 import beaconturn.protocol.Json;
 import beaconturn.protocol.JsonWriter;
+import beaconturn.release.Absence;
 import beaconturn.release.Bounds;
 import beaconturn.release.Fleet;
 import beaconturn.release.Forecast;
@@ -20,6 +21,7 @@
 import beaconturn.release.ReleaseKeys;
 import beaconturn.release.Scene;
 import beaconturn.release.Step;
+import beaconturn.zones.ZonesKeys;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -43,9 +45,11 @@
             AgreementConfig config = FeaturesFile.required(features);
             StoreClient store = new StoreClient(config.endpoints(), CALL);
             try {
+                Desk agreement = new Desk(new Keys(config.fleet()), store);
+                Outside outside = (kind, fleet) -> ReleaseSight.gone(kind, fleet, agreement, agreement.view(),
+                    new ZonesKeys(config.fleet()), store);
                 return carryOut(order, word, new ReleaseDesk(new ReleaseKeys(config.fleet()), store, author,
-                    AgentRun::now),
-                    new Desk(new Keys(config.fleet()), store));
+                    AgentRun::now), agreement, outside);
             } finally {
                 store.close();
             }
@@ -61,15 +65,19 @@
         }
     }
 
-    private int carryOut(String order, String word, ReleaseDesk desk, Desk agreement)
+    /** What is seen of the fleet beside permits. */
+    private interface Outside {
+        Absence seen(Kind kind, Fleet fleet) throws AgreementException;
+    }
+
+    private int carryOut(String order, String word, ReleaseDesk desk, Desk agreement, Outside outside)
             throws ConfigException, AgreementException, InterruptedException {
         switch (order) {
             case "fleet" -> System.out.println(desk.fleet(ReleaseFiles.fleet(word)));
             case "plan" -> {
                 Scene scene = desk.look();
                 Plan plan = ReleaseFiles.plan(word, reason, scene.fleet());
-                plan(scene, plan, ReleaseSight.gone(plan.kind(), scene.fleet(), agreement, agreement.view())
-                    .out());
+                plan(scene, plan, outside.seen(plan.kind(), scene.fleet()).out());
             }
             case "start" -> System.out.println(desk.start(ReleaseFiles.plan(word, reason,
                 desk.look().fleet())));
@@ -78,7 +86,7 @@
             case "back" -> System.out.println(desk.back(reason));
             case "abandon" -> System.out.println(desk.abandon(reason));
             case "drain" -> {
-                return drain(word, desk, agreement);
+                return drain(word, desk, agreement, outside);
             }
             case "undrain" -> {
                 return undrain(word, desk, agreement);
@@ -97,11 +105,10 @@
     }
 
     /** A place first, then a version that holds it out; done when all routers act on that version. */
-    private int drain(String id, ReleaseDesk desk, Desk agreement)
+    private int drain(String id, ReleaseDesk desk, Desk agreement, Outside outside)
             throws AgreementException, InterruptedException {
-        Map<String, String> gone = ReleaseSight.gone(Kind.CACHE, desk.look().fleet(), agreement,
-            agreement.view()).out();
-        System.out.println(id + " is out under permit " + desk.take(Kind.CACHE, id, reason, gone));
+        System.out.println(id + " is out under permit " + desk.take(Kind.CACHE, id, reason,
+            outside.seen(Kind.CACHE, desk.look().fleet())));
         return settled(agreement, id, true, now -> with(now, id, true));
     }
 
--- a/src/main/java/beaconturn/cli/ReleaseSight.java
+++ b/src/main/java/beaconturn/cli/ReleaseSight.java
@@ -1,11 +1,13 @@
 package beaconturn.cli;
 
 import beaconturn.agreement.AgreementException;
+import beaconturn.agreement.Call;
 import beaconturn.agreement.Desk;
 import beaconturn.agreement.Seat;
 import beaconturn.release.Absence;
 import beaconturn.release.Fleet;
 import beaconturn.release.Kind;
+import beaconturn.zones.ZonesKeys;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -16,8 +18,15 @@
     private ReleaseSight() {
     }
 
-    /** Those of the fleet. */
-    static Absence gone(Kind kind, Fleet fleet, Desk desk, Desk.View view) throws AgreementException {
+    /** Those of the fleet, and sites whose traffic is served elsewhere. */
+    static Absence gone(Kind kind, Fleet fleet, Desk desk, Desk.View view, ZonesKeys zones, Desk.Store store)
+            throws AgreementException {
+        return gone(kind, fleet, desk, view).whileOut(
+            beaconturn.zones.Scene.of(zones, Desk.given(store, new Call.Read(zones.all()))).out());
+    }
+
+    private static Absence gone(Kind kind, Fleet fleet, Desk desk, Desk.View view)
+            throws AgreementException {
         if (kind == Kind.ROUTER) {
             Set<String> alive = new HashSet<>();
             for (Seat seat : view.seats()) {
--- a/src/main/java/beaconturn/cli/ZonesRun.java
+++ b/src/main/java/beaconturn/cli/ZonesRun.java
@@ -4,6 +4,8 @@
 import beaconturn.net.ConfigException;
 import beaconturn.net.agreement.AgreementConfig;
 import beaconturn.net.agreement.StoreClient;
+import beaconturn.release.ReleaseDesk;
+import beaconturn.release.ReleaseKeys;
 import beaconturn.zones.Geography;
 import beaconturn.zones.Order;
 import beaconturn.zones.Plan;
@@ -27,7 +29,8 @@
             Geography map = FeaturesFile.requiredPlaces(features);
             StoreClient store = new StoreClient(config.endpoints(), CALL);
             try {
-                return carryOut(order, zone, new ZonesDesk(new ZonesKeys(config.fleet()), map, store));
+                return carryOut(order, zone, new ZonesDesk(new ZonesKeys(config.fleet()), map, store),
+                    new ReleaseDesk(new ReleaseKeys(config.fleet()), store, author, AgentRun::now));
             } finally {
                 store.close();
             }
@@ -40,11 +43,13 @@
         }
     }
 
-    private int carryOut(String order, String zone, ZonesDesk desk) throws AgreementException {
+    private int carryOut(String order, String zone, ZonesDesk desk, ReleaseDesk releases)
+            throws AgreementException {
         switch (order) {
             case "show" -> show(desk.look());
             case "history" -> desk.history().forEach(plan -> System.out.println(line(plan)));
-            case "drain" -> System.out.println(desk.give(order(zone, Order.What.DRAIN)));
+            case "drain" -> System.out.println(desk.give(order(zone, Order.What.DRAIN),
+                releases.siteOut(zone, reason)));
             case "hold" -> System.out.println(desk.give(order(zone, Order.What.HOLD)));
             case "weight" -> System.out.println(desk.give(order(zone, Order.What.WEIGHT)));
             case "free" -> System.out.println(desk.free(zone));
--- a/src/main/java/beaconturn/rehearsal/FleetParts.java
+++ b/src/main/java/beaconturn/rehearsal/FleetParts.java
@@ -217,6 +217,8 @@
         inBackground(() -> {
             if (spec.what().equals("budget")) {
                 sayFleet(spec.mostOut(), spec.mostOut());
+            } else if (spec.what().startsWith("zone-")) {
+                order("zones", spec.what().substring("zone-".length()), spec.part());
             } else if (spec.part().isEmpty()) {
                 order("release", spec.what());
             } else {
--- a/src/main/java/beaconturn/release/Absence.java
+++ b/src/main/java/beaconturn/release/Absence.java
@@ -17,9 +17,10 @@
  * @param out the parts that are out, and why
  * @param latest the latest start of a cache server that any router knows of
  * @param atMost the latest start that more than half of the routers know of, of those in service
+ * @param sites sites whose traffic is served elsewhere, and why
  */
 public record Absence(SortedMap<String, String> out, SortedMap<String, Long> latest,
-        SortedMap<String, Long> atMost) {
+        SortedMap<String, Long> atMost, SortedMap<String, String> sites) {
     /** How a router's word begins for one that it has ejected. */
     static final String EJECTED = "ejected";
 
@@ -28,11 +29,26 @@
         out = Collections.unmodifiableSortedMap(new TreeMap<>(out));
         latest = Collections.unmodifiableSortedMap(new TreeMap<>(latest));
         atMost = Collections.unmodifiableSortedMap(new TreeMap<>(atMost));
+        sites = Collections.unmodifiableSortedMap(new TreeMap<>(sites));
+    }
+
+    /** The same where the traffic of these sites is served elsewhere. */
+    public Absence whileOut(Map<String, String> whole) {
+        return new Absence(out, latest, atMost, new TreeMap<>(whole));
+    }
+
+    /**
+     * Why no step may begin at a site though a place is free, or null: another site is out as a whole, and
+     * those that stand in for it are needed. At the site that is out itself steps harm nobody.
+     */
+    String elsewhere(String site) {
+        return sites.keySet().stream().filter(s -> !s.equals(site)).findFirst()
+            .map(s -> "site " + s + " is out: " + sites.get(s)).orElse(null);
     }
 
     /** These are out, and no start is known. */
     static Absence of(Map<String, String> out) {
-        return new Absence(new TreeMap<>(out), new TreeMap<>(), new TreeMap<>());
+        return new Absence(new TreeMap<>(out), new TreeMap<>(), new TreeMap<>(), new TreeMap<>());
     }
 
     /** Routers of the fleet that hold no lease: those that ended, hang, or are cut off from the store. */
@@ -71,7 +87,7 @@
                     + sights.size() + " routers");
             }
         }
-        return new Absence(out, latest, atMost);
+        return new Absence(out, latest, atMost, new TreeMap<>());
     }
 
     /** What most of those say that do not use it; the first in the alphabet where as many say another. */
--- a/src/main/java/beaconturn/release/Driver.java
+++ b/src/main/java/beaconturn/release/Driver.java
@@ -80,7 +80,7 @@
         load.saw(scene, now);
         return switch (scene.course().mode()) {
             case RUNNING -> scene.plan().settings() == null || inForce(scene, agreed)
-                ? forward(scene, gone, now) : settings(scene, agreed);
+                ? forward(scene, seen, gone, now) : settings(scene, agreed);
             case BACKING -> back(scene, gone, agreed);
             default -> null;
         };
@@ -154,7 +154,7 @@
         return null;
     }
 
-    private Act forward(Scene scene, Map<String, String> gone, long now) {
+    private Act forward(Scene scene, Absence seen, Map<String, String> gone, long now) {
         for (Step step : scene.steps().values()) {
             if (step.phase() == Step.Phase.FAILED) {
                 return turn(scene, step.id() + " did not get ready: " + step.why());
@@ -186,7 +186,7 @@
         for (List<String> wave : scene.plan().waves()) {
             if (!wave.stream().allMatch(id -> is(scene, id, Step.Phase.GOOD) || is(scene, id,
                 Step.Phase.UNDONE))) {
-                return next(scene, wave, gone, now);
+                return next(scene, wave, seen, gone, now);
             }
         }
         return act(scene, "all parts run what is released", List.of(),
@@ -203,10 +203,10 @@
             List.of(steps.put(new Course(Course.Mode.BACKING, why, me))));
     }
 
-    private Act next(Scene scene, List<String> wave, Map<String, String> gone, long now) {
+    private Act next(Scene scene, List<String> wave, Absence seen, Map<String, String> gone, long now) {
         for (String id : wave) {
             if (scene.steps().get(id) == null) {
-                String full = scene.full(scene.plan().kind(), id, gone);
+                String full = scene.full(scene.plan().kind(), id, seen, gone);
                 if (full == null) {
                     full = load.tooMuch(scene, id, scene.out(scene.plan().kind(), gone).keySet(), now);
                 }
--- a/src/main/java/beaconturn/release/ReleaseDesk.java
+++ b/src/main/java/beaconturn/release/ReleaseDesk.java
@@ -6,7 +6,6 @@
 import beaconturn.agreement.Desk;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Supplier;
 
 /** What operators do with releases: each order reads what stands in the store and takes one step. */
@@ -144,15 +143,14 @@
      * Takes a place for a part outside of a release, for instance a drain by hand; its number. Refused in
      * words while none is free.
      *
-     * @param gone parts that are out though nobody planned it
+     * @param seen what is out though nobody planned it
      */
-    public long take(Kind kind, String id, String reason, Map<String, String> gone)
-            throws AgreementException {
+    public long take(Kind kind, String id, String reason, Absence seen) throws AgreementException {
         carryOut(scene -> {
             if (holds(scene, kind, id) != null) {
                 throw new AgreementException(id + " is out under permit " + holds(scene, kind, id).number());
             }
-            String full = scene.full(kind, id, gone);
+            String full = scene.full(kind, id, seen, seen.out());
             if (full != null) {
                 throw new AgreementException("no place is free: " + full);
             }
@@ -182,6 +180,27 @@
         });
     }
 
+    /**
+     * What must hold, and what changes, when a whole site is taken out: no part of another one is out under a
+     * permit, and who takes a place at the same time has to look again. Refused in words.
+     */
+    public Call.Swap siteOut(String site, String reason) throws AgreementException {
+        Scene scene = look();
+        if (scene.fleet().groups().isEmpty()) {
+            return new Call.Swap(List.of(), List.of());
+        }
+        List<String> others = scene.permits().values().stream()
+            .filter(p -> !site.equals(scene.fleet().group(p.kind()).siteOf(p.id())))
+            .map(p -> p.id() + " (permit " + p.number() + " of " + p.holder() + ": " + p.reason() + ")")
+            .toList();
+        if (!others.isEmpty()) {
+            throw new AgreementException("not while parts of other sites are out: "
+                + String.join(", ", others));
+        }
+        return steps.act(scene, author, "site " + site + " is taken out: " + reason,
+            List.of(keys.counter(), keys.parts()), List.of(steps.counted(scene.counter() + 1))).swap();
+    }
+
     private static Permit holds(Scene scene, Kind kind, String id) {
         return scene.permits().values().stream().filter(p -> p.kind() == kind && p.id().equals(id))
             .findFirst().orElse(null);
--- a/src/main/java/beaconturn/release/Scene.java
+++ b/src/main/java/beaconturn/release/Scene.java
@@ -116,6 +116,12 @@
         return out.size() >= group.mostOut() ? waits(out.keySet(), out, group.mostOut() + " in all") : null;
     }
 
+    /** The same, and why none may begin there while another site is out as a whole. */
+    String full(Kind kind, String id, Absence seen, Map<String, String> gone) {
+        String full = full(kind, id, gone);
+        return full == null ? seen.elsewhere(fleet.group(kind).siteOf(id)) : full;
+    }
+
     private static String waits(Collection<String> whom, Map<String, String> out, String most) {
         List<String> words = new ArrayList<>();
         whom.forEach(id -> words.add(id + " (" + out.get(id) + ")"));
--- a/src/main/java/beaconturn/standin/net/Places.java
+++ b/src/main/java/beaconturn/standin/net/Places.java
@@ -25,6 +25,8 @@
     /** The kernel takes one more than it is told; then connections no longer come up. */
     private static final int FULL_BACKLOG = 1;
     private static final int FILLERS = 4;
+    /** So long after silence at least what was sent before it may come up. */
+    private static final long RESENT = 1_000_000_000;
     private final Loop loop;
     private final World world;
     private final List<Door> doors = new ArrayList<>();
@@ -72,6 +74,12 @@
         private ServerSocketChannel listener;
         private State state = State.LISTENS;
         private boolean moving;
+        /**
+         * From when to when it was silent: what the kernel of a peer took for a connection meanwhile it sends
+         * again and again, at twice the distance each time, and that comes up after it.
+         */
+        private long silentFrom = Long.MIN_VALUE / 4;
+        private long silentUntil = Long.MIN_VALUE / 2;
 
         private Door(int place, int router, int port) throws IOException {
             this.place = place;
@@ -85,6 +93,9 @@
             for (SocketChannel next = listener.accept(); next != null; next = listener.accept()) {
                 RespSession session = new RespSession(loop, next, world, ++connections);
                 session.attach(world.at(place), router);
+                if (loop.agenda().now() <= silentUntil + Math.max(RESENT, 2 * (silentUntil - silentFrom))) {
+                    session.sentSince(silentFrom);
+                }
                 session.begin();
                 Condition condition = world.at(place).condition();
                 session.mute(condition.mute());
@@ -124,6 +135,8 @@
             close(listener);
             holders.forEach(Places::close);
             holders.clear();
+            silentUntil = state == State.SILENT ? loop.agenda().now() : silentUntil;
+            silentFrom = wanted == State.SILENT ? loop.agenda().now() : silentFrom;
             state = wanted;
             if (!moving) {
                 moving = true;
--- a/src/main/java/beaconturn/standin/net/Wire.java
+++ b/src/main/java/beaconturn/standin/net/Wire.java
@@ -43,6 +43,11 @@
         interest();
     }
 
+    /** What is read first may have been sent any time since then. */
+    void sentSince(long at) {
+        deafFrom = at;
+    }
+
     /** Takes what is whole out of the buffer. */
     protected abstract void parse(InputBuffer buffer) throws ProtocolException;
 
--- a/src/main/java/beaconturn/zones/Scene.java
+++ b/src/main/java/beaconturn/zones/Scene.java
@@ -6,7 +6,10 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.SortedMap;
+import java.util.TreeMap;
 
 /**
  * All that stands in the store of places, as of one revision.
@@ -41,6 +44,22 @@
         return new Scene(plan, office, reports, orders, changed);
     }
 
+    /** Places whose traffic is served elsewhere, or is to be, and why. */
+    public SortedMap<String, String> out() {
+        SortedMap<String, String> out = new TreeMap<>();
+        if (plan != null) {
+            plan.states().forEach((place, state) -> {
+                if (state != Plan.State.NEAR && state != Plan.State.SPILLING) {
+                    out.put(place, state.name().toLowerCase(Locale.ROOT).replace('_', ' '));
+                }
+            });
+        }
+        orders.stream().filter(o -> o.what() == Order.What.DRAIN)
+            .forEach(o -> out.merge(o.place(), "drained by " + o.by() + ": " + o.reason(),
+                (state, order) -> state + ", " + order));
+        return out;
+    }
+
     /** The condition that the key is as it was read here. */
     Call.Condition unchanged(String key) {
         return new Call.Condition.Unchanged(key, changed.getOrDefault(key, 0L));
--- a/src/main/java/beaconturn/zones/ZonesDesk.java
+++ b/src/main/java/beaconturn/zones/ZonesDesk.java
@@ -6,7 +6,6 @@
 import beaconturn.agreement.Desk;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 
 /** What operators do with places: each order reads what stands in the store and takes one step. */
 public final class ZonesDesk {
@@ -36,6 +35,11 @@
      * Refused while another place is drained, or is not served near: one at a time.
      */
     public String give(Order order) throws AgreementException {
+        return give(order, new Call.Swap(List.of(), List.of()));
+    }
+
+    /** The same, in one transaction with something else. */
+    public String give(Order order, Call.Swap with) throws AgreementException {
         if (!map.regions().containsKey(order.place())) {
             throw new AgreementException("there is no place '" + order.place() + "', there are "
                 + String.join(", ", map.places()));
@@ -43,18 +47,11 @@
         Scene scene = look();
         if (order.what() == Order.What.DRAIN) {
             List<String> out = new ArrayList<>();
-            scene.orders().stream().filter(o -> o.what() == Order.What.DRAIN
-                && !o.place().equals(order.place()))
-                .forEach(o -> out.add(o.place() + " (drained by " + o.by() + ": " + o.reason() + ")"));
-            if (scene.plan() != null) {
-                scene.plan().states().forEach((place, state) -> {
-                    if (state != Plan.State.NEAR && state != Plan.State.SPILLING
-                        && !place.equals(order.place())) {
-                        out.add(place + " (" + state.name().toLowerCase(Locale.ROOT).replace('_', ' ')
-                            + ")");
-                    }
-                });
-            }
+            scene.out().forEach((place, why) -> {
+                if (!place.equals(order.place())) {
+                    out.add(place + " (" + why + ")");
+                }
+            });
             if (!out.isEmpty()) {
                 throw new AgreementException("one place may be out at once, and out is "
                     + String.join(", ", out));
@@ -62,8 +59,11 @@
         }
         long lease = order.leftNanos() == 0 ? 0
             : given(new Call.Grant((order.leftNanos() + SECOND - 1) / SECOND)).lease();
-        if (!given(new Call.Swap(List.of(scene.unchanged(keys.order(order.place()))),
-            List.of(new Call.Change.Put(keys.order(order.place()), ZonesTexts.of(order), lease)))).held()) {
+        List<Call.Condition> conditions = new ArrayList<>(with.conditions());
+        conditions.add(scene.unchanged(keys.order(order.place())));
+        List<Call.Change> changes = new ArrayList<>(with.changes());
+        changes.add(new Call.Change.Put(keys.order(order.place()), ZonesTexts.of(order), lease));
+        if (!given(new Call.Swap(conditions, changes)).held()) {
             throw new AgreementException("not done, things have changed meanwhile: look again");
         }
         return order.place() + " is to " + switch (order.what()) {
--- a/src/test/java/beaconturn/standin/net/SurroundingsTest.java
+++ b/src/test/java/beaconturn/standin/net/SurroundingsTest.java
@@ -272,11 +272,17 @@
             old.say(get(2)).silent();
             assertThrows(SocketTimeoutException.class,
                 () -> new Peer(surroundings.cache(0, 0), SILENCE_MILLIS));
+            long before = clock.now();
             end(Fault.Kind.VANISH, 0);
             assertEquals("02", id(old.answer()));
             try (Peer fresh = to(0, 0)) {
                 assertEquals("03", id(fresh.say(get(3)).answer()));
+                assertEquals("04", id(fresh.say(get(4)).answer()));
             }
+            firstAt.remove();
+            firstAt.remove();
+            assertTrue(firstAt.remove() < before, "its kernel may have sent it again from before");
+            assertTrue(firstAt.remove() > before, "on a connection that is up nothing is old");
         }
     }
 
