Errors that follow a key do not count against caches, and such a key is not retried

At fault: RingRouter.cacheClosed, which judged each cache by the errors of any key, so that a third of the ring was ejected at the fleet's mean and no further attempt was earned; and retry, which sent each of them on.

A key whose attempts ended with an error or a reset at two different caches in a row, and with no answer since, is now taken for what is at fault: its errors do not count against caches, no further attempt follows, and of its requests one in as many as caches have failed is sent on, the others are refused at once. Holds also against keys that bring down whatever takes them. May hurt a good key for as long as two of its caches in a row fail; one answer clears it.

--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -11,11 +11,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 
-/**
- * Every decision of one router: consistent hashing with bounded loads, and what it takes to stay sound when
- * caches, the origin or the list fail. Single-threaded; knows only its settings and its own events. Order:
- * events, ordinary path, health, cold starts, attempts and hedges, origin, admission, discovery.
- */
+/** Every decision of one router. Single-threaded; knows only its settings and its own events. */
 public final class RingRouter implements Routing.Router {
     /** Bounded loads: a cache may hold this much more than the mean. The source gives 0.15 to 0.25. */
     private static final double EPSILON = 0.2;
@@ -63,6 +59,8 @@
     /** Occupancy of the gate up to which worthless requests pass; full worth passes up to 1. */
     private static final double OPEN_TO_ALL = 0.6;
 
+    /** A key that failed at so many caches in a row is what is at fault, not they. */
+    private static final int KEY_FAILS = 2;
     /** Pairs of key and cache that are remembered: a bound on memory, some hundred bytes each. */
     private static final int KEYS_REMEMBERED = 1 << 13;
 
@@ -97,6 +95,7 @@
     private final Average fetchTime = new Average(NEWEST);
     private final KeyMemory held;
     private final Popularity popularity = new Popularity(KEYS_REMEMBERED);
+    private final KeyFailures failures = new KeyFailures(KEYS_REMEMBERED, KEY_FAILS);
     /** Until when an answer to what was given up is in time, for the client's next try. */
     private final Map<Long, Long> givenUp = new LatestUsed<>(KEYS_REMEMBERED);
     private final Gate caches = new Gate(CROWDED);
@@ -120,10 +119,7 @@
     private long judgedAt;
     private long watchBackoff;
 
-    /**
-     * A router that follows another in its place. What is told of servers by their ids still means the same:
-     * the list, health, connections, cold budgets, reports of the same fields. All else starts afresh.
-     */
+    /** A router in another's place: what is told of servers by their ids stays, all else starts afresh. */
     public RingRouter(Routing.Settings settings, long seed, long now, Routing.Actions out,
             RingRouter before) {
         this(settings, seed, now, out, !before.settings.askForList());
@@ -224,7 +220,8 @@
         r.keyPart = r.key == 0 || r.write ? 0 : popularity.count(r.key, RECENT * Math.max(1, ring.size()));
         retryBudget = Math.min(Math.max(1, ring.size()), retryBudget + RETRY_RATIO * (may.maxTries() - 1));
         boolean toOrigin = aside && r.write;
-        if (lateEarnsNothing && aimEnds <= now || !admitted(r, toOrigin ? origin : caches)) {
+        boolean hopeless = failures.fail(r.key) && random.nextDouble() * failures.caches(r.key) >= 1;
+        if (hopeless || lateEarnsNothing && aimEnds <= now || !admitted(r, toOrigin ? origin : caches)) {
             giveUp(r);
         } else if (toOrigin) {
             askOrigin(r, null);
@@ -565,6 +562,7 @@
         dialsFailing += a.dials || refused ? NEWEST * ((refused ? 1 : 0) - dialsFailing) : 0;
         a.server.dialFailedAt = refused ? now : a.server.dialFailedAt;
         a.server.openUntil = refused ? 0 : ending.spoke() ? now + may.connIdle() : a.server.openUntil;
+        failures.closed(r.key, a.server.id, ending);
         if (answered) {
             answers.count(now);
         }
@@ -588,7 +586,7 @@
             usual.add(e.elapsed());
             answerTime.add(e.elapsed());
         }
-        if (!a.judged || answered && fetched && !late) {
+        if (!failures.explain(r.key, ending) && (!a.judged || answered && fetched && !late)) {
             judge(a.server, !answered || late);
         }
         // Where no second copy may race it, what is lost on its way ends as a time-out: no sign of a crowd.
@@ -634,7 +632,9 @@
     }
 
     private void retry(Request r, Attempt a) {
-        if (!a.onRing || !furtherAttemptEarned() || r.due - now <= answerTimes[r.classIndex].mean) {
+        // A key that fails wherever it goes takes no further cache with it.
+        if (!a.onRing || failures.fail(r.key) || !furtherAttemptEarned()
+                || r.due - now <= answerTimes[r.classIndex].mean) {
             giveUp(r);
             return;
         }
@@ -805,10 +805,7 @@
         return r.overQuota && !gate.below(gate.spare);
     }
 
-    /**
-     * Whether a tenant is beyond its quota, as far as one router can tell: over an even part of it, and over
-     * its share of the traffic here. A router of a busy zone sees every tenant over the even part.
-     */
+    /** Beyond an even part of its quota, and its share of the traffic here: busy zones' routers see more. */
     private boolean overQuota(int index) {
         if (index >= quotas.length || settings.tenants().get(index).quotaPerSecond() <= 0) {
             return false;
