A hot key that is spread goes to caches of the own zone first, where caches do not fetch

RingRouter.pick drew one of the caches over which a hot key is spread by chance alone, wherever it stands. Among these, those of the router's own zone now go first, evenly among them by seeded chance; the ring, the cap and over how many a key is spread stay, so that no further copies are made. In aside mode only. Found beside: oneBadAnswerIsEnoughWhereAnswersAreRare passed by the draw of a spread key while nothing was ejected; it now asks for the ejection, and fails without the weight by age.

--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -333,10 +333,12 @@
         int start = found >= 0 ? found : -found - 1;
         Server leastLoaded = null;
         Server lastResort = null;
-        int skip = random.nextInt(spread(r));
+        int most = spread(r);
+        int alike = 0;
+        Server chosen = null;
         boolean mayDial = mayDial(r);
         walk++;
-        for (int i = 0, seen = 0; seen < ring.size(); i++) {
+        for (int i = 0, seen = 0; seen < ring.size() && most > 0; i++) {
             Server s = ring.get((int) points[(start + i) % points.length] & 0xffff);
             if (s.walk == walk) {
                 continue;
@@ -348,13 +350,16 @@
             }
             if (passedOver(s, r) || !mayDial && now >= s.openUntil && s.dialFails(now, may.connIdle())) {
                 lastResort = Server.lessLoaded(lastResort, s);
-            } else if (s.inFlight < cap && !crowded(s) && skip-- <= 0) {
-                return s;
+            } else if (s.inFlight < cap && !crowded(s)) {
+                int nearer = chosen == null ? 1 : s.nearer(chosen, aside ? settings.zone() : -1);
+                alike = nearer > 0 ? 1 : alike + nearer + 1;
+                chosen = nearer > 0 || nearer == 0 && random.nextInt(alike) == 0 ? s : chosen;
+                most--;
             } else {
                 leastLoaded = Server.lessLoaded(leastLoaded, s);
             }
         }
-        return leastLoaded != null ? leastLoaded : lastResort;
+        return chosen != null ? chosen : leastLoaded != null ? leastLoaded : lastResort;
     }
 
     /**
@@ -372,9 +377,8 @@
     }
 
     /**
-     * Over how many caches clockwise a key is spread: each then holds at most a part of an even one by this
-     * key, as homes of hot keys hold others too; never over more caches than half the routers.
-     * With few requests in flight a hot key's home is never at its cap; hundreds of routers would bury it.
+     * Over how many caches clockwise a key is spread, so that it fills a part of each, as homes of hot keys
+     * hold others too: with few in flight none is at its cap, and many routers bury it. Half of them at most.
      */
     private int spread(Request r) {
         int most = Math.min(ring.size(), settings.routers() / LEAST_CAP);
--- a/src/main/java/beaconturn/decision/Server.java
+++ b/src/main/java/beaconturn/decision/Server.java
@@ -166,6 +166,11 @@
             : (int) Math.max(1, all.stream().filter(s -> shares.uses(s.zone)).count());
     }
 
+    /** 1 if it is in the zone and the other is not, -1 the other way round, else 0. */
+    int nearer(Server other, int place) {
+        return (zone == place ? 1 : 0) - (other.zone == place ? 1 : 0);
+    }
+
     static Server lessLoaded(Server a, Server b) {
         return a == null || b.inFlight < a.inFlight ? b : a;
     }
--- a/src/test/java/beaconturn/decision/RingRouterTest.java
+++ b/src/test/java/beaconturn/decision/RingRouterTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 
 /** The ordinary path, health, cold starts, admission and discovery. */
@@ -235,17 +236,23 @@
         assertEquals(1, tail.size());
     }
 
+    /** Nothing was heard of it for long, while the others answered. */
     @Test
     void oneBadAnswerIsEnoughWhereAnswersAreRare() {
-        Harness h = new Harness(Harness.settings(false, 100, List.of()));
+        Harness h = new Harness(Harness.settings(false));
         h.caches(6);
         homes(h, 60);
-        h.now += 30 * SECOND;
+        long home = h.home(5);
+        long other = LongStream.range(100, 200).filter(key -> h.home(key) != home).findFirst().orElseThrow();
+        for (int i = 0; i < 300; i++) {
+            h.now += SECOND / 10;
+            h.serve(1000 + i, other);
+        }
         h.arrive(500, READ, 5);
-        long home = h.last().server();
+        assertEquals(home, h.last().server());
         h.close(h.last(), 0, Ending.ERROR, false);
         h.close(h.last(), 1, Ending.OK, true);
-        h.now += 10 * MS;
+        assertEquals(Routing.Standing.EJECTED, h.router.view().servers().get(home));
         h.arrive(501, READ, 5);
         assertNotEquals(home, h.last().server());
     }
@@ -458,4 +465,22 @@
         assertTrue(h.sends.size() - before < 50, "sent " + (h.sends.size() - before) + " times");
         assertEquals(100, h.refused.size());
     }
+
+    /** Where the origin is asked beside the caches; where caches fetch, over those of all zones. */
+    @Test
+    void aHotKeyThatIsSpreadGoesToCachesOfTheOwnZoneEvenly() {
+        for (boolean aside : new boolean[] {true, false}) {
+            Harness h = new Harness(Harness.settings(aside, 40, List.of()));
+            h.caches(8);
+            for (int i = 0; i < 400; i++) {
+                h.now += 5 * MS;
+                h.serve(i, 7);
+            }
+            Map<Long, Integer> to = new HashMap<>();
+            h.sends.stream().skip(200).forEach(s -> to.merge(s.server(), 1, Integer::sum));
+            assertEquals(aside ? Set.of(2L, 4L, 6L, 8L) : Set.of(1L, 2L, 3L, 4L, 5L, 6L, 7L, 8L),
+                to.keySet());
+            assertTrue(to.values().stream().allMatch(n -> n > 200 / to.size() / 2), to.toString());
+        }
+    }
 }
