--- a/src/main/java/beaconturn/cli/ZonesRun.java
+++ b/src/main/java/beaconturn/cli/ZonesRun.java
@@ -6,6 +6,7 @@
 import beaconturn.net.agreement.StoreClient;
 import beaconturn.release.ReleaseDesk;
 import beaconturn.release.ReleaseKeys;
+import beaconturn.zones.Distances;
 import beaconturn.zones.Geography;
 import beaconturn.zones.Order;
 import beaconturn.zones.Plan;
@@ -29,7 +30,7 @@
             Geography map = FeaturesFile.requiredPlaces(features);
             StoreClient store = new StoreClient(config.endpoints(), CALL);
             try {
-                return carryOut(order, zone, new ZonesDesk(new ZonesKeys(config.fleet()), map, store),
+                return carryOut(order, zone, map, new ZonesDesk(new ZonesKeys(config.fleet()), map, store),
                     new ReleaseDesk(new ReleaseKeys(config.fleet()), store, author, AgentRun::now));
             } finally {
                 store.close();
@@ -43,10 +44,14 @@
         }
     }
 
-    private int carryOut(String order, String zone, ZonesDesk desk, ReleaseDesk releases)
+    private int carryOut(String order, String zone, Geography map, ZonesDesk desk, ReleaseDesk releases)
             throws AgreementException {
         switch (order) {
-            case "show" -> show(desk.look());
+            case "show" -> {
+                Scene scene = desk.look();
+                show(scene);
+                Distances.doubts(map, scene.reports()).forEach(System.out::println);
+            }
             case "history" -> desk.history().forEach(plan -> System.out.println(line(plan)));
             case "drain" -> System.out.println(desk.give(order(zone, Order.What.DRAIN),
                 releases.siteOut(zone, reason)));
