--- a/src/test/java/beaconturn/zones/DecisionTest.java
+++ b/src/test/java/beaconturn/zones/DecisionTest.java
@@ -259,6 +259,25 @@
         assertTrue(world.served(other, SECOND) > 0.9, world.said());
     }
 
+    /** Whoever holds the office is ended, again and again: nothing moves for that, and a lost zone moves. */
+    @Test
+    void anOfficeThatFlapsMovesNothingByItselfAndStillMovesWhatIsLost() throws AgreementException {
+        WorldModel world = three(400);
+        for (int i = 0; i < 12; i++) {
+            world.spots.get("east").bad = i >= 6;
+            String office = world.desk().look().office();
+            WorldModel.Seat holder = world.seats.stream().filter(s -> office.startsWith(s.name + "/"))
+                .findFirst().orElse(world.seats.get(0));
+            holder.die();
+            world.run(2 * SECOND);
+            holder.start();
+            world.run(4 * SECOND);
+            assertTrue(i >= 6 || world.plan().number() == 0, world.said());
+        }
+        assertTrue(world.served("east", SECOND) > 0.9, world.said());
+        assertNull(world.pushed);
+    }
+
     @Test
     void whatOperatorsSayWinsAndEndsByItself() throws AgreementException {
         WorldModel world = three(400);
