--- a/src/test/java/beaconturn/rehearsal/PlacesPlayTest.java
+++ b/src/test/java/beaconturn/rehearsal/PlacesPlayTest.java
@@ -4,7 +4,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import beaconturn.agreement.Timing;
-import beaconturn.cli.EmbeddedLauncher;
 import beaconturn.core.Fleet;
 import beaconturn.core.Lifecycle;
 import beaconturn.decision.Routing;
@@ -110,7 +109,8 @@
     @ParameterizedTest
     @EnumSource(Defect.class)
     void aPlantedRouterIsNamedOrMovesNothing(Defect defect) throws Exception {
-        Report report = play(DAY.replace("16s", "10s"), new Mixed(defect));
+        Report report = play(DAY.replace("16s", "10s"), new FirstPlanted(
+            features -> config -> planted(defect, features, config)));
         if (defect == Defect.LIES) {
             assertEquals(List.of(), broken(report), report.text());
             assertEquals(List.of(), plans(report), report.text());
@@ -122,39 +122,18 @@
         }
     }
 
-    /** The first router is one of this process with a defect, the others are processes as they should be. */
-    private record Mixed(Defect defect) implements RouterLauncher {
-        private static final ProcessLauncher PROCESSES = ProcessLauncher.own("beaconturn.cli.Main");
-
-        @Override
-        public Running launch(Start start) throws IOException {
-            return start.name().equals("r1") ? new EmbeddedLauncher(c -> router(start.features(),
-                c)).launch(start)
-                : PROCESSES.launch(start);
-        }
-
-        private RouterServer router(Path features, RouterConfig config) throws IOException {
-            Matcher port = Pattern.compile("127\\.0\\.0\\.1:([0-9]+)").matcher(Files.readString(features));
-            assertTrue(port.find());
-            AgreementConfig agreement = new AgreementConfig(List.of(new InetSocketAddress("127.0.0.1",
-                Integer.parseInt(port.group(1)))), "/rehearsal",
-                new Timing(1_000_000_000, 0.01, 500_000_000), null);
-            Geography map = new Geography(new TreeMap<>(Map.of("east", "", "south", "", "west", "")), 150,
-                1e6, 50);
-            return new RouterServer(config, () -> config, new Lifecycle(),
-                new AgreementSubsystem(agreement, config),
-                new Planted(defect, new PlacesSubsystem(agreement, map, config)));
-        }
-
-        @Override
-        public List<String> command(List<String> words) {
-            return PROCESSES.command(words);
-        }
-
-        @Override
-        public boolean restarts() {
-            return false;
-        }
+    private static RouterServer planted(Defect defect, Path features, RouterConfig config)
+            throws IOException {
+        Matcher port = Pattern.compile("127\\.0\\.0\\.1:([0-9]+)").matcher(Files.readString(features));
+        assertTrue(port.find());
+        AgreementConfig agreement = new AgreementConfig(List.of(new InetSocketAddress("127.0.0.1",
+            Integer.parseInt(port.group(1)))), "/rehearsal", new Timing(1_000_000_000, 0.01, 500_000_000),
+            null);
+        Geography map = new Geography(new TreeMap<>(Map.of("east", "", "south", "", "west", "")), 150, 1e6,
+            50);
+        return new RouterServer(config, () -> config, new Lifecycle(),
+            new AgreementSubsystem(agreement, config),
+            new Planted(defect, new PlacesSubsystem(agreement, map, config)));
     }
 
     /** Its defect stands between the router and its sound part. */
--- a/src/test/java/beaconturn/rehearsal/PlantedAgreementPlayTest.java
+++ b/src/test/java/beaconturn/rehearsal/PlantedAgreementPlayTest.java
@@ -2,14 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import beaconturn.cli.EmbeddedLauncher;
 import beaconturn.core.Lifecycle;
 import beaconturn.ledger.Verdict;
 import beaconturn.net.PlantedAgreement;
 import beaconturn.net.RouterServer;
-import java.io.IOException;
 import java.nio.file.Path;
-import java.util.List;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -18,7 +15,6 @@
 /** A router that does not keep to what was agreed, among routers that do: the account names it. */
 @Timeout(120)
 class PlantedAgreementPlayTest {
-    private static final String MAIN = "beaconturn.cli.Main";
     @TempDir
     private Path folder;
 
@@ -60,33 +56,10 @@
     @EnumSource(PlantedAgreement.Defect.class)
     void aPlantedRouterIsNamed(PlantedAgreement.Defect defect) throws Exception {
         Scenario scenario = ScenarioReader.read("day.toml", day(defect), null);
-        Report report = new Rehearsal(scenario, new Mixed(defect), folder, text -> { }).play();
+        Report report = new Rehearsal(scenario, new FirstPlanted(features -> c -> new RouterServer(c, () -> c,
+            new Lifecycle(), PlantedAgreement.of(defect, features, c), null)), folder, text -> { }).play();
         Verdict verdict = AgreementPlayTest.contradiction(report);
         assertTrue(!verdict.held(), report.text());
         assertTrue(verdict.offences().get(0).what().contains("router 0 act"), report.text());
     }
-
-    /**
-     * The first router is one of this process with a defect, the others are processes as they should be.
-     */
-    private record Mixed(PlantedAgreement.Defect defect) implements RouterLauncher {
-        private static final ProcessLauncher PROCESSES = ProcessLauncher.own(MAIN);
-
-        @Override
-        public Running launch(Start start) throws IOException {
-            return start.name().equals("r1") ? new EmbeddedLauncher(c -> new RouterServer(c, () -> c,
-                new Lifecycle(), PlantedAgreement.of(defect, start.features(), c), null)).launch(start)
-                : PROCESSES.launch(start);
-        }
-
-        @Override
-        public List<String> command(List<String> words) {
-            return PROCESSES.command(words);
-        }
-
-        @Override
-        public boolean restarts() {
-            return false;
-        }
-    }
 }
