The rule on traffic kept near counts a place's cache servers once, not for each send

Seen in a last reading of the change: PlaceRules.much went through all cache servers for each first send of a play, to count those of its place. They are counted once before the loop; verdicts are the same.

--- a/src/main/java/beaconturn/ledger/PlaceRules.java
+++ b/src/main/java/beaconturn/ledger/PlaceRules.java
@@ -99,14 +99,16 @@
         /** Begins of spells in which more is wanted of a place than it carries, by a good part. */
         private static List<Long> much(Terms.Zones terms, Map<String, String> places,
                 List<Entry.Sent> firsts) {
+            Map<String, Long> servers = new HashMap<>();
+            places.values().forEach(place -> servers.merge(place, 1L, Long::sum));
             Map<String, Long> wanted = new TreeMap<>();
             List<Long> begins = new ArrayList<>();
             for (Entry.Sent sent : firsts) {
                 String home = terms.homes().get(sent.router());
                 long begin = sent.firstAt() / OVER * OVER;
-                long servers = places.values().stream().filter(home::equals).count();
                 long count = wanted.merge(begin + " " + home, 1L, Long::sum);
-                if (count > MUCH * terms.each() * Math.max(1, servers - 1) * OVER / SECOND) {
+                long spared = Math.max(1, servers.getOrDefault(home, 0L) - 1);
+                if (count > MUCH * terms.each() * spared * OVER / SECOND) {
                     begins.add(begin);
                 }
             }
