Places: servers that nobody has tried of late are not known to be bad

Seen: a play with a planted router that calls every cache server ejected had one plan after its last client had gone: west failed over, "found bad from east", and east was the liar's own place. It only showed where the end of the play took longer than the second for which evidence is confirmed.

Cause: Pool.view took half of a place's servers ejected for broken also where no attempt had been made in the window. Once nobody asks, the other routers know nothing, the liar still finds its own place good (so it is not taken for a broken router), and one voice of two is enough.

An ejection counts now only beside a bad attempt of the window. DecisionTest plays it in virtual time: plan 1 with the same rows before, none after; the other tests of places and PlacesPlayTest hold as before.

--- a/src/main/java/beaconturn/zones/Pool.java
+++ b/src/main/java/beaconturn/zones/Pool.java
@@ -104,7 +104,8 @@
             // newer.
             return Verdict.GOOD;
         }
-        return 2 * seen.ejected() >= seen.listed() ? Verdict.BROKEN : Verdict.UNKNOWN;
+        // What nobody has tried is not known to be bad: without traffic an ejection only tells what once was.
+        return seen.bad() > 0 && 2 * seen.ejected() >= seen.listed() ? Verdict.BROKEN : Verdict.UNKNOWN;
     }
 
     private void judge(long now) {
--- a/src/test/java/beaconturn/zones/DecisionTest.java
+++ b/src/test/java/beaconturn/zones/DecisionTest.java
@@ -189,6 +189,16 @@
         assertTrue(world.served("east", SECOND) > 0.9, "it does not hold a move up either\n" + world.said());
     }
 
+    /** Nobody asks one place, as after its last client, and nobody has tried it of late. */
+    @Test
+    void oneRouterThatFindsAllEjectedMovesNothingWhereNobodyAsks() {
+        WorldModel world = new WorldModel(1, THREE, 2, 10, 100);
+        world.of("west").forEach(s -> s.perSecond = 0);
+        world.seats.get(0).lies = "ejected";
+        world.run(30 * SECOND);
+        assertEquals(0, world.plan().number(), world.said());
+    }
+
     /** A zone that is cut off serves near; the others do not take it for granted that its part is free. */
     @Test
     void aPlaceThatIsCutOffServesNearAndUsesOnlyItsReserveElsewhere() {
--- a/src/test/java/beaconturn/zones/WorldModel.java
+++ b/src/test/java/beaconturn/zones/WorldModel.java
@@ -96,10 +96,10 @@
     final class Seat implements Follower.Router {
         final String name;
         final String home;
-        final double perSecond;
+        double perSecond;
         boolean cut;
         boolean down;
-        /** Finds all bad whatever it is, all good, or tells always the same. */
+        /** Finds all bad whatever it is, all good, all ejected, or tells always the same. */
         String lies = "";
         final List<String> unreachable = new ArrayList<>();
         private final SortedMap<String, double[]> counts = new TreeMap<>();
@@ -178,7 +178,8 @@
                 long bad = (long) counts.get(p)[1];
                 places.put(p, lies.equals("bad") ? new Seen(0, good + bad, 0, spot.listed, 0, spot.listed)
                     : lies.equals("good") ? new Seen(good + bad, 0, 0, spot.listed, spot.listed, 0)
-                    : new Seen(good, bad, took.get(p), spot.listed, spot.warm, 0));
+                    : new Seen(good, bad, took.get(p), spot.listed, spot.warm,
+                        lies.equals("ejected") ? spot.listed : 0));
             });
             Report report = new Report(router, home, number, plan, (long) arrivals, places);
             stuck = stuck == null ? report : stuck;
