--- /dev/null
+++ b/src/test/java/beaconturn/rehearsal/Plays.java
@@ -0,0 +1,54 @@
+package beaconturn.rehearsal;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.function.Consumer;
+import org.opentest4j.AssertionFailedError;
+
+/**
+ * Plays for tests. A machine that stands still for a good part of a play shows its own faults and not the
+ * routers': such a play that does not show what it should is played again, three times at the most; on a
+ * machine that runs it fails at once.
+ */
+final class Plays {
+    private static final int MOST = 3;
+
+    /** What a play has to show; throws an {@link AssertionError} where it does not. */
+    interface Shows {
+        /** By the report and the folder with the logs of that play. */
+        void in(Report report, Path folder) throws Exception;
+    }
+
+    private Plays() {
+    }
+
+    /** Plays the text of a scenario below a folder until it was shown. */
+    static void of(String text, RouterLauncher launcher, Path below, Shows shows) throws Exception {
+        of(text, launcher, below, said -> { }, shows);
+    }
+
+    /** The same, and tells how far it is. */
+    static void of(String text, RouterLauncher launcher, Path below, Consumer<String> progress, Shows shows)
+            throws Exception {
+        Scenario scenario = ScenarioReader.read("day.toml", text, null);
+        for (int i = 1;; i++) {
+            Path folder = Files.createDirectory(below.resolve("play-" + i));
+            Report report = new Rehearsal(scenario, launcher, folder, progress).play();
+            try {
+                shows.in(report, folder);
+                return;
+            } catch (AssertionFailedError e) {
+                if (i == MOST || !report.disturbed()) {
+                    throw e;
+                }
+                System.out.println("played again, " + report.stoodStill() + ": " + e.getMessage());
+            }
+        }
+    }
+
+    /** The text of a scenario that is shipped. */
+    static String shipped(String name) throws IOException {
+        return Files.readString(Path.of("examples", "rehearsals", name + ".toml"));
+    }
+}
