Places: the part of a zone that is cut off from the store is not given away

All routers of p2 lose the store at 6.8 s and serve near (732 a second of 1000); p1 is lost at 11.5 s, and the office sends 723 thousandths of its keys to p2, which takes 1137 a second until 22 s.

Causes: Pool.Voice.perSecond divided by the time now, so that the rate of a report which no longer grows fell to nothing; growing() then left it out; and Draft.room counted no rate at all for a place that an office had never heard. Ruled out: stale plans (all acted on plan 1 within 0.3 s) and the reserve.

What a router told last now counts beside what is heard: for a minute where others of its place are heard, without an end where nobody is; a place that was never heard has no room.

DecisionTest has each case; four of its tests fail without the change. PoliciesTest and CoursesTest hold as before.

--- a/src/main/java/beaconturn/zones/Decision.java
+++ b/src/main/java/beaconturn/zones/Decision.java
@@ -19,7 +19,7 @@
     private static final int LARGE = 200;
     /** A return goes by such parts. */
     private static final int QUARTER = Row.WHOLE / 4;
-    /** A spill ends once so much of what is carried is wanted. */
+    /** A spill ends once so much of what is carried is wanted, or no more than is carried for long. */
     private static final double ENOUGH = 0.8;
     private static final int MOST_FLAPS = 5;
     /** From such a part of its attempts on a place suffers, bad or not. */
@@ -48,6 +48,7 @@
     private final SortedMap<String, Long> steppedAt = new TreeMap<>();
     private final SortedMap<String, Long> nearAt = new TreeMap<>();
     private final SortedMap<String, Long> overSince = new TreeMap<>();
+    private final SortedMap<String, Long> underSince = new TreeMap<>();
     /** Since when the plan at hand stands, by this office's clock. */
     private long planAt;
     private long planSeen = -1;
@@ -64,7 +65,7 @@
         this.map = map;
         this.pace = pace;
         this.window = window;
-        this.pool = new Pool(map, window, stale);
+        this.pool = new Pool(map, window, stale, pace.longest());
     }
 
     /** What it waits for, in words; empty where it does not. */
@@ -272,13 +273,20 @@
             } else {
                 overSince.remove(home);
             }
+            if (wants + chance(wants) <= carries) {
+                underSince.putIfAbsent(home, now);
+            } else {
+                underSince.remove(home);
+            }
+            boolean under = wants <= ENOUGH * carries
+                || now - underSince.getOrDefault(home, now) >= pace.longest();
             if (state == Plan.State.NEAR) {
                 // Entered where for a while more is wanted than is carried, left well below that.
                 return now - overSince.getOrDefault(home, now) >= pace.confirm() ? whole : row.of(home);
             }
             boolean little = Math.abs(whole - row.of(home)) < Row.NEAR_TRIAL && whole < most;
-            return little || state == Plan.State.SPILLING && whole > row.of(home) && wants > ENOUGH * carries
-                ? row.of(home) : whole;
+            return little || state == Plan.State.SPILLING && whole > row.of(home) && !under ? row.of(home)
+                : whole;
         }
 
         private int trial(String home) {
@@ -328,15 +336,22 @@
             return there > SUFFERS && 2 * there > here || here > SUFFERS && slow;
         }
 
-        /** Requests a second that a place has room for, beside its own and what others may send there. */
+        /**
+         * Requests a second that a place has room for, beside its own and what others may send there. One of
+         * which nothing was ever heard may serve as much as it can, cut off from the store.
+         */
         private double room(String home, String place) {
-            double taken = 0;
+            if (!pool.knows(place)) {
+                return 0;
+            }
+            double taken = pool.unheardPerSecond(place, now);
             for (String other : map.places()) {
                 if (!other.equals(home)) {
                     // Routers of the plan before may still be on their old rows.
                     int part = Math.max(plan.row(other).of(place), rows.get(other).of(place));
-                    part = Math.max(part, Plan.floor(map, other).of(place));
-                    taken += rates.get(other) * part / Row.WHOLE;
+                    int alone = Plan.floor(map, other).of(place);
+                    taken += rates.get(other) * Math.max(part, alone) / Row.WHOLE;
+                    taken += other.equals(place) ? 0 : pool.unheardPerSecond(other, now) * alone / Row.WHOLE;
                 }
             }
             return carries(place, now) - taken;
--- a/src/main/java/beaconturn/zones/Pool.java
+++ b/src/main/java/beaconturn/zones/Pool.java
@@ -24,7 +24,11 @@
     private final long window;
     /** A report that has not grown for so long is not heard. */
     private final long stale;
+    /** One that is not heard counts for so long, where others of its place are. */
+    private final long longest;
     private final SortedMap<String, Voice> voices = new TreeMap<>();
+    /** By name those that are gone from the store, as they were heard last: they may serve on, cut off. */
+    private final SortedMap<String, Voice> gone = new TreeMap<>();
     private final SortedMap<String, SortedMap<String, Verdict>> ways = new TreeMap<>();
     private final SortedMap<String, Verdict> places = new TreeMap<>();
     private final SortedMap<String, String> says = new TreeMap<>();
@@ -38,17 +42,22 @@
         private Report newer;
         private long newerAt;
         private long olderAt;
+        /** Requests a second by what it told last, or less than 0 until it has told twice. */
+        private double perSecond = -1;
 
         private void hears(Report report, long now, long window) {
             if (last == null || report.number() > last.number()) {
                 last = report;
                 grewAt = now;
+                if (older != null) {
+                    perSecond = (last.arrivals() - older.arrivals()) * 1e9 / (now - olderAt);
+                }
             }
             if (newer == null || now - newerAt >= window) {
                 older = newer == null ? last : newer;
-                olderAt = newer == null ? now : newerAt;
+                olderAt = newer == null ? grewAt : newerAt;
                 newer = last;
-                newerAt = now;
+                newerAt = grewAt;
             }
         }
 
@@ -57,15 +66,17 @@
             return now.since(older.places().getOrDefault(place, Seen.NONE));
         }
 
-        private double perSecond(long now) {
-            return now <= olderAt ? 0 : (last.arrivals() - older.arrivals()) * 1e9 / (now - olderAt);
+        /** Of the router itself, without the number of its start. */
+        private String name() {
+            return last.router().split("/")[0];
         }
     }
 
-    Pool(Geography map, long window, long stale) {
+    Pool(Geography map, long window, long stale, long longest) {
         this.map = map;
         this.window = window;
         this.stale = stale;
+        this.longest = longest;
     }
 
     /** Takes in what stands there now and judges. */
@@ -77,7 +88,15 @@
                 voices.computeIfAbsent(report.router(), r -> new Voice()).hears(report, now, window);
             }
         }
+        voices.values().stream().filter(v -> v.perSecond >= 0).forEach(v -> {
+            if (there.contains(v.last.router())) {
+                gone.remove(v.name());
+            } else {
+                gone.put(v.name(), v);
+            }
+        });
         voices.keySet().retainAll(there);
+        gone.values().removeIf(v -> now - v.grewAt > longest && heard(v.last.home(), now).size() > 0);
         judge(now);
     }
 
@@ -239,9 +258,30 @@
         return broken;
     }
 
-    /** Requests a second that the routers of a place take. */
+    /** Requests a second that the routers of a place take, of those that are heard. */
     double perSecond(String home, long now) {
-        return growing(now).filter(v -> v.last.home().equals(home)).mapToDouble(v -> v.perSecond(now)).sum();
+        return growing(now).filter(v -> v.last.home().equals(home)).mapToDouble(v -> Math.max(0, v.perSecond))
+            .sum();
+    }
+
+    /**
+     * Requests a second that those of a place took which are not heard any more: cut off from the store they
+     * serve near. Where others of the place are heard it counts for a while only, as who has ended leaves its
+     * clients to them; where nobody is, for as long as that is so.
+     */
+    double unheardPerSecond(String home, long now) {
+        return known(home).filter(v -> now - v.grewAt > stale).mapToDouble(v -> v.perSecond).sum();
+    }
+
+    /** Whether any router of a place has ever told how much it takes. */
+    boolean knows(String home) {
+        return known(home).findAny().isPresent();
+    }
+
+    private Stream<Voice> known(String home) {
+        return Stream.concat(gone.values().stream(),
+            voices.values().stream().filter(v -> !gone.containsKey(v.name())))
+            .filter(v -> v.last.home().equals(home) && v.perSecond >= 0);
     }
 
     /** Cache servers there that are warm, as most routers of any place have it: the median. */
--- a/src/test/java/beaconturn/zones/DecisionTest.java
+++ b/src/test/java/beaconturn/zones/DecisionTest.java
@@ -88,6 +88,60 @@
         calm(world);
     }
 
+    /** A spill ends at four fifths of what is carried, or where no more than that is wanted for long. */
+    @Test
+    void aPlaceThatCarriesAllThatIsWantedAgainTakesItsKeysBackInTheEnd() {
+        WorldModel world = three(750);
+        world.spots.get("east").warm = 7;
+        world.run(10 * SECOND);
+        assertEquals(Plan.State.SPILLING, world.plan().states().get("east"), world.said());
+        world.spots.get("east").warm = 10;
+        world.run(30 * SECOND);
+        assertEquals(Plan.State.SPILLING, world.plan().states().get("east"), "not at once\n" + world.said());
+        world.run(60 * SECOND);
+        calm(world);
+    }
+
+    /**
+     * A place that is cut off from the store serves near, also when its reports are gone from there: its room
+     * is not free, neither for who saw it before nor for an office that has never heard it.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void thePartOfAPlaceThatIsCutOffIsNotFree(boolean newOffice) throws AgreementException {
+        WorldModel world = three(700);
+        world.of("west").forEach(s -> s.cut = true);
+        world.run(10 * SECOND);
+        if (newOffice) {
+            String office = world.desk().look().office();
+            world.seats.stream().filter(s -> office.startsWith(s.name + "/")).forEach(s -> {
+                s.die();
+                s.start();
+            });
+            world.run(5 * SECOND);
+        }
+        world.spots.get("east").bad = true;
+        world.run(20 * SECOND);
+        assertTrue(world.plan().row("east").of("far") > 150, "what is heard takes its part\n" + world.said());
+        world.peak("west");
+        world.run(20 * SECOND);
+        assertTrue(world.peak("west") <= 0.95, "with one to spare\n" + world.said());
+        assertNull(world.pushed);
+    }
+
+    /** One that is ended leaves its clients to the others: after a while its part is not counted twice. */
+    @Test
+    void whatOneRouterTookThatIsGoneIsCountedForAWhile() {
+        WorldModel world = three(700);
+        world.of("west").get(0).die();
+        world.run(10 * SECOND);
+        world.spots.get("east").bad = true;
+        world.run(10 * SECOND);
+        assertTrue(world.plan().row("east").of("west") < 320, world.said());
+        world.run(70 * SECOND);
+        assertTrue(world.plan().row("east").of("west") > 400, world.said());
+    }
+
     /** The origin slow: all places are bad at once, and moving mends nothing. */
     @Test
     void whatAllSufferFromMovesNothing() {
