Places: a lost zone is left also while another is cut off; reports outlive a lease

Seen with processes, in a new scenario (zones-unheard: a zone's routers lose the store and nothing else, another zone's cache servers are killed): no plan until the store was back, 14.4 s after the loss, with "late list, some have it in the list and others do not".

Causes: Pool.judge took the empty row of a place that nobody is heard from for one that has the servers in its list; and reports went with the lease of two seconds, which is for how long an office stands empty. Ruled out for the first: lists really differ (all four that were heard said not listed); for the second: the rate of those that were heard (456 of 684, right).

Only places that are heard have a say; a report lies in the store for a minute, and one that is gone sooner was taken back by a planned end, whose part no longer counts.

--- a/src/main/java/beaconturn/zones/Decision.java
+++ b/src/main/java/beaconturn/zones/Decision.java
@@ -60,12 +60,15 @@
     private long wantedAt;
     private String waits = "";
 
-    /** A decision over these places; {@code stale} is when a router that tells nothing new is not heard. */
-    public Decision(Geography map, Pace pace, long window, long stale) {
+    /**
+     * A decision over these places; {@code stale} is when a router that tells nothing new is not heard, and a
+     * report that is gone sooner than {@code left} after it grew was taken back.
+     */
+    public Decision(Geography map, Pace pace, long window, long stale, long left) {
         this.map = map;
         this.pace = pace;
         this.window = window;
-        this.pool = new Pool(map, window, stale, pace.longest());
+        this.pool = new Pool(map, window, stale, pace.longest(), left);
     }
 
     /** What it waits for, in words; empty where it does not. */
--- a/src/main/java/beaconturn/zones/Follower.java
+++ b/src/main/java/beaconturn/zones/Follower.java
@@ -24,6 +24,11 @@
     private static final int SPREAD_PARTS = 5;
     private static final int LONGEST_BACK_OFF = 8;
     private static final int STALE_RENEWALS = 4;
+    /**
+     * A report lies in the store for so long after the last word of its router, which may serve on without
+     * it: whoever takes the office then has to know of it. Who is heard is told by reports that grow.
+     */
+    private static final long REPORT_SECONDS = 60;
     /** Evidence is compared over so long. */
     private static final long WINDOW = 3 * SECOND / 2;
 
@@ -93,7 +98,7 @@
         this.log = log;
         this.random = new SplittableRandom(seed);
         this.decision = new Decision(map, Pace.usual(timing.stated()), WINDOW,
-            STALE_RENEWALS * timing.renewEvery());
+            STALE_RENEWALS * timing.renewEvery(), REPORT_SECONDS * SECOND / 2);
         this.plan = Plan.first(map);
         this.renewAt = start;
         this.lookAt = start + spread(TICK);
@@ -142,7 +147,7 @@
         }
         sentAt = at;
         if (lease == 0) {
-            return out(Aim.LEASE, new Call.Grant(timing.storeLeaseSeconds()));
+            return out(Aim.LEASE, new Call.Grant(Math.max(REPORT_SECONDS, timing.storeLeaseSeconds())));
         }
         if (at >= renewAt) {
             return out(Aim.RENEW, new Call.KeepAlive(lease));
--- a/src/main/java/beaconturn/zones/Pool.java
+++ b/src/main/java/beaconturn/zones/Pool.java
@@ -26,9 +26,11 @@
     private final long stale;
     /** One that is not heard counts for so long, where others of its place are. */
     private final long longest;
+    /** One whose report is gone sooner than so after it grew has left. */
+    private final long left;
     private final SortedMap<String, Voice> voices = new TreeMap<>();
-    /** By name those that are gone from the store, as they were heard last: they may serve on, cut off. */
-    private final SortedMap<String, Voice> gone = new TreeMap<>();
+    /** Each router by its name, as it was heard last; it may serve on, cut off. */
+    private final SortedMap<String, Voice> latest = new TreeMap<>();
     private final SortedMap<String, SortedMap<String, Verdict>> ways = new TreeMap<>();
     private final SortedMap<String, Verdict> places = new TreeMap<>();
     private final SortedMap<String, String> says = new TreeMap<>();
@@ -72,11 +74,12 @@
         }
     }
 
-    Pool(Geography map, long window, long stale, long longest) {
+    Pool(Geography map, long window, long stale, long longest, long left) {
         this.map = map;
         this.window = window;
         this.stale = stale;
         this.longest = longest;
+        this.left = left;
     }
 
     /** Takes in what stands there now and judges. */
@@ -88,15 +91,12 @@
                 voices.computeIfAbsent(report.router(), r -> new Voice()).hears(report, now, window);
             }
         }
-        voices.values().stream().filter(v -> v.perSecond >= 0).forEach(v -> {
-            if (there.contains(v.last.router())) {
-                gone.remove(v.name());
-            } else {
-                gone.put(v.name(), v);
-            }
-        });
+        // A report that is gone long before its lease could end was taken back: its router has left.
+        voices.values().stream().filter(v -> !there.contains(v.last.router()) && now - v.grewAt < left)
+            .forEach(v -> latest.remove(v.name(), v));
         voices.keySet().retainAll(there);
-        gone.values().removeIf(v -> now - v.grewAt > longest && heard(v.last.home(), now).size() > 0);
+        voices.values().forEach(v -> latest.merge(v.name(), v, (a, b) -> a.grewAt > b.grewAt ? a : b));
+        latest.values().removeIf(v -> now - v.grewAt > longest && !heard(v.last.home(), now).isEmpty());
         judge(now);
     }
 
@@ -138,6 +138,10 @@
         for (String home : map.places()) {
             SortedMap<String, Verdict> row = new TreeMap<>();
             List<Voice> heard = heard(home, now);
+            if (heard.isEmpty()) {
+                // Of a place that is cut off nobody knows what it finds.
+                continue;
+            }
             for (String place : map.places()) {
                 row.put(place, majority(heard.stream().map(v -> view(v.seen(place))).toList()));
             }
@@ -176,27 +180,23 @@
     }
 
     private Verdict judge(String place) {
-        Verdict own = ways.get(place).get(place);
-        List<Verdict> others = new ArrayList<>();
+        List<Verdict> all = new ArrayList<>();
         List<String> bad = new ArrayList<>();
         ways.forEach((home, row) -> {
-            if (!home.equals(place)) {
-                others.add(row.get(place));
-            }
+            all.add(row.get(place));
             if (row.get(place) == Verdict.BROKEN) {
                 bad.add(home);
             }
         });
-        boolean anyGood = others.contains(Verdict.GOOD) || own == Verdict.GOOD;
-        boolean listed = own != Verdict.NOT_LISTED || others.stream().anyMatch(v -> v != Verdict.NOT_LISTED);
-        if (!listed) {
+        boolean anyGood = all.contains(Verdict.GOOD);
+        if (!all.isEmpty() && all.stream().allMatch(v -> v == Verdict.NOT_LISTED)) {
             return said(place, Verdict.NOT_LISTED, "nobody has it in the list");
         }
         if (!bad.isEmpty() && !anyGood) {
             // Before lists are looked at: those of a place that has gone change here and there by and by.
             return said(place, Verdict.BROKEN, "found bad from " + String.join(", ", bad));
         }
-        if (own == Verdict.NOT_LISTED || others.contains(Verdict.NOT_LISTED)) {
+        if (all.contains(Verdict.NOT_LISTED)) {
             return said(place, Verdict.LATE_LIST, "some have it in the list and others do not");
         }
         if (!bad.isEmpty()) {
@@ -245,12 +245,16 @@
 
     /** Whether those of one place find another, or their own, bad. */
     boolean bad(String home, String place) {
-        return ways.containsKey(home) && ways.get(home).get(place) == Verdict.BROKEN;
+        return way(home, place) == Verdict.BROKEN;
     }
 
     /** Whether those of one place find it good. */
     boolean good(String home, String place) {
-        return ways.containsKey(home) && ways.get(home).get(place) == Verdict.GOOD;
+        return way(home, place) == Verdict.GOOD;
+    }
+
+    private Verdict way(String home, String place) {
+        return ways.containsKey(home) ? ways.get(home).get(place) : Verdict.UNKNOWN;
     }
 
     /** Routers that find nothing good while their neighbours do. */
@@ -260,17 +264,20 @@
 
     /** Requests a second that the routers of a place take, of those that are heard. */
     double perSecond(String home, long now) {
-        return growing(now).filter(v -> v.last.home().equals(home)).mapToDouble(v -> Math.max(0, v.perSecond))
-            .sum();
+        return growing(now).filter(v -> v.last.home().equals(home))
+            .mapToDouble(v -> Math.max(0, v.perSecond)).sum();
     }
 
     /**
      * Requests a second that those of a place took which are not heard any more: cut off from the store they
-     * serve near. Where others of the place are heard it counts for a while only, as who has ended leaves its
-     * clients to them; where nobody is, for as long as that is so.
+     * serve near. Where others of the place are heard it counts for a while only, as who was killed leaves
+     * its clients to them; where nobody is, for as long as that is so. One that has told only once counts as
+     * the others of its place do.
      */
     double unheardPerSecond(String home, long now) {
-        return known(home).filter(v -> now - v.grewAt > stale).mapToDouble(v -> v.perSecond).sum();
+        double mean = known(home).mapToDouble(v -> v.perSecond).average().orElse(0);
+        return latest.values().stream().filter(v -> v.last.home().equals(home) && now - v.grewAt > stale)
+            .mapToDouble(v -> v.perSecond < 0 ? mean : v.perSecond).sum();
     }
 
     /** Whether any router of a place has ever told how much it takes. */
@@ -279,9 +286,7 @@
     }
 
     private Stream<Voice> known(String home) {
-        return Stream.concat(gone.values().stream(),
-            voices.values().stream().filter(v -> !gone.containsKey(v.name())))
-            .filter(v -> v.last.home().equals(home) && v.perSecond >= 0);
+        return latest.values().stream().filter(v -> v.last.home().equals(home) && v.perSecond >= 0);
     }
 
     /** Cache servers there that are warm, as most routers of any place have it: the median. */
