Releases that turn bad only after minutes are rehearsed; calls at one router have tests

Need: what a release does that is good for two minutes and then leaks or slows was played as five seconds only; and what operators leave out at one router, beside what the fleet holds out, had no test of its own.

good_for in [release] says for how long a router with a harm is good: five seconds for what fades or slows, as before, none for a leak, which begins with the process as before. Leaking waits for so long before it leaks. OperatorsTest has three cases: a call back, a call against what the fleet holds out, and a cache server that is out for both reasons.

--- a/src/main/java/beaconturn/rehearsal/Explained.java
+++ b/src/main/java/beaconturn/rehearsal/Explained.java
@@ -59,6 +59,7 @@
                 .line("most_out_of_site", r.mostOutOfSite()).line("soak", time(r.soak()))
                 .line("samples", r.samples()).line("worse", r.worse()).line("limit", time(r.limit()))
                 .line("alone", time(r.alone())).line("harm", text(lower(r.harm())))
+                .line("good_for", time(r.goodFor()))
                 .line("spare", r.spare()).line("cores", r.cores())
                 .line("worse_missed", r.worseMissed()).line("most_tries", r.mostTries());
             r.waves().forEach(wave -> head("[[release.wave]]").line("parts", words(wave)));
--- a/src/main/java/beaconturn/rehearsal/ProcessLauncher.java
+++ b/src/main/java/beaconturn/rehearsal/ProcessLauncher.java
@@ -17,8 +17,9 @@
     private static final List<String> OPTIONS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
         "-Xshare:auto", "-Xss256k", "-XX:StackShadowPages=10", "-Xms64m", "-Xmx64m",
         "-XX:MaxDirectMemorySize=24m", "-XX:-UsePerfData", "-Djdk.nio.maxCachedBufferSize=8192");
+    private static final long MILLI = 1_000_000;
     /** What a router that leaks does so with: kB a second, up to so many. */
-    private static final List<String> LEAK = List.of(Leaking.class.getName(), "4000", "28000");
+    private static final List<String> LEAK = List.of("4000", "28000");
     private final List<String> program;
     /** The same by its class path and main class, for what is put before it. */
     private final List<String> path;
@@ -57,8 +58,10 @@
         return command;
     }
 
-    private List<String> leaking() {
+    private List<String> leaking(long after) {
         List<String> all = new ArrayList<>(path);
+        all.add(Leaking.class.getName());
+        all.add(Long.toString(after / MILLI));
         all.addAll(LEAK);
         all.add(main);
         return all;
@@ -66,7 +69,7 @@
 
     @Override
     public Running launch(Start start) throws IOException {
-        List<String> command = command(start.leaks() ? leaking() : program,
+        List<String> command = command(start.leaksAfter() < 0 ? program : leaking(start.leaksAfter()),
             List.of("serve", "--config", start.config().toString()));
         if (start.features() != null) {
             command.addAll(List.of("--features", start.features().toString()));
--- a/src/main/java/beaconturn/rehearsal/RouterLauncher.java
+++ b/src/main/java/beaconturn/rehearsal/RouterLauncher.java
@@ -14,9 +14,9 @@
      * @param features the operators' file of what else is on, or null
      * @param log where its log goes
      * @param clockOff how far its wall clock is off, in nanoseconds
-     * @param leaks whether its memory is to grow
+     * @param leaksAfter nanoseconds from its start after which its memory grows, below 0 where it does not
      */
-    record Start(String name, Path config, Path features, Path log, long clockOff, boolean leaks) { }
+    record Start(String name, Path config, Path features, Path log, long clockOff, long leaksAfter) { }
 
     /** Starts a router; it need not be ready yet. */
     Running launch(Start start) throws IOException;
--- a/src/main/java/beaconturn/rehearsal/RouterSeat.java
+++ b/src/main/java/beaconturn/rehearsal/RouterSeat.java
@@ -27,8 +27,6 @@
     private static final int READY_MILLIS = 30_000;
     private static final int KILL_MILLIS = 2000;
     private static final int STEP_MILLIS = 10;
-    /** For so long what fades is good: longer than the check that it stands. */
-    private static final int GOOD_MILLIS = 5000;
     /** What a slow way to a cache server adds to each message. */
     private static final long SLOW_BY = 250_000_000;
     private static final int TRY_MILLIS = 500;
@@ -121,7 +119,8 @@
         terminated = false;
         running = launcher.launch(new RouterLauncher.Start(name(), config,
             parts == null ? null : parts.featuresOf(name()), folder.resolve(name() + ".log"),
-            scenario.routers().get(number).clockOff(), harm == Scenario.Harm.LEAKS));
+            scenario.routers().get(number).clockOff(),
+            harm == Scenario.Harm.LEAKS ? scenario.release().goodFor() : -1));
     }
 
     private static String text(InetSocketAddress at) {
@@ -235,7 +234,7 @@
     private void fade(RouterLauncher.Running process, Link.State then) {
         Thread thread = new Thread(() -> {
             try {
-                Thread.sleep(GOOD_MILLIS);
+                Thread.sleep(scenario.release().goodFor() / MILLI);
                 synchronized (this) {
                     if (running == process) {
                         parts.reachesCaches(number, then, SLOW_BY);
--- a/src/main/java/beaconturn/rehearsal/Scenario.java
+++ b/src/main/java/beaconturn/rehearsal/Scenario.java
@@ -64,19 +64,27 @@
          */
         SLOWS,
         /** Its memory grows; of routers only. */
-        LEAKS
+        LEAKS;
+
+        private static final long STANDS_A_CHECK = 5_000_000_000L;
+
+        /** So long a router with it is good where a scenario says nothing else, in nanoseconds. */
+        long goodFor() {
+            return this == FADES || this == SLOWS ? STANDS_A_CHECK : 0;
+        }
     }
 
     /**
      * A release of the routers, or of the cache servers: their agents, processes too, restart them with what
-     * has the harm. Without waves the usual ones are made; {@code begins} false leaves it to orders;
+     * has the harm, of routers some only once they were good for a while. Without waves the usual ones are
+     * made; {@code begins} false leaves it to orders;
      * {@code mostTries} over 0 has settings go with it; {@code spare} and {@code cores} are what a site must
      * be able to carry without those that are out, {@code spare} below 0 for whatever. Soaks of a second
      * need a larger {@code worseMissed} than usual ones: who has just started misses more for a while.
      */
     public record ReleaseSpec(boolean caches, boolean begins, long at, Cue after, int mostOut,
             int mostOutOfSite, List<List<String>> waves, long soak, int samples, double worse, long limit,
-            long alone, Harm harm, int mostTries, int spare, double cores,
+            long alone, Harm harm, long goodFor, int mostTries, int spare, double cores,
             double worseMissed) {
         /** Whether what is released harms its ways to cache servers after a while. */
         boolean spoilsLinks() {
--- a/src/main/java/beaconturn/rehearsal/ScenarioReader.java
+++ b/src/main/java/beaconturn/rehearsal/ScenarioReader.java
@@ -104,6 +104,7 @@
             s.whole("most_out", 1, 1, MOST_ROUTERS), s.whole("most_out_of_site", 1, 1, MOST_ROUTERS), waves,
             s.time("soak", SECOND, 0), s.whole("samples", 20, 0, 1_000_000), s.number("worse", 0.05, 0, 1),
             s.time("limit", 10 * SECOND, SECOND), s.time("alone", 0, 0), harm,
+            s.time("good_for", harm.goodFor(), 0),
             s.whole("most_tries", 0, 0, 64), s.whole("spare", -1, -1, MOST_ROUTERS),
             s.number("cores", 0, 0, 1000), s.number("worse_missed", 0.4, 0, 1));
     }
--- /dev/null
+++ b/src/test/java/beaconturn/net/OperatorsTest.java
@@ -0,0 +1,77 @@
+package beaconturn.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import beaconturn.core.Lifecycle;
+import beaconturn.core.Message;
+import beaconturn.net.control.Hand;
+import beaconturn.protocol.Json;
+import beaconturn.stats.Counters;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What operators say of one router, beside what the whole fleet has agreed to leave out. */
+class OperatorsTest {
+    @TempDir
+    private Path folder;
+    private final List<Message> posted = new ArrayList<>();
+    private final Set<String> heldOut = new HashSet<>();
+    private final List<Boolean> known = new ArrayList<>();
+    private Operators operators;
+
+    @BeforeEach
+    void bind() throws Exception {
+        InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
+        RouterConfig config = new RouterConfig("r1", any, any, 1, 512, 192, null, null,
+            new RouterConfig.Surroundings(any, false, folder), new Json.Nothing());
+        operators = new Operators(config, new Lifecycle(), () -> 0, posted::add, heldOut::contains,
+            new Operators.Figures(new Counters(), null));
+    }
+
+    @AfterEach
+    void close() {
+        operators.close();
+    }
+
+    private void say(boolean out) {
+        operators.hand(new Hand("c1", out, 5), true, known::add);
+    }
+
+    @Test
+    void aCallBringsBackWhatACallLeftOut() {
+        say(true);
+        assertTrue(operators.leftOut("c1"));
+        say(false);
+        assertFalse(operators.leftOut("c1"));
+        assertEquals(List.of(true, false), posted.stream().map(m -> ((Message.ByHand) m).out()).toList());
+    }
+
+    /** The call is answered, as it holds once the fleet lets go; until then nobody sends there. */
+    @Test
+    void whatTheFleetHoldsOutNoCallAtOneRouterBringsBack() {
+        heldOut.add("c1");
+        say(false);
+        assertEquals(List.of(), posted);
+        assertEquals(List.of(true), known);
+    }
+
+    /** It is out for two reasons: the fleet's end of it must not bring back what operators left out here. */
+    @Test
+    void whatOperatorsLeftOutStaysSoWhateverTheFleetHoldsOut() {
+        heldOut.add("c1");
+        say(true);
+        heldOut.clear();
+        assertTrue(operators.leftOut("c1"));
+        assertEquals(1, posted.size());
+    }
+}
