--- a/src/main/java/beaconturn/rehearsal/RouterSeat.java
+++ b/src/main/java/beaconturn/rehearsal/RouterSeat.java
@@ -196,6 +196,15 @@
         running.terminate();
     }
 
+    /** Once a fault is over; what an agent has started meanwhile is not the fault's, and runs on. */
+    synchronized void startAgain(boolean planned) throws IOException, InterruptedException {
+        if (told || running == null || !running.alive()) {
+            awaitEnd(Rehearsal.END_MILLIS, planned);
+            launch();
+            awaitReady();
+        }
+    }
+
     /**
      * Has the router run what is released, or what was there before; nothing is done where it does.
      * Whether it is ready then.
--- a/src/main/java/beaconturn/standin/net/Places.java
+++ b/src/main/java/beaconturn/standin/net/Places.java
@@ -149,7 +149,7 @@
             try {
                 switch (state) {
                     case LISTENS -> listener = Ports.again(address, at -> loop.listen(at, BACKLOG, this));
-                    case REFUSES -> holders.add(Ports.hold(address));
+                    case REFUSES -> holders.add(Ports.again(address, Ports::hold));
                     default -> silence();
                 }
             } catch (IOException e) {
@@ -160,7 +160,7 @@
         /** Listens with a queue that own connections fill: the kernel then drops whatever else comes. */
         private void silence() throws IOException {
             listener = ServerSocketChannel.open();
-            listener.bind(address, FULL_BACKLOG);
+            Ports.again(address, at -> listener.bind(at, FULL_BACKLOG));
             for (int i = 0; i < FILLERS; i++) {
                 SocketChannel filler = SocketChannel.open();
                 holders.add(filler);
--- a/src/test/java/beaconturn/rehearsal/ReleasePlayTest.java
+++ b/src/test/java/beaconturn/rehearsal/ReleasePlayTest.java
@@ -42,6 +42,34 @@
             });
     }
 
+    /** Killed in its step, it is started by its agent; the fault's end finds it running and lets it be. */
+    @Test
+    void whatAnAgentHasStartedIsNotStruckByTheEndOfAnEarlierFault() throws Exception {
+        play("""
+            length = "16s"
+            [agreement]
+            lease = "1s"
+            [[router]]
+            count = 2
+            [[clients]]
+            rate = 60
+            [release]
+            at = "500ms"
+            soak = "500ms"
+            samples = 5
+            wave = [{parts = ["r1"]}]
+            [[fault]]
+            kind = "router-kill"
+            on = ["r1"]
+            after = "r1 goes out"
+            from = "100ms"
+            to = "3s"
+            """, (report, logs) -> {
+                assertEquals("done", report.ending(), report.text());
+                assertEquals(2, Files.readString(logs.resolve("r1.log")).split("serves on").length - 1);
+            });
+    }
+
     /** Two of the scenario's six, for the sake of time. */
     @Test
     void cacheServersAreRestartedOneAfterTheOtherAsTheyGetWarm() throws Exception {
