An ejection that a trial ends within a second is not told to the fleet

Cause: where answers are rare, six a second from a router to a cache server there, one late answer ejects until the next trials (RingRouter.judge, as it is meant to: the router itself loses nothing by it); AgreementSubsystem.sees told each of them to the store.

A router tells an ejection once it has lasted a second (agreement.Ejections). A cache server that is dead is seen as before, by the list.

--- a/src/main/java/beaconturn/net/agreement/AgreementSubsystem.java
+++ b/src/main/java/beaconturn/net/agreement/AgreementSubsystem.java
@@ -2,6 +2,7 @@
 
 import beaconturn.agreement.Call;
 import beaconturn.agreement.Content;
+import beaconturn.agreement.Ejections;
 import beaconturn.agreement.Ground;
 import beaconturn.agreement.Kept;
 import beaconturn.agreement.Keys;
@@ -39,6 +40,8 @@
     private volatile Force applied;
     private volatile boolean stopped;
     private volatile Sight sight;
+    /** Of the thread that tells what it sees. */
+    private final Ejections ejections = new Ejections();
     private volatile long list = Long.MIN_VALUE;
     private long sightDue = Long.MIN_VALUE;
     /** Set once, guarded by this. */
@@ -112,8 +115,12 @@
     public void sees(Map<Fleet.Listed, Routing.Standing> caches) {
         SortedMap<String, Long> in = new TreeMap<>();
         SortedMap<String, String> out = new TreeMap<>();
+        ejections.only(caches.entrySet().stream().filter(e -> e.getValue() == Routing.Standing.EJECTED)
+            .map(e -> e.getKey().name()).toList());
         caches.forEach((listed, standing) -> {
-            if (standing == Routing.Standing.IN) {
+            boolean passing = standing == Routing.Standing.EJECTED
+                && !ejections.lasts(listed.name(), clock.now());
+            if (standing == Routing.Standing.IN || passing) {
                 in.put(listed.name(), listed.bootTime());
             } else {
                 out.put(listed.name(), standing.name().toLowerCase(Locale.ROOT).replace('_', ' '));
