What is watched after its check is held to one in a million, not one in a hundred

All rules held and all was served, but the release was not to go back.

Cause: Health.later compares each part that has stood its check again and again, here 26 parts with ten answers a look, some 1,500 looks by then, and Comparison.share took one in a hundred for certain at each. Ruled out: a failing store or the three routers that fail (0.000 of answers bad; the comparison begins anew after them).

Shares of what is watched need 4.75 standard errors; what is over its bound and not certain goes on adding up, so that a real harm is told some seconds later. The check itself stays at one in a hundred.

--- a/src/main/java/beaconturn/release/Comparison.java
+++ b/src/main/java/beaconturn/release/Comparison.java
@@ -9,7 +9,13 @@
  * make it; one of means if there are enough readings, as each of them is a mean already.
  */
 final class Comparison {
+    /** One in a hundred by chance, of what is looked at until it has stood its check. */
     private static final double ERRORS = 2.33;
+    /**
+     * One in a million, of what is watched from then on: many parts, again and again, of which one in a
+     * hundred would take every larger release back. What is not certain goes on adding up until it is.
+     */
+    private static final double WATCHED = 4.75;
     private static final long FEWEST_READINGS = 8;
     private static final double MILLION = 1e6;
     private final Plan plan;
@@ -40,15 +46,17 @@
             return new Health.Word(Health.Verdict.WAIT, figures);
         }
         List<Worse> worse = new ArrayList<>();
-        share(worse, "", Figure.BAD, changed.answers(), others.answers(), plan.worse().bad());
+        double errors = waits ? WATCHED : ERRORS;
+        share(worse, "", Figure.BAD, changed.answers(), others.answers(), plan.worse().bad(), errors);
         if (soaked && count > 0) {
             if (waits && (fewReadings(changed) || fewReadings(others))) {
                 return new Health.Word(Health.Verdict.WAIT, figures);
             }
             share(worse, "late", Figure.LATE, changed.of(Figure.GOOD), others.of(Figure.GOOD),
-                plan.worse().late());
+                plan.worse().late(), errors);
             share(worse, "missed", Figure.MISSES, changed.of(Figure.HITS) + changed.of(Figure.MISSES),
-                others.of(Figure.HITS) + others.of(Figure.MISSES), plan.worse().missed());
+                others.of(Figure.HITS) + others.of(Figure.MISSES), plan.worse().missed(),
+                errors);
             mean(worse, "of the cache servers avoided", Figure.AVOIDED, Figure.READINGS, MILLION,
                 plan.worse().avoided(), 0);
             mean(worse, "kB of memory", Figure.MEMORY, Figure.READINGS, 1, 0, plan.worse().memory());
@@ -70,7 +78,7 @@
     }
 
     private void share(List<Worse> worse, String name, Figure figure, long ofChanged, long ofOthers,
-            double bound) {
+            double bound, double errors) {
         double here = changed.share(figure, ofChanged);
         double there = others.share(figure, ofOthers);
         if (here <= there + bound || ofChanged < plan.samples() || count > 0 && ofOthers < plan.samples()) {
@@ -80,7 +88,7 @@
         double error = Math.sqrt(both * (1 - both)
             * (1.0 / ofChanged + (ofOthers == 0 ? 0 : 1.0 / ofOthers)));
         worse.add(new Worse(name.isEmpty() ? "" : String.format(Locale.ROOT, "; %.3f of %d %s, %.3f of %d",
-            here, ofChanged, name, there, ofOthers), here - there > ERRORS * error));
+            here, ofChanged, name, there, ofOthers), here - there > errors * error));
     }
 
     /** A mean that may be higher by a distance, or by a part. */
--- a/src/test/java/beaconturn/release/ComparisonTest.java
+++ b/src/test/java/beaconturn/release/ComparisonTest.java
@@ -57,6 +57,18 @@
         }
     }
 
+    /** By chance it comes about once in some thousand looks, which forty parts have in minutes. */
+    @Test
+    void whatIsWatchedForLongNeedsMoreThanWhatIsCheckedOnce() {
+        Comparison chance = new Comparison(PLAN, sample("good=20 hits=8 misses=12"),
+            sample("good=210 hits=170 misses=40"), 13);
+        assertEquals(Health.Verdict.BAD, chance.word(true, false).verdict());
+        assertEquals(Health.Verdict.WAIT, chance.word(true, true).verdict());
+        Comparison goesOn = new Comparison(PLAN, sample("good=40 hits=16 misses=24"),
+            sample("good=420 hits=340 misses=80"), 13);
+        assertEquals(Health.Verdict.BAD, goesOn.word(true, true).verdict());
+    }
+
     /**
      * A soak that is too short for eight readings takes no mean for bad, and does not wait for more either.
      */
