--- a/src/main/java/beaconturn/net/Discovery.java
+++ b/src/main/java/beaconturn/net/Discovery.java
@@ -43,7 +43,10 @@
     // For the watching thread, whose loop may begin anew:
     private boolean watching;
     private boolean healthy = true;
-    /** Whether discovery has answered at all: until then it is asked what has changed, not to wait for a change. */
+    /**
+     * Whether discovery has answered at all: until then it is asked what has changed, not to wait for a
+     * change.
+     */
     private boolean answered;
 
     /** Lists of versions before {@code oldest} count as no answer; watches wait as the times have it. */
