Tests that fail without each guard of endings; a stop ends with the last answer

Change: the answer that leaves nothing owed calls the poller itself. The three tests force their order now: accepting pauses on a failure while the socket closes, the stand-in of discovery tries to connect before it answers, only one server's attempts are unsent; the drain that is pushed has a test of its own.

--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -376,7 +376,8 @@
                 giveBackLarge();
             }
         }
-        if (paused || writer.stuck() || writer.broken()) {
+        // At a planned stop the end follows the last answer at once: what came between would be refused.
+        if (paused || writer.stuck() || writer.broken() || quiet && stoppingSince != NEVER) {
             site.poller().call(this);
         }
     }
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -44,7 +44,6 @@
     private static final long LAST_ANSWERS = 60 * MILLI;
     /** So long a start waits for the list that is agreed on. */
     private static final long LONGEST_FOR_LIST = 2_000 * MILLI;
-    /** So long a start waits for discovery's first answer, or its failure. */
     private static final long LONGEST_FOR_FIRST_LIST = 250 * MILLI;
     private static final long STEP_MILLIS = 5;
     private static final long SWEEP_MILLIS = 50;
@@ -61,6 +60,11 @@
             return new ModuleHost(config.settings().routing(), config.seed(), clock, fleet, list);
         }
 
+        /** How long a start waits for discovery's first answer, or its failure, in nanoseconds. */
+        default long firstListWithin() {
+            return LONGEST_FOR_FIRST_LIST;
+        }
+
         /** Where clients, cache servers and discovery post. */
         default Consumer<Message> inbox(Consumer<Message> mailbox) {
             return mailbox;
@@ -101,6 +105,7 @@
     private volatile Agreed.Force force;
     private volatile boolean beside;
     private volatile RequestParser parser;
+    private final Hosting hosting;
     private final CountDownLatch listHeard = new CountDownLatch(1);
     private volatile long knownList;
     private long switches;
@@ -122,6 +127,7 @@
     RouterServer(RouterConfig config, RouterConfig.Source source, Lifecycle lifecycle, Hosting hosting,
             Agreed agreed, Placing placing) throws IOException {
         this.config = config;
+        this.hosting = hosting;
         this.agreed = agreed;
         this.placing = placing;
         this.lifecycle = lifecycle;
@@ -190,7 +196,7 @@
      */
     private void awaitFirstList() {
         try {
-            if (!listHeard.await(LONGEST_FOR_FIRST_LIST, TimeUnit.NANOSECONDS)) {
+            if (!listHeard.await(hosting.firstListWithin(), TimeUnit.NANOSECONDS)) {
                 LOG.info("discovery is slow to answer: goes on with list " + config.known().version());
             }
         } catch (InterruptedException e) {
--- a/src/test/java/beaconturn/decision/RingRouterTest.java
+++ b/src/test/java/beaconturn/decision/RingRouterTest.java
@@ -415,7 +415,10 @@
         Harness h = new Harness(Harness.settings(false));
         h.caches(6);
         h.served(1, 40, 20 * MS, 1);
-        h.reads(100, 200, 20 * MS, (send, attempt) -> h.close(send, attempt, Ending.UNSENT, false));
+        h.reads(100, 200, 20 * MS, (send, attempt) -> {
+            boolean unsent = send.server() == 1;
+            h.close(send, attempt, unsent ? Ending.UNSENT : Ending.OK, !unsent);
+        });
         assertTrue(h.router.view().servers().values().stream().allMatch(s -> s == Routing.Standing.IN),
             h.router.view()::toString);
         int before = h.sends.size();
--- a/src/test/java/beaconturn/net/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/ClientConnectionsTest.java
@@ -344,6 +344,17 @@
         assertEquals(0, module.size());
     }
 
+    /** The client's next request would find the connection open for a moment, and be refused. */
+    @Test
+    void atAPlannedStopTheEndFollowsTheLastAnswerByItself() throws Exception {
+        client.write(GET);
+        Call call = arrived();
+        connections.stop();
+        call.served(Slice.of("+v\r\n"));
+        assertEquals("+v", client.answer());
+        assertEquals("end", client.answer());
+    }
+
     /** What the router reads it has to answer; so after the end of its sending it reads nothing more. */
     @Test
     void afterAPlannedStopHasEndedAConnectionNothingMoreIsReadOnIt() throws Exception {
--- a/src/test/java/beaconturn/net/ListenerTest.java
+++ b/src/test/java/beaconturn/net/ListenerTest.java
@@ -31,8 +31,11 @@
         CountDownLatch busy = new CountDownLatch(1);
         CountDownLatch release = new CountDownLatch(1);
         Listener listener = Listener.bound(anyPort(), channel -> {
-            busy.countDown();
-            awaitQuietly(release);
+            if (busy.getCount() > 0) {
+                busy.countDown();
+                awaitQuietly(release);
+                throw new IllegalStateException("of the test's own: accepting stops for a moment");
+            }
             accepted.add(channel);
         });
         listener.start();
@@ -45,7 +48,6 @@
                 Peer.until(() -> closer.getState() == Thread.State.TIMED_WAITING
                     || closer.getState() == Thread.State.TERMINATED);
                 release.countDown();
-                assertNotNull(accepted.poll(20, TimeUnit.SECONDS), "the one in hand");
                 assertNotNull(accepted.poll(20, TimeUnit.SECONDS), "the one in the kernel's queue");
                 closer.join();
             }
--- a/src/test/java/beaconturn/net/RouterServerTest.java
+++ b/src/test/java/beaconturn/net/RouterServerTest.java
@@ -135,6 +135,53 @@
         }
     }
 
+    /** There the module asks for nothing, and a router that did not watch would never hear of a drain. */
+    @Test
+    void aDrainIsHeardAlsoWhereSettingsSayThatListsArePushed() throws Exception {
+        settings = Samples.read("discovery", "push");
+        try (Peer cache = answering(); Peer registry = new Peer(line -> {
+            line.note(line.httpHead().split(" ")[1]);
+            line.http(200, list(5, false, cache, "draining"));
+            line.httpHead();
+            over.await();
+        }); Peer.Line client = start(cache, registry)) {
+            assertEquals("/registry/instances?after=4&wait_ms=1", registry.note());
+            client.write(GET);
+            assertTrue(client.answer().startsWith("-BUSY"));
+            assertEquals(List.of(), cache.notesLeft());
+        }
+    }
+
+    /**
+     * What discovery has may count as told from a process's first moment: nobody is accepted before its word.
+     */
+    @Test
+    void nobodyIsAcceptedBeforeDiscoveryHasBeenHeard() throws Exception {
+        InetSocketAddress address = freeAddress();
+        try (Peer cache = answering(); Peer registry = new Peer(line -> {
+            line.httpHead();
+            try (Peer.Line early = Peer.Line.to(address)) {
+                early.write("x");
+                line.note("accepted before discovery was heard");
+            } catch (ConnectException e) {
+                line.note("nobody is accepted yet");
+            }
+            line.http(200, list(5, false, cache, "ready"));
+            line.httpHead();
+            over.await();
+        })) {
+            router = new RouterServer(config(address, cache, registry), this::reread, lifecycle,
+                new RouterServer.Hosting() {
+                    @Override
+                    public long firstListWithin() {
+                        return 20_000_000_000L;
+                    }
+                }, null, null);
+            router.start();
+            assertEquals("nobody is accepted yet", registry.note());
+        }
+    }
+
     private Peer.Line start(Peer cache, Peer registry) throws IOException, ProtocolException {
         RouterConfig config = config(cache, registry);
         router = new RouterServer(config, this::reread, lifecycle);
