A repeat of a keyed request is sent only if it is written within the window

Ruled out by reading: an attempt that is moot or unsent and had been written, as both end before the write. Change: the window has to hold the latest time of the write.

--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -76,6 +76,9 @@
     /** Wall clocks are corrected by no more than this, in nanoseconds. */
     private static final long LARGEST_CLOCK_STEP = 3_600_000_000_000L;
 
+    /** A router may stand still for so long between reading its clock and writing, in nanoseconds. */
+    private static final long LONGEST_HOLD_UP = 150_000_000;
+
     /** The pace of a kind is told in this many steps to a doubling. */
     private static final int PACE_STEPS = 2;
 
@@ -524,7 +527,9 @@
         if (first == null || r.type.effect() == Routing.Effect.SAFE) {
             return true;
         }
-        if (r.type.effect() == Routing.Effect.UNSAFE || now - first.sentAt >= r.type.window()) {
+        // A repeat is written once its connection is up, and its router may be held up just before.
+        long writtenBy = now + may.connectTimeout() + LONGEST_HOLD_UP;
+        if (r.type.effect() == Routing.Effect.UNSAFE || writtenBy - first.sentAt >= r.type.window()) {
             return false;
         }
         return r.attempts.stream().allMatch(a -> a.neverRan || a.server.sameGroup(r.type.scope(), s));
--- a/src/test/java/beaconturn/decision/FourRulesTest.java
+++ b/src/test/java/beaconturn/decision/FourRulesTest.java
@@ -77,6 +77,22 @@
         assertEquals(1, h.sends.size());
     }
 
+    /**
+     * A repeat is written when its connection is up, 250 ms and a pause of 150 ms later: by then it must be
+     * in time.
+     */
+    @Test
+    void aKeyedRequestIsNotResentWhereItWouldBeWrittenPastItsWindow() {
+        for (long after : new long[] {4550 * MS, 4650 * MS}) {
+            Harness h = through();
+            h.arrive(100, KEYED_ALL, 5, 20 * SECOND);
+            h.now += after;
+            h.close(h.last(), 0, Ending.RESET, false);
+            long sent = h.sends.stream().filter(s -> s.request() == 100).count();
+            assertEquals(after < 4600 * MS ? 2 : 1, sent, "after " + after);
+        }
+    }
+
     @Test
     void aKeyedRequestOfANarrowGroupThatMayHaveRunIsFailedNotRefused() {
         Harness h = new Harness(Harness.settings(false));
