A closed listener leaves a shared socket's queue to the other process again

Cause: read again, takeAll accepted on after close() on an inherited socket too, as the check of the earlier next() was lost with it; what waits there belongs to the other process of an upgrade. takeLast had a special case for it beside. Change: next() holds the one check for both loops. ListenerTest, UpgradeTest, ClientConnectionsTest, RouterServerTest and the style check pass; no test shows the moment.

--- a/src/main/java/beaconturn/net/Listener.java
+++ b/src/main/java/beaconturn/net/Listener.java
@@ -108,14 +108,18 @@
     }
 
     private void takeAll() throws IOException {
-        for (SocketChannel client = server.accept(); client != null; client = server.accept()) {
+        for (SocketChannel client = next(); client != null; client = next()) {
             take(client);
         }
     }
 
-    /** What waits in the queue of a socket that is shared another process takes. */
+    /** What waits in the queue of a socket that is shared, another process takes once this one is closed. */
+    private SocketChannel next() throws IOException {
+        return closed && inherited ? null : server.accept();
+    }
+
     private void takeLast() throws InterruptedException {
-        boolean done = inherited;
+        boolean done = false;
         for (int tries = 0; !done && tries < MOST_LAST_TRIES; tries++) {
             try {
                 takeAll();
--- a/src/test/java/beaconturn/net/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/ClientConnectionsTest.java
@@ -255,7 +255,7 @@
     private void whileThePollerIsBusy(CountDownLatch busy, CountDownLatch release) throws Exception {
         toModule = message -> {
             busy.countDown();
-            awaitQuietly(release);
+            Peer.await(release);
         };
         connect(poller);
         client.write(get("other"));
@@ -263,14 +263,6 @@
         toModule = module::add;
     }
 
-    private static void awaitQuietly(CountDownLatch latch) {
-        try {
-            latch.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     /** What lay in the kernel while the poller had other things to do has less time left than it says. */
     @Test
     void aDeadlineRunsWhileItsRequestLiesInTheKernel() throws Exception {
--- a/src/test/java/beaconturn/net/ListenerTest.java
+++ b/src/test/java/beaconturn/net/ListenerTest.java
@@ -33,7 +33,7 @@
         Listener listener = Listener.bound(anyPort(), channel -> {
             if (busy.getCount() > 0) {
                 busy.countDown();
-                awaitQuietly(release);
+                Peer.await(release);
                 throw new IllegalStateException("of the test's own: accepting stops for a moment");
             }
             accepted.add(channel);
@@ -54,14 +54,6 @@
         }
     }
 
-    private static void awaitQuietly(CountDownLatch latch) {
-        try {
-            latch.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
     private static void closeQuietly(Listener listener) {
         try {
             listener.close();
--- a/src/test/java/beaconturn/net/Peer.java
+++ b/src/test/java/beaconturn/net/Peer.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -48,6 +49,15 @@
         Threads.start("test-peer", this::accept);
     }
 
+    /** Holds the calling thread until the latch is released, where it may not throw. */
+    static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Waits for what another thread does. */
     static void until(Callable<Boolean> done) throws Exception {
         while (!done.call()) {
