--- a/src/test/java/beaconturn/net/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/ClientConnectionsTest.java
@@ -377,4 +377,84 @@
         assertTrue(module.poll(20, TimeUnit.SECONDS) instanceof Message.Left);
         Peer.until(() -> ids.count() == 0);
     }
+
+    private static String get(String id, String wait) {
+        String attributes = "c=read,d=" + wait;
+        return "*4\r\n$5\r\nC.GET\r\n$1\r\na\r\n$" + id.length() + "\r\n" + id + "\r\n$"
+            + attributes.length() + "\r\n" + attributes + "\r\n";
+    }
+
+    /** An error in the values of one command is answered in its place; the framing around it is sound. */
+    @Test
+    void aCommandThatIsRejectedCostsThoseBehindItNothing() throws Exception {
+        client.write(get("first") + get("none-left", "0") + get("far", "999999")
+            + get("no-class").replace("c=read", "c=none") + get("first") + "*1\r\n:5\r\n" + get("last"));
+        arrived().served(Slice.of("+first\r\n"));
+        arrived().served(Slice.of("+last\r\n"));
+        assertEquals("+first", client.answer());
+        for (int i = 0; i < 5; i++) {
+            assertTrue(client.answer().startsWith("-ERR "), "command " + i);
+        }
+        assertEquals("+last", client.answer());
+        client.write(get("another"));
+        arrived().served(Slice.of("+another\r\n"));
+        assertEquals("+another", client.answer());
+        assertEquals(0, ids.count());
+    }
+
+    /** Its first command has begun: the client is at work, however many wait for its place. */
+    @Test
+    void aClientThatHasBegunItsFirstCommandDoesNotMakeRoom() throws Exception {
+        awaitRegistered();
+        connect(poller);
+        client.write(GET.substring(0, 9));
+        awaitHalfRead();
+        now.addAndGet(SECOND / 10);
+        Peer.Line begun = client;
+        connections.makeRoom(now.get());
+        connections.makeRoom(now.get());
+        begun.write(GET.substring(9));
+        arrived().served(Slice.of("+v\r\n"));
+        assertEquals("+v", begun.answer());
+    }
+
+    /**
+     * A part of a command that comes after its connection was chosen to end, and is read before the poller
+     * turns to that end.
+     */
+    @Test
+    void anEndThatWasChosenBeforeACommandBeganIsCalledOff() throws Exception {
+        Peer.Line rests = client;
+        ClientConnection resting = connection;
+        awaitRegistered();
+        CountDownLatch busy = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        CountDownLatch busyAgain = new CountDownLatch(1);
+        CountDownLatch releaseAgain = new CountDownLatch(1);
+        whileThePollerIsBusy(busy, release);
+        toModule = message -> {
+            busyAgain.countDown();
+            Peer.await(releaseAgain);
+        };
+        // One look of the poller finds both, in this order, and is held up at the first.
+        client.write(get("again"));
+        rests.write(GET.substring(0, 9));
+        release.countDown();
+        busyAgain.await();
+        toModule = module::add;
+        resting.endIfQuiet();
+        releaseAgain.countDown();
+        Peer.until(() -> resting.halfReadSince() < Long.MAX_VALUE || resting.leaving());
+        awaitPollerRound();
+        rests.write(GET.substring(9));
+        arrived().served(Slice.of("+v\r\n"));
+        assertEquals("+v", rests.answer());
+    }
+
+    /** Whatever the poller was called for before has been done. */
+    private void awaitPollerRound() throws Exception {
+        connect(poller);
+        client.write("*1\r\n$4\r\nPING\r\n");
+        assertEquals("-ERR starting", client.answer());
+    }
 }
