The log names ids and reasons: ends of connections, rejections, refusals, retries

Now a connection that ends while answers are owed, and not by its client, is always logged with the reason and every id (ClientEvents); rejected commands, ends for want of room or of a whole command, refusals, failures and further attempts are logged with id and reason within a budget of lines (LogBudget). The decision module gives a reason with each refusal and failure (Routing.Why); what it decides is unchanged.

--- a/src/main/java/beaconturn/cli/HangUpSignal.java
+++ b/src/main/java/beaconturn/cli/HangUpSignal.java
@@ -21,8 +21,13 @@
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             Object caught = Proxy.newProxyInstance(HangUpSignal.class.getClassLoader(),
                 new Class<?>[] {handler}, (proxy, method, arguments) -> run(action, method));
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                 .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), caught);
+            // The JVM leaves a signal alone that was ignored when it began, and says so by what it returns.
+            if (handler.getField("SIG_IGN").get(null).equals(before)) {
+                LOG.warning("SIGHUP was ignored when this process began, as under nohup, and stays ignored: "
+                    + "a new configuration is taken only by a restart");
+            }
         } catch (ReflectiveOperationException e) {
             // A JVM started with -Xrs, or one without this signal: all else works.
             LOG.warning("SIGHUP cannot be caught here: " + e);
--- a/src/main/java/beaconturn/core/Attempt.java
+++ b/src/main/java/beaconturn/core/Attempt.java
@@ -1,5 +1,7 @@
 package beaconturn.core;
 
+import beaconturn.decision.Routing;
+
 /** One sending of a request to a cache server. */
 public final class Attempt {
     private final long request;
@@ -9,6 +11,7 @@
     private final long sentAt;
     private final long allowFor;
     private volatile boolean over;
+    private Routing.Ending ending;
     private Timers.Timer timeOut;
 
     /** The attempt of that number of a request; it may be out for {@code allowFor} from {@code sentAt} on. */
@@ -58,9 +61,15 @@
         return sentAt;
     }
 
+    /** How it ended, or null if it has not. For the module's thread. */
+    Routing.Ending ending() {
+        return ending;
+    }
+
     /** Notes the attempt's end; false if it had ended before. For the module's thread. */
-    public boolean end() {
+    public boolean end(Routing.Ending how) {
         boolean first = !over;
+        ending = first ? how : ending;
         over = true;
         if (timeOut != null) {
             timeOut.cancel();
--- a/src/main/java/beaconturn/core/Call.java
+++ b/src/main/java/beaconturn/core/Call.java
@@ -12,6 +12,11 @@
     /** What the request says of itself. */
     Ask ask();
 
+    /** The id that its client gave it, for the log. */
+    default String id() {
+        return "unknown";
+    }
+
     /** The settings that it was read under, which tell its class; null means those in force. */
     default Routing.Settings settings() {
         return null;
--- a/src/main/java/beaconturn/core/ModuleHost.java
+++ b/src/main/java/beaconturn/core/ModuleHost.java
@@ -39,8 +39,7 @@
     private final Clock clock;
     private final Fleet fleet;
     private final ListSource list;
-    private final Spell refusals = new Spell(LOG, "requests are refused", 10);
-    private final Spell failures = new Spell(LOG, "requests fail", 3);
+    private final RequestEvents events = new RequestEvents();
     private final RequestTable table = new RequestTable();
     private final Timers timers = new Timers();
     private final Queue<Due> pending = new ArrayDeque<>();
@@ -196,8 +195,7 @@
         for (Runnable due = timers.takeDue(clock.now()); due != null; due = timers.takeDue(clock.now())) {
             due.run();
         }
-        refusals.check(clock.now());
-        failures.check(clock.now());
+        events.check(clock.now());
     }
 
     /** How long until the next timer, at most the given time. */
@@ -232,7 +230,7 @@
     /** A request must not go without an answer, even if the module fails: its client is told so. */
     private void overdue(RequestTable.Entry r) {
         if (r != null && !r.closed()) {
-            LOG.warning("request " + r.id() + " had no answer from the module; failed");
+            LOG.warning("request " + r.call().id() + " had no answer from the module; failed");
             r.call().failed();
             withdraw(r);
         }
@@ -261,7 +259,7 @@
     }
 
     private void ended(Attempt a, Outcome outcome) {
-        if (!a.end()) {
+        if (!a.end(outcome.ending())) {
             return;
         }
         // On the wire first: what the module sends next must not meet an attempt that is still out.
@@ -302,6 +300,11 @@
         }
     }
 
+    private String name(long server) {
+        Fleet.Listed listed = fleet.listed(server);
+        return listed == null ? "a server that is not listed" : listed.name();
+    }
+
     /** What the module does, carried out at once. */
     private final class Actions implements Routing.Actions {
         private final Hosted module;
@@ -322,6 +325,9 @@
                 return;
             }
             long now = clock.now();
+            if (!r.attempts().isEmpty()) {
+                events.retried(r, name(server), now);
+            }
             long left = Math.max(0, r.call().deadline() - now);
             long allowed = allowFor == 0 ? left : Math.min(left, allowFor);
             Attempt a = table.attempt(r, server, now, allowed);
@@ -347,7 +353,7 @@
 
         /** Ends an attempt while the module acts: it hears of it once it has handled the event at hand. */
         private void over(Attempt a, RequestTable.Entry r, Routing.Ending ending) {
-            a.end();
+            a.end(ending);
             table.ended(r);
             pending.add(new Due(module,
                 new Routing.AttemptClosed(a.request(), clock.now() - a.sentAt(), r.closed(),
@@ -355,22 +361,22 @@
         }
 
         @Override
-        public void refuse(long request, long retryAfter) {
+        public void refuse(long request, long retryAfter, Routing.Why why) {
             RequestTable.Entry r = table.get(request);
             if (r != null && !r.closed()) {
                 table.close(r);
                 r.call().refused(retryAfter);
-                refusals.note(clock.now());
+                events.refused(r, why, clock.now());
             }
         }
 
         @Override
-        public void fail(long request) {
+        public void fail(long request, Routing.Why why) {
             RequestTable.Entry r = table.get(request);
             if (r != null && !r.closed()) {
                 table.close(r);
                 r.call().failed();
-                failures.note(clock.now());
+                events.failed(r, why, clock.now());
             }
         }
 
--- a/src/main/java/beaconturn/decision/RingRouter.java
+++ b/src/main/java/beaconturn/decision/RingRouter.java
@@ -236,8 +236,12 @@
         retryBudget = Math.min(Math.max(1, ring.size()), retryBudget + RETRY_RATIO * (may.maxTries() - 1));
         boolean toOrigin = aside && r.write;
         boolean hopeless = failures.fail(r.key) && random.nextDouble() * failures.caches(r.key) >= 1;
-        if (hopeless || lateEarnsNothing && aimEnds <= now || !admitted(r, toOrigin ? origin : caches)) {
-            giveUp(r);
+        if (hopeless) {
+            giveUp(r, Routing.Why.KEY_FAILS);
+        } else if (lateEarnsNothing && aimEnds <= now) {
+            giveUp(r, Routing.Why.TOO_LATE);
+        } else if (!admitted(r, toOrigin ? origin : caches)) {
+            giveUp(r, Routing.Why.FULL);
         } else if (toOrigin) {
             askOrigin(r, null);
         } else if (aside && r.key != 0 && flights.containsKey(r.key)) {
@@ -303,7 +307,7 @@
     private void proceed(Request r, Attempt a, Routing.Ending ending) {
         if (now >= r.due) {
             // An ending handled a tick late may come when no time is left: holding it would lose the request.
-            giveUp(r);
+            giveUp(r, Routing.Why.TOO_LATE);
         } else if (ending == Routing.Ending.MISS && a.onRing) {
             r.missedAt = r.missedAt == null ? a.server : r.missedAt;
             if (!r.anyOpen()) {
@@ -322,7 +326,7 @@
         } else if (r != null && !r.done && kind == LATE && (token >>> 2 & 63) < r.attempts.size()) {
             late(r, r.attempts.get((int) (token >>> 2 & 63)));
         } else if (r != null && !r.done && kind == PATIENCE && r.queued && !r.anyOpen()) {
-            giveUp(r);
+            giveUp(r, Routing.Why.WAITED);
         }
     }
 
@@ -537,7 +541,7 @@
 
     private void send(Request r, Server s, boolean fetches) {
         if (!legal(r, s)) {
-            giveUp(r);
+            giveUp(r, Routing.Why.NO_FURTHER_ATTEMPT);
             return;
         }
         Attempt a = new Attempt(s, now, !isOrigin(s), fetches);
@@ -564,7 +568,7 @@
     private void askCache(Request r) {
         Server s = pick(r);
         if (s == null) {
-            giveUp(r);
+            giveUp(r, Routing.Why.NO_SERVER);
         } else if (willFetch(r, s)) {
             fetch(r, s);
         } else {
@@ -667,7 +671,7 @@
         // A key that fails wherever it goes takes no further cache with it.
         if (!a.onRing || failures.fail(r.key) || !furtherAttemptEarned()
                 || r.due - now <= answerTimes[r.classIndex].mean) {
-            giveUp(r);
+            giveUp(r, Routing.Why.RETRY_NOT_EARNED);
             return;
         }
         retryBudget--;
@@ -675,16 +679,16 @@
     }
 
     /** The one place where a request is given up: refused where a repeat is harmless, else failed. */
-    private void giveUp(Request r) {
+    private void giveUp(Request r, Routing.Why why) {
         if (r.done) {
             return;
         }
         boolean harmless = r.type.effect() == Routing.Effect.SAFE || r.firstMaybeRun() == null
             || r.type.effect() == Routing.Effect.KEYED && r.type.scope() == Routing.Scope.ALL;
         if (harmless) {
-            out.refuse(r.id, may.retryAfter() ? retryAfter(r) : 0);
+            out.refuse(r.id, may.retryAfter() ? retryAfter(r) : 0, why);
         } else {
-            out.fail(r.id);
+            out.fail(r.id, why);
         }
         conclude(r, false);
     }
@@ -784,14 +788,14 @@
             s = Server.lessLoaded(s, origins.get(i));
         }
         if (s == null || noRoomToSpare(r, origin)) {
-            giveUp(r);
+            giveUp(r, s == null ? Routing.Why.NO_SERVER : Routing.Why.FULL);
         } else if (origin.inFlight < origin.limit) {
             send(r, s, true);
         } else if (fetchTime.mean * (fetchQueue.size() + 1) / origin.limit < (r.deadline - now) / 2) {
             fetchQueue.add(r);
             hold(r);
         } else {
-            giveUp(r);
+            giveUp(r, Routing.Why.FULL);
         }
     }
 
--- a/src/main/java/beaconturn/decision/Routing.java
+++ b/src/main/java/beaconturn/decision/Routing.java
@@ -210,6 +210,24 @@
         }
     }
 
+    /** Why a request is given up. */
+    public enum Why {
+        /** Its key has failed at several cache servers. */
+        KEY_FAILS,
+        /** An answer could not come in time to be worth anything. */
+        TOO_LATE,
+        /** Cache servers, or the origin, have all the work that they can do. */
+        FULL,
+        /** It has waited for room as long as it may. */
+        WAITED,
+        /** No cache server may get it. */
+        NO_SERVER,
+        /** A further attempt is not allowed to it. */
+        NO_FURTHER_ATTEMPT,
+        /** A further attempt would cost others more than it is likely to help. */
+        RETRY_NOT_EARNED
+    }
+
     /** What a router may do; every call takes effect at the time of the event being handled. */
     public interface Actions {
         /** Starts the request's next attempt; it is timed out after {@code allowFor}. */
@@ -219,10 +237,10 @@
         void cancel(long request, int attempt);
 
         /** Final answer: declined, and safe to try again after {@code retryAfter} (0: no advice). */
-        void refuse(long request, long retryAfter);
+        void refuse(long request, long retryAfter, Why why);
 
         /** Final answer: failed, with nothing promised. */
-        void fail(long request);
+        void fail(long request, Why why);
 
         /** Asks for a timer event. */
         void timer(long delay, long token);
--- a/src/main/java/beaconturn/net/ClientCall.java
+++ b/src/main/java/beaconturn/net/ClientCall.java
@@ -33,6 +33,12 @@
         this.whenOver = whenOver;
     }
 
+    /** The request's id, as its client gave it. */
+    @Override
+    public String id() {
+        return parts.id().toString();
+    }
+
     /** From now on an answer is owed. */
     void taken() {
         reading.tally().taken();
--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -40,18 +40,20 @@
 
     /** What a connection needs of the router round it. */
     record Site(Supplier<RequestParser> parser, Clock clock, Lifecycle lifecycle, Consumer<Message> module,
-            ClientPoller poller, OpenIds ids, Semaphore largeRequests,
+            ClientPoller poller, OpenIds ids, Semaphore largeRequests, ClientEvents events,
             Consumer<ClientConnection> whenClosed) { }
 
     private final SocketChannel channel;
     private final Site site;
     private final ClientWriter writer;
+    private final long number;
     private final long since;
     private final List<ClientCall> calls = new ArrayList<>(2);
     private final AtomicBoolean left = new AtomicBoolean();
     private volatile boolean spoke;
     private volatile boolean paused;
-    private volatile boolean toEnd;
+    /** Why it is to end, or null. */
+    private volatile EndReason toEnd;
     private volatile long halfReadSince = NEVER;
     private volatile boolean largeInHand;
     /** Since when the router has been stopping, or {@code Long.MAX_VALUE} if it has not. */
@@ -71,6 +73,7 @@
     ClientConnection(SocketChannel channel, Site site) {
         this.channel = channel;
         this.site = site;
+        this.number = site.events().connected();
         this.since = site.clock().now();
         this.writer = new ClientWriter(channel, site.clock(), this::written);
     }
@@ -81,7 +84,7 @@
 
     /** Since when no request is out and none half read, or {@code Long.MAX_VALUE} if one is. */
     long quietSince() {
-        return halfReadSince == NEVER && !toEnd ? writer.quietSince() : NEVER;
+        return halfReadSince == NEVER && toEnd == null ? writer.quietSince() : NEVER;
     }
 
     /**
@@ -108,9 +111,9 @@
     }
 
     /** Closes the connection, half a command or not, unless an answer is owed or more has come meanwhile. */
-    void endIfQuiet() {
+    void endIfQuiet(EndReason reason) {
         if (writer.quietSince() != NEVER && !paused) {
-            toEnd = true;
+            toEnd = reason;
             site.poller().call(this);
         }
     }
@@ -134,9 +137,10 @@
      * do has not read, and whoever wrote it would lose it. One that begins now gets its time; no other does.
      */
     private void endUnlessMoreCame() throws IOException {
-        toEnd = false;
+        EndReason reason = toEnd;
+        toEnd = null;
         if (nothingCame(halfReadSince != NEVER) && writer.finishIfQuiet()) {
-            close();
+            close(reason);
         }
     }
 
@@ -162,22 +166,21 @@
     }
 
     /** Closes at once, whatever is out: nobody waits for what it still had. Not for the module's thread. */
-    void close() {
+    void close(EndReason reason) {
         if (!left.compareAndSet(false, true)) {
             return;
         }
         Sockets.close(channel);
-        writer.abandon();
+        int unwritten = writer.abandon();
         List<ClientCall> open;
         synchronized (calls) {
-            open = List.copyOf(calls);
+            open = calls.stream().filter(call -> !call.isFilled()).toList();
         }
+        site.events().ended(number, reason, open, unwritten, site.clock().now());
         for (ClientCall call : open) {
-            if (!call.isFilled()) {
-                // First what the threads that write to cache servers look at.
-                call.abandoned();
-                site.module().accept(new Message.Left(call));
-            }
+            // First what the threads that write to cache servers look at.
+            call.abandoned();
+            site.module().accept(new Message.Left(call));
         }
         giveBackLarge();
         site.poller().closed(this);
@@ -185,7 +188,7 @@
 
     /** Whether it is about to be closed, or is and still has its descriptor. */
     boolean leaving() {
-        return toEnd || left.get();
+        return toEnd != null || left.get();
     }
 
     /** Its descriptor can be used by another. */
@@ -212,7 +215,7 @@
                 key = channel.register(selector, SelectionKey.OP_READ, this);
             }
             parse();
-            if (toEnd) {
+            if (toEnd != null) {
                 endUnlessMoreCame();
             } else if (stoppingSince != NEVER && !finished && !malformed) {
                 finishUnlessMoreCame();
@@ -233,16 +236,17 @@
             }
         } catch (IOException e) {
             LOG.finer("client connection ended: " + e.getMessage());
-            close();
+            close(EndReason.CLIENT_LEFT);
         } catch (RuntimeException | Error e) {
             LOG.log(Level.WARNING, "client connection failed and is closed", e);
-            close();
+            close(EndReason.DEFECT);
         }
     }
 
     private void awaitNext() {
-        if (writer.broken()) {
-            close();
+        EndReason broken = writer.brokenBy();
+        if (broken != null) {
+            close(broken);
         } else if (!left.get()) {
             int ops = (reads() ? SelectionKey.OP_READ : 0) | (writer.stuck() ? SelectionKey.OP_WRITE : 0);
             if (key.interestOps() != ops) {
@@ -270,7 +274,7 @@
         int got = in.fill(channel, arrivedAt, largeInHand);
         if (got < 0) {
             // What came just before the end is not handled: nobody waits for it.
-            close();
+            close(EndReason.CLIENT_LEFT);
         } else if (got > 0) {
             halfReadSince = Math.min(halfReadSince, site.clock().now());
             parse();
@@ -377,7 +381,7 @@
             }
         }
         // At a planned stop the end follows the last answer at once: what came between would be refused.
-        if (paused || writer.stuck() || writer.broken() || quiet && stoppingSince != NEVER) {
+        if (paused || writer.stuck() || writer.brokenBy() != null || quiet && stoppingSince != NEVER) {
             site.poller().call(this);
         }
     }
@@ -392,6 +396,7 @@
     /** Malformed input: what came before it is answered, then one error, then the connection ends. */
     private void malformed(String reason) {
         malformed = true;
+        site.events().malformed(number, reason, writer.owed(), site.clock().now());
         writer.take(Reply.of(RespWriter.failure("ERR " + reason)));
         writer.finish();
         // While answers are owed what follows stays unread; after that the sweep closes the connection.
@@ -406,7 +411,7 @@
         int got = channel.read(ByteBuffer.allocate(Sockets.LARGEST_STEP));
         discarded += got;
         if (got < 0 || discarded >= MOST_DISCARDED) {
-            close();
+            close(EndReason.MALFORMED);
         }
     }
 }
--- a/src/main/java/beaconturn/net/ClientConnections.java
+++ b/src/main/java/beaconturn/net/ClientConnections.java
@@ -72,7 +72,7 @@
         }
         Optional<ClientConnection> goes = oldest(ClientConnection::silentSince, now - SETTLED)
             .or(() -> oldest(ClientConnection::quietSince, now));
-        goes.ifPresent(ClientConnection::endIfQuiet);
+        goes.ifPresent(c -> c.endIfQuiet(EndReason.MAKES_ROOM));
         return goes.isPresent() && fewLeave();
     }
 
@@ -94,7 +94,7 @@
         if (count > 0) {
             open.stream().map(c -> new Quiet(c, c.quietSince())).filter(q -> q.since() < before)
                 .sorted(Comparator.comparingLong(Quiet::since)).limit(count)
-                .forEach(q -> q.connection().endIfQuiet());
+                .forEach(q -> q.connection().endIfQuiet(EndReason.MAKES_ROOM));
         }
     }
 
@@ -110,15 +110,17 @@
 
     /** Closes the connections whose clients have stopped reading or writing, or do not close their end. */
     void sweep(long now) {
-        open.stream().filter(c -> c.writingSince() < now - LONGEST_WRITE
-            || c.closingSince() < now - ClientConnection.LINGER_MILLIS * MILLI)
-            .forEach(ClientConnection::close);
+        open.stream().filter(c -> c.writingSince() < now - LONGEST_WRITE)
+            .forEach(c -> c.close(EndReason.ANSWER_NOT_TAKEN));
+        open.stream().filter(c -> c.closingSince() < now - ClientConnection.LINGER_MILLIS * MILLI)
+            .forEach(c -> c.close(EndReason.LINGERED));
         // Not while a request is out: the others on its connection are owed their answers first.
-        open.stream().filter(c -> c.halfReadSince() < now - LONGEST_COMMAND
-            || c.silentSince() < now - LONGEST_SILENCE && c.halfReadSince() == Long.MAX_VALUE)
-            .forEach(ClientConnection::endIfQuiet);
+        open.stream().filter(c -> c.halfReadSince() < now - LONGEST_COMMAND)
+            .forEach(c -> c.endIfQuiet(EndReason.SLOW_COMMAND));
+        open.stream().filter(c -> c.silentSince() < now - LONGEST_SILENCE
+            && c.halfReadSince() == Long.MAX_VALUE).forEach(c -> c.endIfQuiet(EndReason.SILENT));
         open.stream().filter(c -> c.quietSince() < now - LONGEST_QUIET)
-            .forEach(ClientConnection::endIfQuiet);
+            .forEach(c -> c.endIfQuiet(EndReason.IDLE));
         letGo(open.size() - easy, now - SHORT_QUIET);
         open.forEach(ClientConnection::retry);
     }
--- /dev/null
+++ b/src/main/java/beaconturn/net/ClientEvents.java
@@ -0,0 +1,61 @@
+package beaconturn.net;
+
+import beaconturn.core.LogBudget;
+import beaconturn.protocol.Slice;
+import java.util.Collection;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Logger;
+import java.util.stream.Collectors;
+
+/**
+ * The log of single events on clients' connections: commands that are rejected, and why connections end. A
+ * connection that ends while an answer is owed on it, and not by its client, is always logged, with every id
+ * that goes without an answer; other lines are bounded in their rate. Nothing is done for a request that is
+ * answered as usual. For any thread.
+ */
+final class ClientEvents {
+    private static final Logger LOG = Logger.getLogger(ClientEvents.class.getName());
+    private static final int BURST = 20;
+    private static final double PER_SECOND = 2;
+    private final AtomicLong connections = new AtomicLong();
+    private final LogBudget rejections = new LogBudget(LOG, BURST, PER_SECOND);
+    private final LogBudget ends = new LogBudget(LOG, BURST, PER_SECOND);
+
+    /** The number of a new connection, from 1. */
+    long connected() {
+        return connections.incrementAndGet();
+    }
+
+    /** A whole command got an error in its place; {@code id} is null where it has none. */
+    void rejected(long connection, Slice id, String why, long now) {
+        if (rejections.allows(now)) {
+            rejections.write("connection " + connection + ": command " + (id == null ? "without an id" : id)
+                + " rejected: " + why);
+        }
+    }
+
+    /** What came on a connection cannot be split into commands; it ends after so many answers. */
+    void malformed(long connection, String why, int owed, long now) {
+        if (ends.allows(now)) {
+            ends.write("connection " + connection + ": malformed input: " + why + "; ends after " + owed
+                + " answers");
+        }
+    }
+
+    /**
+     * A connection ends.
+     *
+     * @param unanswered the requests that have no answer
+     * @param unwritten how many answers, of these or others, were not written whole
+     */
+    void ended(long connection, EndReason reason, Collection<ClientCall> unanswered, int unwritten,
+            long now) {
+        if (!reason.byClient() && unwritten > 0) {
+            String ids = unanswered.stream().map(ClientCall::id).collect(Collectors.joining(" "));
+            LOG.warning("connection " + connection + " ends with " + unwritten + " answers owed: " + reason
+                + "; unanswered: " + ids);
+        } else if (reason.notable() && ends.allows(now)) {
+            ends.write("connection " + connection + " ends: " + reason);
+        }
+    }
+}
--- a/src/main/java/beaconturn/net/ClientWriter.java
+++ b/src/main/java/beaconturn/net/ClientWriter.java
@@ -36,7 +36,7 @@
     private long writingSince = NEVER;
     private int unanswered;
     private boolean ending;
-    private boolean broken;
+    private EndReason brokenBy;
     private long quietSince;
     private long closingSince = NEVER;
 
@@ -62,14 +62,19 @@
         return closingSince;
     }
 
+    /** How many answers are owed. */
+    synchronized int owed() {
+        return unanswered;
+    }
+
     /** Whether an answer waits for its client to take more. */
     synchronized boolean stuck() {
         return pending != null;
     }
 
-    /** Whether the connection has failed under an answer. */
-    synchronized boolean broken() {
-        return broken;
+    /** Why the connection has failed under an answer, or null if it has not. */
+    synchronized EndReason brokenBy() {
+        return brokenBy;
     }
 
     /** Whether the next command may be read; if not, the owner hears of it when something is written. */
@@ -117,13 +122,14 @@
         write();
     }
 
-    /** The connection is closed: nothing of what waits will be written. */
-    synchronized void abandon() {
+    /** The connection is closed: nothing of what waits will be written. How many answers that were. */
+    synchronized int abandon() {
         ending = true;
         replies.stream().map(Reply::flow).filter(Objects::nonNull).forEach(Flow::cancel);
         replies.clear();
         pending = null;
         writingSince = NEVER;
+        return unanswered;
     }
 
     /** Writes what there is of the answers, up to the first that is not there yet. */
@@ -135,18 +141,33 @@
             before = unanswered;
             try {
                 flush();
+            } catch (BrokenOffException e) {
+                fail(EndReason.ANSWER_BROKE_OFF);
             } catch (IOException e) {
-                broken = true;
-                abandon();
+                fail(EndReason.CLIENT_LEFT);
             }
             after = unanswered;
-            tell = broken || pending != null || after < before;
+            tell = brokenBy != null || pending != null || after < before;
         }
         if (tell) {
             owner.written(after == 0 && before > 0);
         }
     }
 
+    private void fail(EndReason reason) {
+        brokenBy = reason;
+        abandon();
+    }
+
+    /** What had begun to go out will not be whole. */
+    private static final class BrokenOffException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        BrokenOffException() {
+            super("the answer broke off");
+        }
+    }
+
     private void flush() throws IOException {
         while (pending != null || nextPiece()) {
             int from = pending.position();
@@ -181,7 +202,7 @@
                 return false;
             }
             if (piece == Flow.BROKEN) {
-                throw new IOException("the answer broke off");
+                throw new BrokenOffException();
             }
             if (piece == END) {
                 replies.poll();
--- a/src/main/java/beaconturn/net/RequestParser.java
+++ b/src/main/java/beaconturn/net/RequestParser.java
@@ -34,7 +34,7 @@
     }
 
     /** The parts that go on to a cache server: {@code head} is the command, the key and the id as read. */
-    record Parts(Slice head, Map<String, String> attributes, Slice value) {
+    record Parts(Slice head, Slice id, Map<String, String> attributes, Slice value) {
         String attributesWith(long waitMillis) {
             StringJoiner out = new StringJoiner(",");
             attributes.forEach((name, value) ->
@@ -80,7 +80,7 @@
         if (!ids.open(id)) {
             throw new ProtocolException("a request of this id is open");
         }
-        return new ClientCall(ask, readAt + (long) wait, new Parts(head, attributes, value),
+        return new ClientCall(ask, readAt + (long) wait, new Parts(head, id, attributes, value),
             new ClientCall.Reading(settings.routing(), attributes.get("c"), readAt + type.aim(), tally),
             () -> ids.close(id));
     }
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -82,6 +82,7 @@
     private final ModuleActor module;
     private final ClientConnections clients;
     private final ClientPoller poller = new ClientPoller(clock);
+    private final ClientEvents events = new ClientEvents();
     private final ClientConnection.Site site;
     /** Null until the router serves. */
     private volatile Listener listener;
@@ -150,7 +151,7 @@
         this.clients = new ClientConnections(capacity.clients(), capacity.easyClients());
         Consumer<Message> inbox = hosting.inbox(module::post);
         this.site = new ClientConnection.Site(() -> parser, clock, lifecycle,
-            inbox, poller, new OpenIds(), new Semaphore(capacity.largeRequests()), clients::remove);
+            inbox, poller, new OpenIds(), new Semaphore(capacity.largeRequests()), events, clients::remove);
         this.discovery = new Discovery(config.discovery(), new ListReader(config.settings()),
             config.known().version(), m -> {
                 inbox.accept(m);
--- a/src/main/java/beaconturn/sim/ReplyWriter.java
+++ b/src/main/java/beaconturn/sim/ReplyWriter.java
@@ -85,13 +85,13 @@
         }
 
         @Override
-        public void refuse(long request, long retryAfter) {
+        public void refuse(long request, long retryAfter, Routing.Why why) {
             record(instance, Wire.OVERLOAD_REPLY, 12);
             out.putInt((int) request).putLong(retryAfter);
         }
 
         @Override
-        public void fail(long request) {
+        public void fail(long request, Routing.Why why) {
             record(instance, Wire.GIVE_UP, 4);
             out.putInt((int) request);
         }
--- a/src/test/java/beaconturn/core/ModuleHostTest.java
+++ b/src/test/java/beaconturn/core/ModuleHostTest.java
@@ -162,7 +162,7 @@
             if (e instanceof Routing.Arrival a) {
                 actions.send(a.request(), SERVER, 0);
                 actions.cancel(a.request(), 0);
-                actions.refuse(a.request(), 20 * MILLI);
+                actions.refuse(a.request(), 20 * MILLI, Routing.Why.FULL);
             }
         };
         FakeCall call = arrive();
@@ -184,8 +184,8 @@
     void nothingIsSentForARequestThatIsOver() {
         module = e -> {
             if (e instanceof Routing.Arrival a) {
-                actions.fail(a.request());
-                actions.refuse(a.request(), 0);
+                actions.fail(a.request(), Routing.Why.TOO_LATE);
+                actions.refuse(a.request(), 0, Routing.Why.FULL);
                 actions.send(a.request(), SERVER, 0);
             }
         };
--- a/src/test/java/beaconturn/decision/Harness.java
+++ b/src/test/java/beaconturn/decision/Harness.java
@@ -241,13 +241,13 @@
     }
 
     @Override
-    public void refuse(long request, long retryAfter) {
+    public void refuse(long request, long retryAfter, Routing.Why why) {
         refused.add(request);
         actions.add("refuse " + request + " " + retryAfter);
     }
 
     @Override
-    public void fail(long request) {
+    public void fail(long request, Routing.Why why) {
         failed.add(request);
         actions.add("fail " + request);
     }
--- a/src/test/java/beaconturn/net/CacheFleetTest.java
+++ b/src/test/java/beaconturn/net/CacheFleetTest.java
@@ -36,8 +36,8 @@
 
     private Attempt attempt(long server) {
         Call call = new ClientCall(new Call.Ask(0, 1, false, false, 0, 0, 0), clock.now() + 100 * SECOND,
-            new RequestParser.Parts(Slice.of("$5\r\nC.GET\r\n$1\r\na\r\n$2\r\nid\r\n"), Map.of("d", "1"),
-                null), CacheServerTest.READ, () -> { });
+            new RequestParser.Parts(Slice.of("$5\r\nC.GET\r\n$1\r\na\r\n$2\r\nid\r\n"), Slice.of("id"),
+                Map.of("d", "1"), null), CacheServerTest.READ, () -> { });
         return new Attempt(1, 0, server, call, clock.now(), 100 * SECOND);
     }
 
@@ -62,7 +62,7 @@
                 member(1, Routing.Health.GONE, peer))));
             assertFalse(fleet.send(attempt(1)), "nothing is sent to a server that is gone");
             Attempt givenUp = attempt(2);
-            givenUp.end();
+            givenUp.end(Routing.Ending.CANCELLED);
             Peer.until(() -> {
                 fleet.send(givenUp);
                 return site.actors().count() == 1;
--- a/src/test/java/beaconturn/net/CacheServerTest.java
+++ b/src/test/java/beaconturn/net/CacheServerTest.java
@@ -63,7 +63,7 @@
         String name = "key-" + sent;
         Call call = new ClientCall(new Call.Ask(0, 1, false, false, 0, 0, 0), clock.now() + 100 * SECOND,
             new RequestParser.Parts(
-                Slice.of("$5\r\nC.GET\r\n" + RespWriter.bulk(name) + RespWriter.bulk("id")),
+                Slice.of("$5\r\nC.GET\r\n" + RespWriter.bulk(name) + RespWriter.bulk("id")), Slice.of("id"),
                 Map.of("d", "1"), value), READ, () -> { });
         return new Attempt(++sent, 0, 7, call, clock.now(), 100 * SECOND);
     }
@@ -406,7 +406,7 @@
             CacheServer server = server(peer);
             outcome(send(server));
             Attempt givenUp = attempt(null);
-            givenUp.end();
+            givenUp.end(Routing.Ending.CANCELLED);
             assertTrue(server.send(givenUp));
             server.abort(givenUp);
             outcome(send(server));
--- a/src/test/java/beaconturn/net/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/ClientConnectionsTest.java
@@ -60,7 +60,7 @@
         connection = new ClientConnection(accepted, new ClientConnection.Site(
             () -> new RequestParser(Samples.read(), Tally.NONE),
             now::get, new Lifecycle(), message -> toModule.accept(message), reads, ids,
-            new Semaphore(9), connections::remove));
+            new Semaphore(9), new ClientEvents(), connections::remove));
         connections.add(connection);
         connection.start();
     }
@@ -137,7 +137,7 @@
     void aClosedConnectionCountsUntilItsDescriptorIsFree() throws Exception {
         ClientPoller late = new ClientPoller(now::get);
         connect(late);
-        connection.close();
+        connection.close(EndReason.CLIENT_LEFT);
         assertEquals(2, connections.count());
         late.start();
         Peer.until(() -> connections.count() == 1);
@@ -442,7 +442,7 @@
         release.countDown();
         busyAgain.await();
         toModule = module::add;
-        resting.endIfQuiet();
+        resting.endIfQuiet(EndReason.IDLE);
         releaseAgain.countDown();
         Peer.until(() -> resting.halfReadSince() < Long.MAX_VALUE || resting.leaving());
         awaitPollerRound();
