A rejected command is answered in its place; no end over a command that has begun

Cause: RequestParser said of a wrong value what RespReader says of broken framing, and ClientConnection.malformed ended the connection for both. Requests behind it counted as taken, lay unread while earlier answers were owed, and got nothing. Class of bug: an error of one unit of work ends the shared channel of others.

Change: InvalidCommandException is one command's own and is answered in its place (also words that are no command, and ids that are open); ProtocolException stays for what cannot be split. Connections whose first command has begun make room for nobody, and an end that was chosen for any other reason than a slow command is called off by a part that came meanwhile. An exception on the poller's thread fails what is open on its connection and ends it after those answers. Also: a planned stop waits for 3 s at most, as long as the process may live, and no longer than the settings in force say; d is held against the deadlines of the settings before as well as those in force.

Tests that asserted the end behind a wrong value were wrong themselves: they now assert an error and an answer to the command behind it. New ones for pace, defect and stop; the last fails with the bound taken out.

--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -9,6 +9,7 @@
 import beaconturn.protocol.Slice;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.nio.channels.CancelledKeyException;
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
@@ -54,6 +55,8 @@
     private volatile boolean paused;
     /** Why it is to end, or null. */
     private volatile EndReason toEnd;
+    /** Since when a command was half read as the connection was chosen to end. */
+    private volatile long chosenHalf = NEVER;
     private volatile long halfReadSince = NEVER;
     private volatile boolean largeInHand;
     /** Since when the router has been stopping, or {@code Long.MAX_VALUE} if it has not. */
@@ -69,12 +72,14 @@
     private boolean finished;
     private int discarded;
     private int commands;
+    private final RejectionPace rejections;
 
     ClientConnection(SocketChannel channel, Site site) {
         this.channel = channel;
         this.site = site;
         this.number = site.events().connected();
         this.since = site.clock().now();
+        this.rejections = new RejectionPace(site.clock());
         this.writer = new ClientWriter(channel, site.clock(), this::written);
     }
 
@@ -95,9 +100,9 @@
         return halfReadSince;
     }
 
-    /** Since when the client has not sent a single command, or {@code Long.MAX_VALUE} if it has. */
+    /** Since when the client has sent nothing at all, or {@code Long.MAX_VALUE} if it has. */
     long silentSince() {
-        return spoke || leaving() || closingSince() != NEVER ? NEVER : since;
+        return spoke || halfReadSince != NEVER || leaving() || closingSince() != NEVER ? NEVER : since;
     }
 
     /** Since when an answer is being written, or {@code Long.MAX_VALUE} if none is. */
@@ -110,9 +115,13 @@
         return writer.closingSince();
     }
 
-    /** Closes the connection, half a command or not, unless an answer is owed or more has come meanwhile. */
+    /**
+     * Closes the connection unless an answer is owed or more has come meanwhile. A command that has begun
+     * keeps it open, but for {@link EndReason#SLOW_COMMAND}.
+     */
     void endIfQuiet(EndReason reason) {
         if (writer.quietSince() != NEVER && !paused) {
+            chosenHalf = halfReadSince;
             toEnd = reason;
             site.poller().call(this);
         }
@@ -139,7 +148,8 @@
     private void endUnlessMoreCame() throws IOException {
         EndReason reason = toEnd;
         toEnd = null;
-        if (nothingCame(halfReadSince != NEVER) && writer.finishIfQuiet()) {
+        boolean sameHalf = reason == EndReason.SLOW_COMMAND && halfReadSince == chosenHalf;
+        if (nothingCame(sameHalf) && writer.finishIfQuiet()) {
             close(reason);
         }
     }
@@ -172,10 +182,7 @@
         }
         Sockets.close(channel);
         int unwritten = writer.abandon();
-        List<ClientCall> open;
-        synchronized (calls) {
-            open = calls.stream().filter(call -> !call.isFilled()).toList();
-        }
+        List<ClientCall> open = unanswered();
         site.events().ended(number, reason, open, unwritten, site.clock().now());
         for (ClientCall call : open) {
             // First what the threads that write to cache servers look at.
@@ -237,12 +244,40 @@
         } catch (IOException e) {
             LOG.finer("client connection ended: " + e.getMessage());
             close(EndReason.CLIENT_LEFT);
+        } catch (CancelledKeyException e) {
+            // Its channel was closed as its sending could not be ended: the client had reset it.
+            close(EndReason.CLIENT_LEFT);
         } catch (RuntimeException | Error e) {
-            LOG.log(Level.WARNING, "client connection failed and is closed", e);
+            failed(e);
+        }
+    }
+
+    /** The router's own failure frees nobody of an answer: what is open fails, then the connection ends. */
+    private void failed(Throwable failure) {
+        LOG.log(Level.WARNING, "client connection " + number + " failed and ends", failure);
+        try {
+            if (malformed || finished) {
+                close(EndReason.DEFECT);
+                return;
+            }
+            for (ClientCall call : unanswered()) {
+                call.failed();
+                site.module().accept(new Message.Left(call));
+            }
+            malformed("internal error");
+            awaitNext();
+        } catch (RuntimeException | Error e) {
+            LOG.log(Level.WARNING, "client connection " + number + " failed again and is closed", e);
             close(EndReason.DEFECT);
         }
     }
 
+    private List<ClientCall> unanswered() {
+        synchronized (calls) {
+            return calls.stream().filter(call -> !call.isFilled()).toList();
+        }
+    }
+
     private void awaitNext() {
         EndReason broken = writer.brokenBy();
         if (broken != null) {
@@ -305,26 +340,35 @@
         }
         // Set before it is asked: who writes the answer that makes room must see that it is waited for.
         paused = true;
-        if (!writer.hasRoom()) {
+        if (!writer.hasRoom() || rejections.exhausted()) {
             return null;
         }
         paused = false;
         return in.next();
     }
 
-    private void command(RespValue value) throws ProtocolException {
-        if (!(value instanceof RespValue.Array array) || array.items() == null || array.items().isEmpty()
-                || !(array.items().get(0) instanceof RespValue.Bulk name) || name.bytes() == null) {
-            throw new ProtocolException("expected a command");
-        }
-        if (!RequestParser.isRequest(name.bytes())) {
-            writer.take(Reply.of(other(name.bytes().toString().toUpperCase(Locale.ROOT))));
-            spoke = true;
-            return;
-        }
-        ClientCall call = site.parser().get().parse(array.items(), in.lastArrivedAt(), site.ids());
-        largeInHand = false;
+    /** Whatever is wrong with one whole command is answered in its place and concerns no other. */
+    private void command(RespValue value) {
         spoke = true;
+        largeInHand = false;
+        try {
+            if (!(value instanceof RespValue.Array array) || array.items() == null || array.items().isEmpty()
+                    || !(array.items().get(0) instanceof RespValue.Bulk name) || name.bytes() == null) {
+                throw new InvalidCommandException("expected a command");
+            }
+            if (RequestParser.isRequest(name.bytes())) {
+                request(site.parser().get().parse(array.items(), in.lastArrivedAt(), site.ids()));
+            } else {
+                writer.take(Reply.of(other(name.bytes().toString().toUpperCase(Locale.ROOT))));
+            }
+        } catch (InvalidCommandException e) {
+            rejections.note();
+            site.events().rejected(number, value, e.getMessage(), site.clock().now());
+            writer.take(Reply.of(RespWriter.failure("ERR " + e.getMessage())));
+        }
+    }
+
+    private void request(ClientCall call) {
         if (writer.take(call)) {
             synchronized (calls) {
                 calls.removeIf(Reply::isFilled);
@@ -393,7 +437,10 @@
         }
     }
 
-    /** Malformed input: what came before it is answered, then one error, then the connection ends. */
+    /**
+     * Input that cannot be split into commands: what came before it is answered, then one error, then the
+     * connection ends.
+     */
     private void malformed(String reason) {
         malformed = true;
         site.events().malformed(number, reason, writer.owed(), site.clock().now());
--- a/src/main/java/beaconturn/net/ClientEvents.java
+++ b/src/main/java/beaconturn/net/ClientEvents.java
@@ -1,7 +1,7 @@
 package beaconturn.net;
 
 import beaconturn.core.LogBudget;
-import beaconturn.protocol.Slice;
+import beaconturn.protocol.RespValue;
 import java.util.Collection;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Logger;
@@ -17,6 +17,9 @@
     private static final Logger LOG = Logger.getLogger(ClientEvents.class.getName());
     private static final int BURST = 20;
     private static final double PER_SECOND = 2;
+    /** Where a request's id stands among the words of its command. */
+    private static final int ID = 2;
+    private static final int LONGEST_ID = 32;
     private final AtomicLong connections = new AtomicLong();
     private final LogBudget rejections = new LogBudget(LOG, BURST, PER_SECOND);
     private final LogBudget ends = new LogBudget(LOG, BURST, PER_SECOND);
@@ -26,14 +29,24 @@
         return connections.incrementAndGet();
     }
 
-    /** A whole command got an error in its place; {@code id} is null where it has none. */
-    void rejected(long connection, Slice id, String why, long now) {
+    /** A whole command got an error in its place. */
+    void rejected(long connection, RespValue command, String why, long now) {
         if (rejections.allows(now)) {
-            rejections.write("connection " + connection + ": command " + (id == null ? "without an id" : id)
-                + " rejected: " + why);
+            rejections.write("connection " + connection + ": command " + id(command) + " rejected: " + why);
         }
     }
 
+    private static String id(RespValue command) {
+        boolean named = command instanceof RespValue.Array array && array.items() != null
+            && array.items().size() > ID && array.items().get(ID) instanceof RespValue.Bulk id
+            && id.bytes() != null;
+        if (!named) {
+            return "without an id";
+        }
+        String text = ((RespValue.Bulk) ((RespValue.Array) command).items().get(ID)).bytes().toString();
+        return text.substring(0, Math.min(LONGEST_ID, text.length())).replaceAll("[^!-~]", "?");
+    }
+
     /** What came on a connection cannot be split into commands; it ends after so many answers. */
     void malformed(long connection, String why, int owed, long now) {
         if (ends.allows(now)) {
--- a/src/main/java/beaconturn/net/RequestParser.java
+++ b/src/main/java/beaconturn/net/RequestParser.java
@@ -3,7 +3,6 @@
 import beaconturn.core.Call;
 import beaconturn.core.Settings;
 import beaconturn.decision.Routing;
-import beaconturn.protocol.ProtocolException;
 import beaconturn.protocol.RespValue;
 import beaconturn.protocol.Slice;
 import beaconturn.stats.Tally;
@@ -25,11 +24,21 @@
     /** A wait of more than so many times its class's deadline is a mistake of the client's. */
     private static final double LONGEST_WAIT = 2;
     private final Settings settings;
+    private final Settings before;
     private final Tally tally;
 
     /** A parser of requests under these settings, which are counted in the tally. */
     RequestParser(Settings settings, Tally tally) {
+        this(settings, settings, tally);
+    }
+
+    /**
+     * The same after settings have changed: a request that was sent under those {@code before} may wait for
+     * as long as its class allowed then.
+     */
+    RequestParser(Settings settings, Settings before, Tally tally) {
         this.settings = settings;
+        this.before = before;
         this.tally = tally;
     }
 
@@ -51,23 +60,23 @@
      * The request that a command makes; {@code readAt} is when its last byte was read. Nothing that a cache
      * server could not use gets past here, and its id is open from here on until it has its answer.
      */
-    ClientCall parse(List<RespValue> items, long readAt, OpenIds ids) throws ProtocolException {
+    ClientCall parse(List<RespValue> items, long readAt, OpenIds ids) throws InvalidCommandException {
         boolean write = text(items, 0).is("C.SET");
         if (items.size() != (write ? 5 : 4)) {
-            throw new ProtocolException("wrong number of arguments");
+            throw new InvalidCommandException("wrong number of arguments");
         }
         Map<String, String> attributes = attributes(text(items, 3).toString());
         int requestClass = settings.classNames().indexOf(attributes.get("c"));
         if (requestClass < 0) {
-            throw new ProtocolException("c names no class of the settings");
+            throw new InvalidCommandException("c names no class of the settings");
         }
         Routing.RequestClass type = settings.routing().classes().get(requestClass);
         double wait = number(attributes, "d", 0) * MILLI;
-        if (wait < 1 || wait > LONGEST_WAIT * type.deadline()) {
-            throw new ProtocolException("d is missing or out of range");
+        if (wait < 1 || wait > LONGEST_WAIT * longestDeadline(attributes.get("c"), type)) {
+            throw new InvalidCommandException("d is missing or out of range");
         }
         if (write && type.effect() == Routing.Effect.KEYED && !attributes.containsKey("k")) {
-            throw new ProtocolException("k is missing");
+            throw new InvalidCommandException("k is missing");
         }
         Slice key = name(items, 1, "key");
         Slice id = name(items, 2, "id");
@@ -78,52 +87,58 @@
         Call.Ask ask = new Call.Ask(requestClass, key(key), write, "1".equals(attributes.get("r")), 0, 0,
             number(attributes, "size", 0));
         if (!ids.open(id)) {
-            throw new ProtocolException("a request of this id is open");
+            throw new InvalidCommandException("a request of this id is open");
         }
         return new ClientCall(ask, readAt + (long) wait, new Parts(head, id, attributes, value),
             new ClientCall.Reading(settings.routing(), attributes.get("c"), readAt + type.aim(), tally),
             () -> ids.close(id));
     }
 
+    private long longestDeadline(String className, Routing.RequestClass type) {
+        int earlier = before.classNames().indexOf(className);
+        return earlier < 0 ? type.deadline()
+            : Math.max(type.deadline(), before.routing().classes().get(earlier).deadline());
+    }
+
     /** A key or an id: not empty, not endless, and of bytes that can be seen. */
-    private static Slice name(List<RespValue> items, int index, String what) throws ProtocolException {
+    private static Slice name(List<RespValue> items, int index, String what) throws InvalidCommandException {
         Slice name = text(items, index);
         boolean sound = name.length() > 0 && name.length() <= LONGEST_NAME;
         for (int i = 0; sound && i < name.length(); i++) {
             sound = name.at(i) > ' ' && name.at(i) <= '~';
         }
         if (!sound) {
-            throw new ProtocolException(what + " is empty, too long or of odd bytes");
+            throw new InvalidCommandException(what + " is empty, too long or of odd bytes");
         }
         return name;
     }
 
-    private static Slice text(List<RespValue> items, int index) throws ProtocolException {
+    private static Slice text(List<RespValue> items, int index) throws InvalidCommandException {
         if (items.get(index) instanceof RespValue.Bulk bulk && bulk.bytes() != null) {
             return bulk.bytes();
         }
-        throw new ProtocolException("command with an argument that is no string");
+        throw new InvalidCommandException("command with an argument that is no string");
     }
 
-    private static Map<String, String> attributes(String text) throws ProtocolException {
+    private static Map<String, String> attributes(String text) throws InvalidCommandException {
         Map<String, String> found = new LinkedHashMap<>();
         for (String pair : text.split(",", MOST_ATTRIBUTES + 1)) {
             if (!ATTRIBUTE.matcher(pair).matches() || found.size() == MOST_ATTRIBUTES) {
-                throw new ProtocolException("attributes that are no list of names and values");
+                throw new InvalidCommandException("attributes that are no list of names and values");
             }
             int equals = pair.indexOf('=');
             if (found.put(pair.substring(0, equals), pair.substring(equals + 1)) != null) {
-                throw new ProtocolException("attribute given twice");
+                throw new InvalidCommandException("attribute given twice");
             }
         }
         return found;
     }
 
     private static double number(Map<String, String> attributes, String name, double fallback)
-            throws ProtocolException {
+            throws InvalidCommandException {
         String value = attributes.get(name);
         if (value != null && !DECIMAL.matcher(value).matches()) {
-            throw new ProtocolException(name + " is not a number");
+            throw new InvalidCommandException(name + " is not a number");
         }
         return value == null ? fallback : Double.parseDouble(value);
     }
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -40,6 +40,8 @@
      * up.
      */
     private static final long ANSWERED_AFTER = 500 * MILLI;
+    /** A planned stop waits no longer than this for answers: the process is killed soon after. */
+    private static final long LONGEST_AT_STOP = 3_000 * MILLI;
     /** The process is killed 0.7 s after the longest deadline: the last answers are on their way before. */
     private static final long LAST_ANSWERS = 60 * MILLI;
     /** So long a start waits for the list that is agreed on. */
@@ -93,8 +95,6 @@
     private final Places places;
     private final CacheActors cacheActors;
     private volatile Settings settings;
-    /** Of all settings so far: requests that were read under earlier ones may still be open. */
-    private volatile long longestDeadline;
     private volatile Learned learned;
     /** Null where routers share nothing. */
     private final Agreed agreed;
@@ -292,10 +292,10 @@
 
     /** Requests are read under these settings from here on. */
     private void follow(Settings next) {
+        Settings before = settings == null ? next : settings;
         settings = next;
-        longestDeadline = Math.max(longestDeadline, next.routing().longestDeadline());
         next.classNames().forEach(tally::names);
-        parser = new RequestParser(next, tally);
+        parser = new RequestParser(next, before, tally);
     }
 
     /**
@@ -365,8 +365,9 @@
 
     /**
      * Serves on while connections still come, then ends each connection as soon as nothing is owed on it.
-     * What is still open when the longest time that a client waits is over is answered as failed: nothing
-     * that was taken goes without an answer, however long cache servers keep silent.
+     * What is still open when the longest time that a client waits is over is answered as failed, also what
+     * was read under earlier settings with longer deadlines: nothing that was taken goes without an answer,
+     * however long cache servers keep silent.
      */
     public void drain() throws InterruptedException {
         if (!lifecycle.advance(Lifecycle.Phase.DRAINING)) {
@@ -379,7 +380,8 @@
         if (listener != null) {
             listener.close();
         }
-        endClients(began + longestDeadline + ANSWERED_AFTER);
+        long longest = Math.min(settings.routing().longestDeadline(), LONGEST_AT_STOP);
+        endClients(began + longest + ANSWERED_AFTER);
         int unanswered = clients.count() == 0 ? 0 : module.open();
         module.post(new Message.Stopping());
         endClients(clock.now() + LAST_ANSWERS);
@@ -412,7 +414,7 @@
             long began = clock.now();
             new WarmUp(config).run();
             LOG.info("warmed up in " + (clock.now() - began) / MILLI + " ms");
-        } catch (ProtocolException | RuntimeException e) {
+        } catch (ProtocolException | InvalidCommandException | RuntimeException e) {
             // A router that is slow at first is better than none.
             LOG.log(Level.WARNING, "warm-up failed", e);
         }
--- a/src/main/java/beaconturn/net/WarmUp.java
+++ b/src/main/java/beaconturn/net/WarmUp.java
@@ -47,7 +47,7 @@
     }
 
     /** Runs all rounds; each ends with the answers to what was sent two rounds before. */
-    void run() throws ProtocolException {
+    void run() throws ProtocolException, InvalidCommandException {
         for (int i = 0; i < ROUNDS; i++) {
             now += STEP;
             host.runDue();
