Rehearsals of clients: pipelines, wrong commands, pieces, signals in series

New in the account: an end over a command that had begun, a client that left, time spent behind earlier answers.

Tests of the kit not run yet.

--- a/src/main/java/beaconturn/cli/RehearseCommand.java
+++ b/src/main/java/beaconturn/cli/RehearseCommand.java
@@ -33,7 +33,8 @@
     @Parameter(names = "--storms", description = "play so many scenarios made of chance instead, a search;"
         + " those that break a rule are kept in a folder each below --keep-logs; --seed is the first one's")
     private int storms;
-    @Parameter(names = "--of", description = "what storms are about: versions, releases or places")
+    @Parameter(names = "--of", description = "what storms are about: versions, releases, places or"
+        + " clients")
     private String of = "versions";
     @Parameter(names = "--routers", description = "how many routers a storm has")
     private int routers = 3;
@@ -50,11 +51,11 @@
                     + ", --at-once from 1 on");
                 return 2;
             }
-            if (!List.of("versions", "releases", "places").contains(of)) {
-                System.err.println("rehearse: --of is versions, releases or places");
+            if (!List.of("versions", "releases", "places", "clients").contains(of)) {
+                System.err.println("rehearse: --of is versions, releases, places or clients");
                 return 2;
             }
-            return StormsRun.of(of, storms, seed == null ? 1 : seed, routers, atOnce, logs).run();
+            return StormsRun.of(of, storms, seed == null ? 1 : seed, routers, atOnce, logs, router).run();
         }
         if (!list && scenarios.size() != 1) {
             System.err.println("rehearse: name one scenario, or --list, or --storms");
--- a/src/main/java/beaconturn/cli/StormsRun.java
+++ b/src/main/java/beaconturn/cli/StormsRun.java
@@ -4,6 +4,7 @@
 import beaconturn.rehearsal.ProcessLauncher;
 import beaconturn.rehearsal.Rehearsal;
 import beaconturn.rehearsal.Report;
+import beaconturn.rehearsal.RouterLauncher;
 import beaconturn.rehearsal.Scenario;
 import beaconturn.rehearsal.Shipped;
 import beaconturn.rehearsal.Storm;
@@ -34,6 +35,7 @@
     private final int routers;
     private final int atOnce;
     private final Path kept;
+    private final RouterLauncher launcher;
     // Guarded by this:
     private int held;
     private int broken;
@@ -43,18 +45,23 @@
     private long stated;
     private final SortedMap<String, Integer> releases = new TreeMap<>();
 
-    StormsRun(Storm.About about, int plays, long firstSeed, int routers, int atOnce, String kept) {
+    StormsRun(Storm.About about, int plays, long firstSeed, int routers, int atOnce, String kept,
+            String jar) {
         this.about = about;
         this.plays = plays;
         this.firstSeed = firstSeed;
         this.routers = routers;
         this.atOnce = atOnce;
         this.kept = Path.of(kept == null ? "." : kept);
+        this.launcher = jar == null ? ProcessLauncher.own(Main.class.getName())
+            : ProcessLauncher.of(Path.of(jar));
     }
 
-    static StormsRun of(String about, int plays, long firstSeed, int routers, int atOnce, String kept) {
+    /** Storms of routers from a jar, or of this program's own where that is null. */
+    static StormsRun of(String about, int plays, long firstSeed, int routers, int atOnce, String kept,
+            String jar) {
         return new StormsRun(Storm.About.valueOf(about.toUpperCase(Locale.ROOT)), plays, firstSeed, routers,
-            atOnce, kept);
+            atOnce, kept, jar);
     }
 
     int run() {
@@ -71,10 +78,12 @@
             Thread.currentThread().interrupt();
             return WRONG_INPUT;
         }
-        System.out.printf(Locale.ROOT, "%d plays of %d routers, seeds %d to %d: %d held, %d broken, %d not"
-            + " played; longest contradiction %.0f ms of %.0f ms stated, %d chances%n", plays, routers,
-            firstSeed, firstSeed + plays - 1, held, broken, unplayed, longest / MILLI, stated / MILLI,
-            checked);
+        System.out.printf(Locale.ROOT, "%d plays, seeds %d to %d: %d held, %d broken, %d not played%n", plays,
+            firstSeed, firstSeed + plays - 1, held, broken, unplayed);
+        if (about != Storm.About.CLIENTS) {
+            System.out.printf(Locale.ROOT, "%d routers each; longest contradiction %.0f ms of %.0f ms stated,"
+                + " %d chances%n", routers, longest / MILLI, stated / MILLI, checked);
+        }
         if (about == Storm.About.RELEASES) {
             System.out.println("releases ended as " + releases);
         }
@@ -85,8 +94,7 @@
         try {
             Scenario scenario = Storm.of(about, seed, routers);
             Path folder = Files.createTempDirectory("storm-" + seed + "-");
-            Report report = new Rehearsal(scenario, ProcessLauncher.own(Main.class.getName()), folder,
-                text -> { }).play();
+            Report report = new Rehearsal(scenario, launcher, folder, text -> { }).play();
             List<String> rules =
                 report.verdicts().stream().filter(v -> !v.held()).map(Verdict::rule).toList();
             if (!rules.isEmpty()) {
@@ -123,7 +131,8 @@
             }
         }
         releases.merge(report.ending(), 1, Integer::sum);
-        stated = report.scenario().agreement().timing().stated();
+        stated = report.scenario().agreement() == null ? 0
+            : report.scenario().agreement().timing().stated();
         System.out.println("storm " + seed + ": " + (rules.isEmpty() ? "held" : "BROKEN "
             + String.join(", ", rules)) + "; " + report.summary());
     }
--- a/src/main/java/beaconturn/ledger/Entry.java
+++ b/src/main/java/beaconturn/ledger/Entry.java
@@ -25,7 +25,9 @@
         /** A spoilt value that the client can tell from a whole one. */
         CUT,
         /** Nothing, long after the deadline. */
-        SILENCE
+        SILENCE,
+        /** The client has closed its connection over it and waits for nothing any more. */
+        LEFT
     }
 
     /** A client was told something, or has seen that it will not be; {@code digest} is the value's. */
@@ -41,6 +43,12 @@
      */
     record Crossed(long at, String id) implements Entry { }
 
+    /** A connection was ended by its router while a client was in the middle of a command. */
+    record HalfSent(long at, String id, int router) implements Entry { }
+
+    /** The answers in front of a request's own on its connection were all there at that time. */
+    record InFront(long at, String id) implements Entry { }
+
     /** What a stand-in answered. */
     enum Made { VALUE, SPOILT, BUSY, ERROR }
 
--- a/src/main/java/beaconturn/ledger/Evidence.java
+++ b/src/main/java/beaconturn/ledger/Evidence.java
@@ -24,6 +24,7 @@
         private final List<Entry.Answered> answers = new ArrayList<>();
         private final List<Entry.Sent> sends = new ArrayList<>();
         private int crossings;
+        private long inFrontUntil = Long.MIN_VALUE;
 
         private Case(String id) {
             this.id = id;
@@ -60,8 +61,19 @@
 
         /** The final answers, which are values, refusals and failures. */
         List<Entry.Answered> finals() {
-            return answers.stream()
-                .filter(a -> a.kind() != Entry.Kind.BROKEN && a.kind() != Entry.Kind.SILENCE).toList();
+            return answers.stream().filter(a -> a.kind() != Entry.Kind.BROKEN
+                && a.kind() != Entry.Kind.SILENCE && a.kind() != Entry.Kind.LEFT).toList();
+        }
+
+        /** Until when its answer had to wait for those in front of it on its connection. */
+        long inFrontUntil() {
+            return inFrontUntil;
+        }
+
+        /** When its client left over it, or {@code Long.MAX_VALUE} if it did not. */
+        long leftAt() {
+            return answers.stream().filter(a -> a.kind() == Entry.Kind.LEFT)
+                .mapToLong(Entry.Answered::at).findFirst().orElse(Long.MAX_VALUE);
         }
     }
 
@@ -77,6 +89,8 @@
                 of(sent.id()).sends.add(sent);
             } else if (entry instanceof Entry.Crossed crossed) {
                 of(crossed.id()).crossings++;
+            } else if (entry instanceof Entry.InFront inFront) {
+                of(inFront.id()).inFrontUntil = inFront.at();
             } else if (entry instanceof Entry.Replied replied) {
                 replies.put(replied.number(), replied);
             } else if (entry instanceof Entry.Ran ran) {
--- a/src/main/java/beaconturn/ledger/OneAnswer.java
+++ b/src/main/java/beaconturn/ledger/OneAnswer.java
@@ -11,10 +11,12 @@
     @Override
     void judge(Evidence evidence) {
         crossings(evidence);
+        halfSent(evidence);
         for (Evidence.Case one : evidence.cases()) {
             Entry.Asked asked = one.asked();
             List<Entry.Answered> finals = one.finals();
-            if (asked == null || finals.isEmpty() && one.untaken()) {
+            boolean left = one.leftAt() < Long.MAX_VALUE;
+            if (asked == null || finals.isEmpty() && (one.untaken() || left)) {
                 continue;
             }
             if (finals.isEmpty()) {
@@ -23,7 +25,9 @@
                 Entry.Answered first = finals.get(0);
                 check(finals.size() == 1, finals.get(finals.size() - 1).at(), one.id(), "",
                     finals.size() + " final answers");
-                long took = evidence.between(asked.at(), first.at());
+                // What an answer waits for those in front of it on its connection does not count.
+                long from = Math.max(asked.at(), one.inFrontUntil() - (asked.deadline() - asked.at()));
+                long took = evidence.between(from, first.at());
                 long late = took - (asked.deadline() - asked.at());
                 boolean kept = late <= evidence.terms().answerSlack() || killed(evidence, asked, first.at());
                 check(kept, first.at(), one.id(), "",
@@ -42,6 +46,15 @@
         }
     }
 
+    /** A command that has begun to arrive is let come, but by a router that ends. */
+    private void halfSent(Evidence evidence) {
+        for (Entry.HalfSent half : evidence.all(Entry.HalfSent.class)) {
+            boolean stopped = evidence.all(Entry.Stopped.class).stream()
+                .anyMatch(stop -> stop.router() == half.router() && stop.at() <= half.at());
+            check(stopped, half.at(), half.id(), "", "its connection ended over a command that had begun");
+        }
+    }
+
     /** What a killed router held is its client's to retry; anything else must be answered. */
     private void missing(Evidence evidence, Evidence.Case one, Entry.Asked asked) {
         long until = one.answers().isEmpty() ? asked.deadline() : one.answers().get(0).at();
--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -55,8 +55,10 @@
     private volatile boolean paused;
     /** Why it is to end, or null. */
     private volatile EndReason toEnd;
-    /** Since when a command was half read as the connection was chosen to end. */
-    private volatile long chosenHalf = NEVER;
+    /** By what the command that was half read is known, as the connection was chosen to end. */
+    private volatile long chosenAt = NEVER;
+    /** When bytes came last. */
+    private volatile long heardAt;
     private volatile long halfReadSince = NEVER;
     private volatile boolean largeInHand;
     /** Since when the router has been stopping, or {@code Long.MAX_VALUE} if it has not. */
@@ -105,6 +107,12 @@
         return spoke || halfReadSince != NEVER || leaving() || closingSince() != NEVER ? NEVER : since;
     }
 
+    /** Since when nothing more has come of half a command, or {@code Long.MAX_VALUE} if none waits. */
+    long stalledSince() {
+        boolean stalled = halfReadSince != NEVER && toEnd == null && !paused && writer.quietSince() != NEVER;
+        return stalled ? heardAt : NEVER;
+    }
+
     /** Since when an answer is being written, or {@code Long.MAX_VALUE} if none is. */
     long writingSince() {
         return writer.writingSince();
@@ -117,11 +125,11 @@
 
     /**
      * Closes the connection unless an answer is owed or more has come meanwhile. A command that has begun
-     * keeps it open, but for {@link EndReason#SLOW_COMMAND}.
+     * keeps it open, unless the reason is that very command.
      */
     void endIfQuiet(EndReason reason) {
         if (writer.quietSince() != NEVER && !paused) {
-            chosenHalf = halfReadSince;
+            chosenAt = reason == EndReason.SLOW_COMMAND ? halfReadSince : heardAt;
             toEnd = reason;
             site.poller().call(this);
         }
@@ -148,31 +156,39 @@
     private void endUnlessMoreCame() throws IOException {
         EndReason reason = toEnd;
         toEnd = null;
-        boolean sameHalf = reason == EndReason.SLOW_COMMAND && halfReadSince == chosenHalf;
-        if (nothingCame(sameHalf) && writer.finishIfQuiet()) {
+        if (nothingCame() && (halfReadSince == NEVER || overSameCommand(reason)) && writer.finishIfQuiet()) {
             close(reason);
         }
     }
 
+    /** Whether the command that is half read is the one for which the end was chosen. */
+    private boolean overSameCommand(EndReason reason) {
+        return switch (reason) {
+            case SLOW_COMMAND -> halfReadSince == chosenAt;
+            case STALLED_COMMAND -> heardAt == chosenAt;
+            default -> false;
+        };
+    }
+
     /**
      * The same at a planned stop, where the last answer may still be on its way: its connection is only half
      * closed.
      */
     private void finishUnlessMoreCame() throws IOException {
         boolean lateHalf = halfReadSince != NEVER
-            && site.clock().now() - stoppingSince > LONGEST_HALF_AT_STOP;
-        if (nothingCame(lateHalf) && writer.finishIfQuiet()) {
+            && site.clock().now() - Math.max(halfReadSince, stoppingSince) > LONGEST_HALF_AT_STOP;
+        if (nothingCame() && (lateHalf || halfReadSince == NEVER) && writer.finishIfQuiet()) {
             finished = true;
         }
     }
 
-    /** Reads once more; whether no command is at hand, nor a part of one unless that is allowed. */
-    private boolean nothingCame(boolean partAllowed) throws IOException {
+    /** Reads once more; whether no whole command has come or waits. */
+    private boolean nothingCame() throws IOException {
         int before = commands;
         if (!paused) {
             read(site.poller().lookedAt());
         }
-        return !left.get() && !paused && commands == before && (partAllowed || halfReadSince == NEVER);
+        return !left.get() && !paused && commands == before;
     }
 
     /** Closes at once, whatever is out: nobody waits for what it still had. Not for the module's thread. */
@@ -311,7 +327,8 @@
             // What came just before the end is not handled: nobody waits for it.
             close(EndReason.CLIENT_LEFT);
         } else if (got > 0) {
-            halfReadSince = Math.min(halfReadSince, site.clock().now());
+            heardAt = site.clock().now();
+            halfReadSince = Math.min(halfReadSince, heardAt);
             parse();
         }
     }
--- a/src/main/java/beaconturn/net/ClientConnections.java
+++ b/src/main/java/beaconturn/net/ClientConnections.java
@@ -21,6 +21,8 @@
     /** The first request of a client that has just connected should arrive before it makes room. */
     private static final long SETTLED = 30 * MILLI;
 
+    /** Clients that write in pieces send the next one sooner. */
+    private static final long STALLED = 500 * MILLI;
     /** Where connections run short, one may be let go when it has been quiet for so long. */
     private static final long SHORT_QUIET = 100 * MILLI;
 
@@ -60,9 +62,10 @@
     }
 
     /**
-     * Makes room for one more; false if all are at work. Those that have not sent one whole command go first,
+     * Makes room for one more; false if all are at work. Those that have sent nothing at all go first,
      * the oldest before others: many that connect and say nothing must not cost the usual clients theirs.
-     * Then the one that has been quiet longest. Each counts until its descriptor is free, so a few more than
+     * Then the one that has been quiet longest, and last one whose command has stood still for a while: a
+     * client that writes slowly goes on. Each counts until its descriptor is free, so a few more than
      * the most may be open meanwhile; beyond that the poller is waited for, some milliseconds. Where the most
      * has been lowered, one goes for one that comes.
      */
@@ -73,6 +76,10 @@
         Optional<ClientConnection> goes = oldest(ClientConnection::silentSince, now - SETTLED)
             .or(() -> oldest(ClientConnection::quietSince, now));
         goes.ifPresent(c -> c.endIfQuiet(EndReason.MAKES_ROOM));
+        if (goes.isEmpty()) {
+            goes = oldest(ClientConnection::stalledSince, now - STALLED);
+            goes.ifPresent(c -> c.endIfQuiet(EndReason.STALLED_COMMAND));
+        }
         return goes.isPresent() && fewLeave();
     }
 
--- a/src/main/java/beaconturn/net/EndReason.java
+++ b/src/main/java/beaconturn/net/EndReason.java
@@ -12,6 +12,8 @@
     MAKES_ROOM("makes room for others"),
     /** A command that had begun was not whole in time. */
     SLOW_COMMAND("a command was not whole in time"),
+    /** A command stood still after its first bytes while others needed the place. */
+    STALLED_COMMAND("a command stood still and others need the place"),
     /** The client took no byte of an answer. */
     ANSWER_NOT_TAKEN("an answer was not taken"),
     /** Its sending had been ended, and the client did not close its end. */
@@ -36,7 +38,8 @@
 
     /** Whether it is worth a line: not where clients leave or rest as they always do. */
     boolean notable() {
-        return this == MAKES_ROOM || this == SLOW_COMMAND || this == ANSWER_NOT_TAKEN;
+        return this == MAKES_ROOM || this == SLOW_COMMAND || this == STALLED_COMMAND
+            || this == ANSWER_NOT_TAKEN;
     }
 
     @Override
--- a/src/main/java/beaconturn/rehearsal/Explained.java
+++ b/src/main/java/beaconturn/rehearsal/Explained.java
@@ -110,6 +110,9 @@
         if (!c.site().isEmpty()) {
             line("site", text(c.site()));
         }
+        Scenario.Conduct conduct = c.conduct();
+        line("pipeline", conduct.pipeline()).line("wrong", conduct.wrong()).line("pieces", conduct.pieces())
+            .line("hasty", conduct.hasty()).line("leaves", conduct.leaves()).line("silent", conduct.silent());
     }
 
     private void fault(Scenario.FaultSpec f) {
--- a/src/main/java/beaconturn/rehearsal/ProcessLauncher.java
+++ b/src/main/java/beaconturn/rehearsal/ProcessLauncher.java
@@ -126,6 +126,11 @@
             Children.pause(process, on);
         }
 
+        @Override
+        public void hangUp() {
+            Children.hangUp(process);
+        }
+
         @Override
         public long pid() {
             return process.pid();
--- a/src/main/java/beaconturn/rehearsal/Rehearsal.java
+++ b/src/main/java/beaconturn/rehearsal/Rehearsal.java
@@ -11,6 +11,7 @@
 import beaconturn.standin.World;
 import beaconturn.standin.net.Surroundings;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -32,6 +33,9 @@
     /** A front goes on to a router that was told to stop. */
     static final long FRONT_GOES_ON = 300 * MILLI;
     private static final long STEP_MILLIS = 20;
+    /** After a planned stop was announced a process is killed: the longest deadline, at most, and so long. */
+    private static final long LONGEST_TO_KILL = 3 * SECOND;
+    private static final long TIME_TO_KILL = 700 * MILLI;
     /** A planned stop may take so long. */
     static final long END_MILLIS = 8000;
     private final Scenario scenario;
@@ -297,8 +301,16 @@
             step(from, () -> seat.pause(true));
             return;
         }
+        if (fault.kind() == Fault.Kind.ROUTER_RELOAD) {
+            step(from, () -> reload(seat));
+            return;
+        }
         boolean planned = fault.kind() == Fault.Kind.ROUTER_TERM;
         step(from, planned ? seat::terminate : seat::kill);
+        if (planned) {
+            long longest = scenario.types().stream().mapToLong(Scenario.Type::deadline).max().orElse(0);
+            step(from + Math.min(longest, LONGEST_TO_KILL) + TIME_TO_KILL, seat::killAfterStop);
+        }
         step(from + (planned ? FRONT_GOES_ON : scenario.clients().get(0).notice()),
             () -> crowd.avoid(router, true));
     }
@@ -308,6 +320,10 @@
             step(to, () -> seats.get(router).pause(false));
             return;
         }
+        if (fault.kind() == Fault.Kind.ROUTER_RELOAD) {
+            step(to, () -> reload(seats.get(router)));
+            return;
+        }
         step(to, () -> {
             Thread thread = new Thread(() -> restart(router, fault.kind() == Fault.Kind.ROUTER_TERM),
                 "restart");
@@ -317,6 +333,14 @@
         });
     }
 
+    private void reload(RouterSeat seat) {
+        try {
+            seat.reload();
+        } catch (IOException e) {
+            throw new UncheckedIOException("the configuration of " + seat.name() + " cannot be written", e);
+        }
+    }
+
     private void step(long at, Runnable body) {
         steps.add(new Step(at, ++stepped, body));
     }
--- a/src/main/java/beaconturn/rehearsal/RouterLauncher.java
+++ b/src/main/java/beaconturn/rehearsal/RouterLauncher.java
@@ -51,6 +51,11 @@
             throw new UnsupportedOperationException("not a process of its own");
         }
 
+        /** Tells it to read its configuration anew. */
+        default void hangUp() {
+            throw new UnsupportedOperationException("not a process of its own");
+        }
+
         /** Its process id, or -1 where it is no process of its own. */
         default long pid() {
             return -1;
--- a/src/main/java/beaconturn/rehearsal/Scenario.java
+++ b/src/main/java/beaconturn/rehearsal/Scenario.java
@@ -169,7 +169,24 @@
      * front deals them to routers of all sites; else to those of that site while it knows of one that is up.
      */
     public record Clients(double rate, List<String> classes, int keys, double skew, int retries, long backoff,
-            double tryShare, long notice, long from, long to, String site) { }
+            double tryShare, long notice, long from, long to, String site, Conduct conduct) { }
+
+    /**
+     * How clients use their connections: so many commands at once on one of them at most; beside a
+     * part of them one that is wrong; a part of what they write goes in pieces; a part of the requests has
+     * 1 to 5 ms left; after a part of their writes they leave; and so many further connections to each
+     * router say nothing, or only begin a command.
+     */
+    public record Conduct(int pipeline, double wrong, double pieces, double hasty, double leaves,
+            int silent) {
+        /** One command at a time, and nothing odd. */
+        static final Conduct USUAL = new Conduct(1, 0, 0, 0, 0, 0);
+
+        /** Whether connections carry one command at a time, as a whole. */
+        boolean oneByOne() {
+            return pipeline == 1 && wrong == 0 && pieces == 0 && leaves == 0;
+        }
+    }
 
     /**
      * A fault; {@code target} names cache servers or routers, and is empty for the origin, discovery and
--- a/src/main/java/beaconturn/rehearsal/ScenarioReader.java
+++ b/src/main/java/beaconturn/rehearsal/ScenarioReader.java
@@ -20,6 +20,8 @@
     private static final long MILLI = 1_000_000;
     private static final long SECOND = 1000 * MILLI;
     private static final int MOST_CACHES = 200;
+    private static final int MOST_PIPELINED = 64;
+    private static final int MOST_SILENT = 10_000;
     private static final int MOST_ROUTERS = 40;
     /** Stands for the agent that drives the release at the time. */
     static final String DRIVER = "driver";
@@ -320,10 +322,16 @@
                 s.whole("keys", 400, 1, 10_000_000), s.number("skew", 0.9, 0, 3), s.whole("retries", 2, 0,
                     10),
                 s.time("backoff", 100 * MILLI, 0), s.number("try_share", 0.6, 0.05, 1),
-                s.time("notice", 1500 * MILLI, 0), from, to, site(s, routers)));
+                s.time("notice", 1500 * MILLI, 0), from, to, site(s, routers), conduct(s)));
         }
         return all.isEmpty() ? List.of(new Scenario.Clients(100, List.of(), 400, 0.9, 2, 100 * MILLI, 0.6,
-            1500 * MILLI, 0, length, "")) : List.copyOf(all);
+            1500 * MILLI, 0, length, "", Scenario.Conduct.USUAL)) : List.copyOf(all);
+    }
+
+    private static Scenario.Conduct conduct(Section s) throws TomlException {
+        return new Scenario.Conduct(s.whole("pipeline", 1, 1, MOST_PIPELINED), s.number("wrong", 0, 0, 1),
+            s.number("pieces", 0, 0, 1), s.number("hasty", 0, 0, 1), s.number("leaves", 0, 0, 1),
+            s.whole("silent", 0, 0, MOST_SILENT));
     }
 
     /** A site that has routers, or none. */
--- a/src/main/java/beaconturn/rehearsal/Storm.java
+++ b/src/main/java/beaconturn/rehearsal/Storm.java
@@ -58,7 +58,9 @@
         /** A release of routers or of cache servers. */
         RELEASES,
         /** Places, whole or in part, that fail, are cut off, or are called gone. */
-        PLACES
+        PLACES,
+        /** Clients and connections: pipelines, wrong commands, pieces, signals in series, crowds. */
+        CLIENTS
     }
 
     private final UniformRandomProvider random;
@@ -80,6 +82,8 @@
             storm.versions(seed);
         } else if (about == About.RELEASES) {
             storm.release(seed);
+        } else if (about == About.CLIENTS) {
+            return ClientStorm.text(seed);
         } else {
             storm.places(seed);
         }
--- a/src/main/java/beaconturn/rehearsal/Tally.java
+++ b/src/main/java/beaconturn/rehearsal/Tally.java
@@ -65,7 +65,8 @@
         rows.forEach((type, row) -> lines.add(new Line(type, row.wanted, row.tries, count(row,
             Entry.Kind.SERVED),
             count(row, Entry.Kind.REFUSED), count(row, Entry.Kind.FAILED) + count(row, Entry.Kind.CUT),
-            count(row, Entry.Kind.SILENCE) + count(row, Entry.Kind.BROKEN), row.unreached, row.inAim,
+            count(row, Entry.Kind.SILENCE) + count(row, Entry.Kind.BROKEN) + count(row, Entry.Kind.LEFT),
+            row.unreached, row.inAim,
             row.latency.getValueAtPercentile(50) / MILLI, row.latency.getValueAtPercentile(99) / MILLI,
             row.latency.getMaxValue() / MILLI)));
         return lines;
--- a/src/main/java/beaconturn/rehearsal/fleet/Children.java
+++ b/src/main/java/beaconturn/rehearsal/fleet/Children.java
@@ -28,9 +28,17 @@
 
     /** Has a process stand still, or go on. */
     public static void pause(Process process, boolean on) {
+        signal(process, on ? "-STOP" : "-CONT");
+    }
+
+    /** Tells a process to read its configuration anew. */
+    public static void hangUp(Process process) {
+        signal(process, "-HUP");
+    }
+
+    private static void signal(Process process, String signal) {
         try {
-            new ProcessBuilder("kill", on ? "-STOP" : "-CONT", Long.toString(process.pid())).start()
-                .waitFor();
+            new ProcessBuilder("kill", signal, Long.toString(process.pid())).start().waitFor();
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         } catch (InterruptedException e) {
--- a/src/main/java/beaconturn/standin/Fault.java
+++ b/src/main/java/beaconturn/standin/Fault.java
@@ -54,6 +54,8 @@
         ROUTER_KILL(Target.ROUTER, false),
         /** A router gets SIGTERM, and is started again at the fault's end. */
         ROUTER_TERM(Target.ROUTER, false),
+        /** A router gets SIGHUP with settings that differ, and once more at the fault's end. */
+        ROUTER_RELOAD(Target.ROUTER, false),
         /** A router's process stands still, and wakes up believing that no time went by. */
         ROUTER_PAUSE(Target.ROUTER, false),
         /**
