--- a/src/main/java/beaconturn/ledger/OneAnswer.java
+++ b/src/main/java/beaconturn/ledger/OneAnswer.java
@@ -51,7 +51,8 @@
         for (Entry.HalfSent half : evidence.all(Entry.HalfSent.class)) {
             boolean stopped = evidence.all(Entry.Stopped.class).stream()
                 .anyMatch(stop -> stop.router() == half.router() && stop.at() <= half.at());
-            check(stopped, half.at(), half.id(), "", "its connection ended over a command that had begun");
+            check(stopped, half.at(), half.id(), "router " + half.router(),
+                "its connection ended over a command that had begun");
         }
     }
 
--- a/src/main/java/beaconturn/net/ClientEvents.java
+++ b/src/main/java/beaconturn/net/ClientEvents.java
@@ -3,6 +3,8 @@
 import beaconturn.core.LogBudget;
 import beaconturn.protocol.RespValue;
 import java.util.Collection;
+import java.util.EnumMap;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Logger;
 import java.util.stream.Collectors;
@@ -22,7 +24,15 @@
     private static final int LONGEST_ID = 32;
     private final AtomicLong connections = new AtomicLong();
     private final LogBudget rejections = new LogBudget(LOG, BURST, PER_SECOND);
-    private final LogBudget ends = new LogBudget(LOG, BURST, PER_SECOND);
+    private final LogBudget malformed = new LogBudget(LOG, BURST, PER_SECOND);
+    /** A budget for each reason: a crowd that is let go hides no other end. */
+    private final Map<EndReason, LogBudget> ends = new EnumMap<>(EndReason.class);
+
+    ClientEvents() {
+        for (EndReason reason : EndReason.values()) {
+            ends.put(reason, new LogBudget(LOG, BURST, PER_SECOND));
+        }
+    }
 
     /** The number of a new connection, from 1. */
     long connected() {
@@ -49,8 +59,8 @@
 
     /** What came on a connection cannot be split into commands; it ends after so many answers. */
     void malformed(long connection, String why, int owed, long now) {
-        if (ends.allows(now)) {
-            ends.write("connection " + connection + ": malformed input: " + why + "; ends after " + owed
+        if (malformed.allows(now)) {
+            malformed.write("connection " + connection + ": malformed input: " + why + "; ends after " + owed
                 + " answers");
         }
     }
@@ -67,8 +77,8 @@
             String ids = unanswered.stream().map(ClientCall::id).collect(Collectors.joining(" "));
             LOG.warning("connection " + connection + " ends with " + unwritten + " answers owed: " + reason
                 + "; unanswered: " + ids);
-        } else if (reason.notable() && ends.allows(now)) {
-            ends.write("connection " + connection + " ends: " + reason);
+        } else if (reason.notable() && ends.get(reason).allows(now)) {
+            ends.get(reason).write("connection " + connection + " ends: " + reason);
         }
     }
 }
