--- a/src/main/java/beaconturn/ledger/Entry.java
+++ b/src/main/java/beaconturn/ledger/Entry.java
@@ -43,8 +43,11 @@
      */
     record Crossed(long at, String id) implements Entry { }
 
-    /** A connection was ended by its router while a client was in the middle of a command. */
-    record HalfSent(long at, String id, int router) implements Entry { }
+    /**
+     * A connection was ended by its router while a client was in the middle of commands, which it had
+     * {@code begun} to write; {@code resting} if nothing else was open.
+     */
+    record HalfSent(long at, String id, int router, long begun, boolean resting) implements Entry { }
 
     /** The answers in front of a request's own on its connection were all there at that time. */
     record InFront(long at, String id) implements Entry { }
--- a/src/main/java/beaconturn/ledger/Evidence.java
+++ b/src/main/java/beaconturn/ledger/Evidence.java
@@ -24,7 +24,8 @@
         private final List<Entry.Answered> answers = new ArrayList<>();
         private final List<Entry.Sent> sends = new ArrayList<>();
         private int crossings;
-        private long inFrontUntil = Long.MIN_VALUE;
+        /** 0 where nothing is said. */
+        private long inFrontUntil;
 
         private Case(String id) {
             this.id = id;
--- a/src/main/java/beaconturn/ledger/OneAnswer.java
+++ b/src/main/java/beaconturn/ledger/OneAnswer.java
@@ -4,6 +4,9 @@
 
 /** Every request that a router took has exactly one final answer, in time. */
 final class OneAnswer extends Rule {
+    /** Bytes that are written before the end of their connection is seen were on their way for so long. */
+    private static final long ON_ITS_WAY = 40_000_000;
+
     OneAnswer() {
         super("one-answer", "exactly one final answer, before the deadline");
     }
@@ -26,7 +29,8 @@
                 check(finals.size() == 1, finals.get(finals.size() - 1).at(), one.id(), "",
                     finals.size() + " final answers");
                 // What an answer waits for those in front of it on its connection does not count.
-                long from = Math.max(asked.at(), one.inFrontUntil() - (asked.deadline() - asked.at()));
+                long from = one.inFrontUntil() == 0 ? asked.at()
+                    : Math.max(asked.at(), one.inFrontUntil() - (asked.deadline() - asked.at()));
                 long took = evidence.between(from, first.at());
                 long late = took - (asked.deadline() - asked.at());
                 boolean kept = late <= evidence.terms().answerSlack() || killed(evidence, asked, first.at());
@@ -46,12 +50,13 @@
         }
     }
 
-    /** A command that has begun to arrive is let come, but by a router that ends. */
+    /** A command that has begun to arrive is let come, but by a router that stops or if it crosses an end. */
     private void halfSent(Evidence evidence) {
         for (Entry.HalfSent half : evidence.all(Entry.HalfSent.class)) {
             boolean stopped = evidence.all(Entry.Stopped.class).stream()
                 .anyMatch(stop -> stop.router() == half.router() && stop.at() <= half.at());
-            check(stopped, half.at(), half.id(), "router " + half.router(),
+            boolean crossed = half.resting() && evidence.between(half.begun(), half.at()) <= ON_ITS_WAY;
+            check(stopped || crossed, half.at(), half.id(), "router " + half.router(),
                 "its connection ended over a command that had begun");
         }
     }
--- a/src/main/java/beaconturn/net/ClientConnection.java
+++ b/src/main/java/beaconturn/net/ClientConnection.java
@@ -13,7 +13,6 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Semaphore;
@@ -27,7 +26,7 @@
  * One client: reads commands as the poller says that bytes are there, and hands the requests to the module.
  * Reading goes on while requests are out, so that a client's close is seen at once.
  */
-final class ClientConnection {
+class ClientConnection {
     private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
     /** How long a client may take to close its end of a connection that the router has ended. */
     static final int LINGER_MILLIS = 250;
@@ -49,17 +48,13 @@
     private final ClientWriter writer;
     private final long number;
     private final long since;
-    private final List<ClientCall> calls = new ArrayList<>(2);
+    private final OpenCalls calls = new OpenCalls();
+    private final PartialCommand partial = new PartialCommand();
     private final AtomicBoolean left = new AtomicBoolean();
     private volatile boolean spoke;
     private volatile boolean paused;
     /** Why it is to end, or null. */
     private volatile EndReason toEnd;
-    /** By what the command that was half read is known, as the connection was chosen to end. */
-    private volatile long chosenAt = NEVER;
-    /** When bytes came last. */
-    private volatile long heardAt;
-    private volatile long halfReadSince = NEVER;
     private volatile boolean largeInHand;
     /** Since when the router has been stopping, or {@code Long.MAX_VALUE} if it has not. */
     private volatile long stoppingSince = NEVER;
@@ -91,7 +86,7 @@
 
     /** Since when no request is out and none half read, or {@code Long.MAX_VALUE} if one is. */
     long quietSince() {
-        return halfReadSince == NEVER && toEnd == null ? writer.quietSince() : NEVER;
+        return !partial.exists() && toEnd == null ? writer.quietSince() : NEVER;
     }
 
     /**
@@ -99,18 +94,18 @@
      * the first byte: a client that sends one now and then would else hold its place for ever.
      */
     long halfReadSince() {
-        return halfReadSince;
+        return partial.since();
     }
 
     /** Since when the client has sent nothing at all, or {@code Long.MAX_VALUE} if it has. */
     long silentSince() {
-        return spoke || halfReadSince != NEVER || leaving() || closingSince() != NEVER ? NEVER : since;
+        return spoke || partial.exists() || leaving() || closingSince() != NEVER ? NEVER : since;
     }
 
     /** Since when nothing more has come of half a command, or {@code Long.MAX_VALUE} if none waits. */
     long stalledSince() {
-        boolean stalled = halfReadSince != NEVER && toEnd == null && !paused && writer.quietSince() != NEVER;
-        return stalled ? heardAt : NEVER;
+        boolean stalled = partial.exists() && toEnd == null && !paused && writer.quietSince() != NEVER;
+        return stalled ? partial.heardAt() : NEVER;
     }
 
     /** Since when an answer is being written, or {@code Long.MAX_VALUE} if none is. */
@@ -129,7 +124,7 @@
      */
     void endIfQuiet(EndReason reason) {
         if (writer.quietSince() != NEVER && !paused) {
-            chosenAt = reason == EndReason.SLOW_COMMAND ? halfReadSince : heardAt;
+            partial.chosen(reason);
             toEnd = reason;
             site.poller().call(this);
         }
@@ -156,18 +151,14 @@
     private void endUnlessMoreCame() throws IOException {
         EndReason reason = toEnd;
         toEnd = null;
-        if (nothingCame() && (halfReadSince == NEVER || overSameCommand(reason)) && writer.finishIfQuiet()) {
+        if (nothingCame() && (!partial.exists() || mayEndOverCommand(reason)) && writer.finishIfQuiet()) {
             close(reason);
         }
     }
 
     /** Whether the command that is half read is the one for which the end was chosen. */
-    private boolean overSameCommand(EndReason reason) {
-        return switch (reason) {
-            case SLOW_COMMAND -> halfReadSince == chosenAt;
-            case STALLED_COMMAND -> heardAt == chosenAt;
-            default -> false;
-        };
+    boolean mayEndOverCommand(EndReason reason) {
+        return partial.isReason(reason);
     }
 
     /**
@@ -175,9 +166,9 @@
      * closed.
      */
     private void finishUnlessMoreCame() throws IOException {
-        boolean lateHalf = halfReadSince != NEVER
-            && site.clock().now() - Math.max(halfReadSince, stoppingSince) > LONGEST_HALF_AT_STOP;
-        if (nothingCame() && (lateHalf || halfReadSince == NEVER) && writer.finishIfQuiet()) {
+        boolean late = partial.exists()
+            && site.clock().now() - Math.max(partial.since(), stoppingSince) > LONGEST_HALF_AT_STOP;
+        if (nothingCame() && (late || !partial.exists()) && writer.finishIfQuiet()) {
             finished = true;
         }
     }
@@ -198,7 +189,7 @@
         }
         Sockets.close(channel);
         int unwritten = writer.abandon();
-        List<ClientCall> open = unanswered();
+        List<ClientCall> open = calls.unanswered();
         site.events().ended(number, reason, open, unwritten, site.clock().now());
         for (ClientCall call : open) {
             // First what the threads that write to cache servers look at.
@@ -276,7 +267,7 @@
                 close(EndReason.DEFECT);
                 return;
             }
-            for (ClientCall call : unanswered()) {
+            for (ClientCall call : calls.unanswered()) {
                 call.failed();
                 site.module().accept(new Message.Left(call));
             }
@@ -288,12 +279,6 @@
         }
     }
 
-    private List<ClientCall> unanswered() {
-        synchronized (calls) {
-            return calls.stream().filter(call -> !call.isFilled()).toList();
-        }
-    }
-
     private void awaitNext() {
         EndReason broken = writer.brokenBy();
         if (broken != null) {
@@ -327,8 +312,7 @@
             // What came just before the end is not handled: nobody waits for it.
             close(EndReason.CLIENT_LEFT);
         } else if (got > 0) {
-            heardAt = site.clock().now();
-            halfReadSince = Math.min(halfReadSince, heardAt);
+            partial.heard(site.clock().now());
             parse();
         }
     }
@@ -340,7 +324,7 @@
             while (next != null) {
                 commands++;
                 command(next);
-                halfReadSince = in.isEmpty() ? NEVER : site.clock().now();
+                partial.taken(!in.isEmpty(), site.clock().now());
                 next = nextCommand();
             }
             if (in.large() && !largeInHand && !malformed) {
@@ -381,16 +365,18 @@
         } catch (InvalidCommandException e) {
             rejections.note();
             site.events().rejected(number, value, e.getMessage(), site.clock().now());
-            writer.take(Reply.of(RespWriter.failure("ERR " + e.getMessage())));
+            rejected(e.getMessage());
         }
     }
 
+    /** The command at hand gets an error in its place. */
+    void rejected(String reason) {
+        writer.take(Reply.of(RespWriter.failure("ERR " + reason)));
+    }
+
     private void request(ClientCall call) {
         if (writer.take(call)) {
-            synchronized (calls) {
-                calls.removeIf(Reply::isFilled);
-                calls.add(call);
-            }
+            calls.add(call);
             call.taken();
             if (in.lastArrivedAt() > stoppingSince) {
                 call.refused(call.settings().permissions().retryAfter() ? RETRY_ELSEWHERE : 0);
@@ -434,9 +420,7 @@
     /** Answers have been written; when all are, nothing of them is kept while the connection is idle. */
     private void written(boolean quiet) {
         if (quiet) {
-            synchronized (calls) {
-                calls.removeIf(Reply::isFilled);
-            }
+            calls.forgetAnswered();
             if (!largeInHand) {
                 giveBackLarge();
             }
@@ -458,7 +442,7 @@
      * Input that cannot be split into commands: what came before it is answered, then one error, then the
      * connection ends.
      */
-    private void malformed(String reason) {
+    final void malformed(String reason) {
         malformed = true;
         site.events().malformed(number, reason, writer.owed(), site.clock().now());
         writer.take(Reply.of(RespWriter.failure("ERR " + reason)));
--- a/src/main/java/beaconturn/net/RouterServer.java
+++ b/src/main/java/beaconturn/net/RouterServer.java
@@ -67,6 +67,11 @@
             return LONGEST_FOR_FIRST_LIST;
         }
 
+        /** How a client's connection is served. */
+        default ClientConnection connection(SocketChannel client, ClientConnection.Site site) {
+            return new ClientConnection(client, site);
+        }
+
         /** Where clients, cache servers and discovery post. */
         default Consumer<Message> inbox(Consumer<Message> mailbox) {
             return mailbox;
@@ -423,7 +428,7 @@
     private void accepted(SocketChannel client) {
         // The one accepting thread must not be held up by clients that keep others at work.
         if (clients.makeRoom(clock.now())) {
-            ClientConnection connection = new ClientConnection(client, site);
+            ClientConnection connection = hosting.connection(client, site);
             clients.add(connection);
             connection.start();
         } else {
--- a/src/main/java/beaconturn/rehearsal/ClientCrowd.java
+++ b/src/main/java/beaconturn/rehearsal/ClientCrowd.java
@@ -134,7 +134,7 @@
             return;
         }
         if (line == null) {
-            line = new ClientLine(routers.get(sent.router()), clock, account, this, !silent.isEmpty());
+            line = new ClientLine(routers.get(sent.router()), clock, account, this, scenario.crowded());
             line.start();
         }
         line.ask(sent);
--- a/src/main/java/beaconturn/rehearsal/PipelinedClients.java
+++ b/src/main/java/beaconturn/rehearsal/PipelinedClients.java
@@ -44,7 +44,8 @@
         PipelinedLine line = lines.get(place(one));
         if (line == null || !line.ask(one)) {
             line = new PipelinedLine(routers.get(one.router()), ++made, clock, account, owner,
-                scenario.clients().get(one.planned().stream()).conduct(), scenario.seed());
+                scenario.clients().get(one.planned().stream()).conduct(), scenario.crowded(),
+                scenario.seed());
             lines.put(place(one), line);
             line.ask(one);
             line.start();
--- a/src/main/java/beaconturn/rehearsal/PipelinedLine.java
+++ b/src/main/java/beaconturn/rehearsal/PipelinedLine.java
@@ -53,6 +53,7 @@
     private final Account account;
     private final ClientLine.Owner owner;
     private final Scenario.Conduct conduct;
+    private final boolean crowded;
     private final UniformRandomProvider random;
     private final InputBuffer in = new InputBuffer();
     /** When the last answer came, or 0; for the reading thread. */
@@ -79,15 +80,19 @@
         }
     }
 
-    /** A connection to a router, which is the {@code number}th of its play and draws its chance by that. */
+    /**
+     * A connection to a router, which is the {@code number}th of its play and draws its chance by that; new
+     * ones may be shut unread where it is {@code crowded}.
+     */
     PipelinedLine(InetSocketAddress router, int number, Clock clock, Account account, ClientLine.Owner owner,
-            Scenario.Conduct conduct, long seed) {
+            Scenario.Conduct conduct, boolean crowded, long seed) {
         this.router = router;
         this.number = number;
         this.clock = clock;
         this.account = account;
         this.owner = owner;
         this.conduct = conduct;
+        this.crowded = crowded;
         this.random = new Seeds(seed).of("pipeline " + number);
     }
 
@@ -346,17 +351,21 @@
         }
         close();
         long now = clock.now();
-        boolean crossed = byRouter && !broken.isEmpty() && broken.get(0).first
-            && now - broken.get(0).batchBegan <= CROSSING;
+        boolean resting = byRouter && !broken.isEmpty() && broken.get(0).first;
+        boolean crossed = resting && now - broken.get(0).batchBegan <= CROSSING;
         for (Command one : broken) {
             if (one.asked != null) {
-                brokenOff(one, now, crossed);
+                brokenOff(one, now, resting, crossed);
             }
         }
         unsent.forEach(owner::crossed);
     }
 
-    private void brokenOff(Command one, long now, boolean crossed) {
+    private void brokenOff(Command one, long now, boolean resting, boolean crossed) {
+        boolean turnedAway = crossed && crowded && answeredAt == 0;
+        if (!one.written && !turnedAway) {
+            account.add(new Entry.HalfSent(now, one.asked.id(), one.asked.router(), one.batchBegan, resting));
+        }
         if (crossed) {
             if (one.written) {
                 account.add(new Entry.Crossed(now, one.asked.id()));
@@ -370,7 +379,6 @@
             return;
         }
         if (!one.written) {
-            account.add(new Entry.HalfSent(now, one.asked.id(), one.asked.router()));
             unreached(one.asked);
             return;
         }
--- a/src/main/java/beaconturn/rehearsal/Scenario.java
+++ b/src/main/java/beaconturn/rehearsal/Scenario.java
@@ -213,6 +213,11 @@
         return fleet.sites().get(place % fleet.sites().size());
     }
 
+    /** Whether clients that say nothing take the places of others. */
+    boolean crowded() {
+        return clients.stream().anyMatch(c -> c.conduct().silent() > 0);
+    }
+
     /** Whether routers are to reach cache servers by links, as a fault cuts some. */
     boolean linksToCaches() {
         return release != null && release.spoilsLinks()
--- a/src/test/java/beaconturn/ledger/JudgeTest.java
+++ b/src/test/java/beaconturn/ledger/JudgeTest.java
@@ -127,6 +127,41 @@
         asked("read", 1000).told(Entry.Kind.FAILED, 2020, 0).breaks();
     }
 
+    /** Answers on a connection come in the order of its commands. */
+    @Test
+    void whatAnAnswerWaitsForThoseInFrontOfItDoesNotCount() {
+        asked("read", 1000).told(Entry.Kind.FAILED, 2500, 0).breaks("one-answer");
+        line(new Entry.InFront(2495 * MILLI, "id")).breaks();
+    }
+
+    @Test
+    void anAnswerIsLateAlsoAfterThoseInFrontOfIt() {
+        asked("read", 1000).told(Entry.Kind.FAILED, 2525, 0).line(new Entry.InFront(2495 * MILLI, "id"))
+            .breaks("one-answer");
+    }
+
+    @Test
+    void aCommandThatHasBegunIsLetComeUnlessItsRouterStops() {
+        line(new Entry.HalfSent(1500 * MILLI, "id", 0, 1450 * MILLI, true)).breaks("one-answer");
+        assertEquals("its connection ended over a command that had begun", firstOffence());
+        line(new Entry.Stopped(1600 * MILLI, 1600 * MILLI, 0, true)).breaks("one-answer");
+        line(new Entry.Stopped(1400 * MILLI, 1400 * MILLI, 0, true)).breaks();
+    }
+
+    @Test
+    void aCommandMayCrossTheEndOfARestingConnectionOnly() {
+        line(new Entry.HalfSent(1500 * MILLI, "id", 0, 1490 * MILLI, true)).breaks();
+        line(new Entry.HalfSent(1500 * MILLI, "id", 0, 1490 * MILLI, false)).breaks("one-answer");
+    }
+
+    /** A client that has left is owed nothing, and nothing is begun for it once its close can be seen. */
+    @Test
+    void nothingIsSentForAClientThatHasLeft() {
+        asked("read", 1000).told(Entry.Kind.LEFT, 1010, 0).breaks();
+        sent(1, "c1", 1100).made(1, Entry.Made.VALUE, 1120).breaks();
+        sent(2, "c2", 1400).made(2, Entry.Made.VALUE, 1420).breaks("nothing-after");
+    }
+
     @Test
     void aLateAnswerIsLate() {
         asked("read", 1000).told(Entry.Kind.FAILED, 2025, 0).breaks("one-answer");
--- a/src/test/java/beaconturn/net/BrokenRouter.java
+++ b/src/test/java/beaconturn/net/BrokenRouter.java
@@ -12,6 +12,7 @@
 import beaconturn.decision.Routing;
 import beaconturn.protocol.Slice;
 import java.io.IOException;
+import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -23,6 +24,7 @@
 /** Routers with a defect each, put in on purpose: what watches over routers must name every one of them. */
 public final class BrokenRouter implements RouterServer.Hosting {
     private static final int SOME = 15;
+    private static final long TOO_LONG = 60_000_000_000L;
     private final Defect defect;
     private int count;
     private Slice before;
@@ -42,7 +44,11 @@
         /** Every cache server is taken for a warm one. */
         OVERRUNS_COLD,
         /** Now and then a client gets the answer of another. */
-        SWAPS_ANSWERS
+        SWAPS_ANSWERS,
+        /** A command that is rejected ends its connection, whatever stands behind it. */
+        ENDS_AT_REJECTION,
+        /** Connections are ended over commands that have begun. */
+        ENDS_OVER_COMMANDS
     }
 
     private BrokenRouter(Defect defect) {
@@ -54,6 +60,31 @@
         return new RouterServer(config, () -> config, new Lifecycle(), new BrokenRouter(defect), null, null);
     }
 
+    @Override
+    public ClientConnection connection(SocketChannel client, ClientConnection.Site site) {
+        return switch (defect) {
+            case ENDS_AT_REJECTION -> new ClientConnection(client, site) {
+                @Override
+                void rejected(String reason) {
+                    malformed(reason);
+                }
+            };
+            case ENDS_OVER_COMMANDS -> new ClientConnection(client, site) {
+                @Override
+                long halfReadSince() {
+                    // Long ago, however soon it is.
+                    return super.halfReadSince() - TOO_LONG;
+                }
+
+                @Override
+                boolean mayEndOverCommand(EndReason reason) {
+                    return true;
+                }
+            };
+            default -> new ClientConnection(client, site);
+        };
+    }
+
     @Override
     public Consumer<Message> inbox(Consumer<Message> mailbox) {
         return message -> {
--- a/src/test/java/beaconturn/net/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/ClientConnectionsTest.java
@@ -1,6 +1,7 @@
 package beaconturn.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -491,4 +492,20 @@
         assertEquals("end", client.answer());
         assertEquals(0, ids.count());
     }
+
+    /** Half-begun crowds must not keep others out; a client that writes slowly must not be taken for one. */
+    @Test
+    void aCommandThatStandsStillMakesRoomLastOfAll() throws Exception {
+        client.write(GET.substring(0, 9));
+        awaitHalfRead();
+        now.addAndGet(SECOND * 2 / 5);
+        assertFalse(connections.makeRoom(now.get()));
+        client.write(GET.substring(9, 12));
+        Peer.until(() -> connection.stalledSince() == now.get());
+        now.addAndGet(SECOND * 2 / 5);
+        assertFalse(connections.makeRoom(now.get()));
+        now.addAndGet(SECOND / 5);
+        assertTrue(connections.makeRoom(now.get()));
+        assertEquals("end", client.answer());
+    }
 }
--- a/src/test/java/beaconturn/rehearsal/BrokenRoutersTest.java
+++ b/src/test/java/beaconturn/rehearsal/BrokenRoutersTest.java
@@ -55,6 +55,21 @@
         from = "300ms"
         to = "600ms"
         """;
+    /** Beside the usual clients others, which send several commands at once and wrong ones among them. */
+    private static final String PIPELINES = """
+        [[class]]
+        name = "level"
+        [[clients]]
+        rate = 150
+        pipeline = 8
+        wrong = 0.2
+        """;
+    /** Beside the usual clients others, which write in pieces. */
+    private static final String PIECES = """
+        [[clients]]
+        rate = 100
+        pieces = 1
+        """;
     @TempDir
     private Path folder;
 
@@ -71,7 +86,8 @@
     @CsvSource({"ANSWERS_TWICE, one-answer, none", "LOSES, one-answer, none",
         "SWAPS_ANSWERS, made-for-it, none",
         "REPEATS_UNSAFE, no-effect-twice, resets", "IGNORES_DRAINS, drains-kept, drain",
-        "OVERRUNS_COLD, cold-kept, restart"})
+        "OVERRUNS_COLD, cold-kept, restart", "ENDS_AT_REJECTION, one-answer, pipelines",
+        "ENDS_OVER_COMMANDS, one-answer, pieces"})
     void theDefectIsNamedAndTheSameDayWithoutItBreaksNothing(BrokenRouter.Defect defect, String rule,
         String day)
             throws Exception {
@@ -79,6 +95,8 @@
             case "resets" -> RESETS;
             case "drain" -> DRAIN;
             case "restart" -> RESTART;
+            case "pipelines" -> PIPELINES;
+            case "pieces" -> PIECES;
             default -> "";
         };
         play(defect, fault, broken -> assertTrue(broken.contains(rule), defect + " broke " + broken));
--- a/src/test/java/beaconturn/rehearsal/ScenarioReaderTest.java
+++ b/src/test/java/beaconturn/rehearsal/ScenarioReaderTest.java
@@ -31,8 +31,12 @@
         for (long seed = 1; seed <= 100; seed++) {
             for (Storm.About about : Storm.About.values()) {
                 assertEquals(Storm.text(about, seed, 5), Storm.text(about, seed, 5));
-                assertEquals(5, Storm.of(about, seed, 5).routers().size());
+                int routers = Storm.of(about, seed, 5).routers().size();
+                // Storms of clients draw how many routers there are.
+                assertTrue(about == Storm.About.CLIENTS ? routers >= 3 && routers <= 6 : routers == 5);
             }
+            Storm.of(Storm.About.CLIENTS, seed, 5).faults().forEach(f -> kinds.add("of clients "
+                + f.kind().word()));
             Scenario release = Storm.of(Storm.About.RELEASES, seed, 5);
             release.faults().forEach(f -> kinds.add("of release " + f.kind().word()));
             release.orders().forEach(o -> kinds.add(o.what()));
@@ -46,6 +50,9 @@
             Storm.of(Storm.About.PLACES, seed, 5).faults().forEach(f -> kinds.add("of places "
                 + f.kind().word() + " " + f.way()));
         }
+        assertTrue(kinds.containsAll(List.of("of clients router-reload", "of clients router-term",
+            "of clients router-kill", "of clients router-pause", "of clients drain",
+            "of clients discovery-out")), kinds.toString());
         assertTrue(kinds.containsAll(List.of("link-cut", "site-cut", "store-empty", "router-pause",
             "of places unlist ", "of places kill ", "of places answer-lost south",
             "of release agent-kill", "of release store-back", "drain", "budget", "halt", "back")),
