--- a/src/main/java/beaconturn/cli/ServeCommand.java
+++ b/src/main/java/beaconturn/cli/ServeCommand.java
@@ -9,6 +9,8 @@
 import com.beust.jcommander.Parameters;
 import com.beust.jcommander.ParametersDelegate;
 import java.io.IOException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.logging.Logger;
 
 /** Runs one real router until it is told to stop. */
@@ -23,6 +25,13 @@
     @Override
     public int execute() {
         Logs.start();
+        // Before all else: a SIGHUP that nobody handles would end the process.
+        AtomicBoolean asked = new AtomicBoolean();
+        AtomicReference<RouterServer> serving = new AtomicReference<>();
+        HangUpSignal.handle(() -> {
+            asked.set(true);
+            reload(serving.get());
+        });
         Lifecycle lifecycle = new Lifecycle();
         if (Long.getLong(Clock.OFF, 0) != 0) {
             Logger.getLogger(ServeCommand.class.getName()).warning("the wall clock is "
@@ -34,7 +43,10 @@
                 features == null ? null : FeaturesFile.agreed(features, read),
                 features == null ? null : FeaturesFile.placing(features, read));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(server), "drain"));
-            HangUpSignal.handle(server::reload);
+            serving.set(server);
+            if (asked.get()) {
+                reload(server);
+            }
             server.start();
             lifecycle.await(Lifecycle.Phase.STOPPED);
             return 0;
@@ -47,6 +59,13 @@
         }
     }
 
+    /** What is asked for before there is a router is caught up with once there is one. */
+    private static void reload(RouterServer server) {
+        if (server != null) {
+            server.reload();
+        }
+    }
+
     private static void stop(RouterServer server) {
         try {
             server.drain();
--- a/src/main/java/beaconturn/ledger/Entry.java
+++ b/src/main/java/beaconturn/ledger/Entry.java
@@ -39,9 +39,14 @@
 
     /**
      * A connection was found closed when a request was written on it; the client asks once more on a new
-     * one.
+     * one. What was written with it had {@code begun} then.
      */
-    record Crossed(long at, String id) implements Entry { }
+    record Crossed(long at, String id, long begun) implements Entry {
+        /** One that was written in a moment. */
+        public Crossed(long at, String id) {
+            this(at, id, at);
+        }
+    }
 
     /**
      * A connection was ended by its router while a client was in the middle of commands, which it had
--- a/src/main/java/beaconturn/ledger/OneAnswer.java
+++ b/src/main/java/beaconturn/ledger/OneAnswer.java
@@ -6,6 +6,8 @@
 final class OneAnswer extends Rule {
     /** Bytes that are written before the end of their connection is seen were on their way for so long. */
     private static final long ON_ITS_WAY = 40_000_000;
+    /** An end that comes so soon after commands had begun to be written may have crossed whole ones. */
+    private static final long CROSSING = 150_000_000;
 
     OneAnswer() {
         super("one-answer", "exactly one final answer, before the deadline");
@@ -47,6 +49,8 @@
             boolean taken = one.sends().stream().anyMatch(sent -> sent.at() < crossed.at());
             boolean killed = killed(evidence, one.firstAsked(), crossed.at());
             check(!taken || killed, crossed.at(), one.id(), "", "its connection ended after it was taken");
+            boolean late = evidence.between(crossed.begun(), crossed.at()) > CROSSING;
+            check(!late || killed, crossed.at(), one.id(), "", "its connection ended with no answer");
         }
     }
 
--- a/src/test/java/beaconturn/ledger/JudgeTest.java
+++ b/src/test/java/beaconturn/ledger/JudgeTest.java
@@ -148,6 +148,13 @@
         line(new Entry.Stopped(1400 * MILLI, 1400 * MILLI, 0, true)).breaks();
     }
 
+    @Test
+    void anEndLongAfterCommandsHadBegunDoesNotCrossThem() {
+        asked("read", 1000).line(new Entry.Crossed(1145 * MILLI, "id", 1000 * MILLI)).breaks();
+        line(new Entry.Crossed(1155 * MILLI, "id", 1000 * MILLI)).breaks("one-answer");
+        line(new Entry.Paused(1100 * MILLI, 1110 * MILLI)).breaks();
+    }
+
     @Test
     void aCommandMayCrossTheEndOfARestingConnectionOnly() {
         line(new Entry.HalfSent(1500 * MILLI, "id", 0, 1490 * MILLI, true)).breaks();
