What arrives while the process is stopped counts from the begin of the wait

Change: the poller waits for 50 ms at the most; a wait that took over 200 ms did not end when it should, and what it finds came at the earliest when it began.

--- a/src/main/java/beaconturn/net/ClientPoller.java
+++ b/src/main/java/beaconturn/net/ClientPoller.java
@@ -22,6 +22,10 @@
     private static final Logger LOG = Logger.getLogger(ClientPoller.class.getName());
     /** Between failures of the selector itself: a lasting one must not spin. */
     private static final long PAUSE_NANOS = 10_000_000;
+    /** How long the poller waits at the most before it looks at the clock. */
+    private static final long LONGEST_WAIT_MILLIS = 50;
+    /** A wait that took so long did not end when it should: the process stood still, or had no processor. */
+    private static final long STOOD_STILL = 200_000_000;
     private final Selector selector;
     private final Clock clock;
     private final Queue<ClientConnection> called = new ConcurrentLinkedQueue<>();
@@ -83,7 +87,8 @@
 
     /**
      * What is there at once may have come at any time since the last look, while this thread was busy; what
-     * has to be waited for comes as the wait ends.
+     * has to be waited for comes as the wait ends. A process that was stopped meanwhile cannot tell when what
+     * it then finds came: at the earliest when the wait began, and that is what counts.
      */
     private void look() throws IOException {
         arrivedAt = lookedAt;
@@ -91,14 +96,15 @@
         // That look takes a wake-up with it: what was called for before it must not be waited for.
         if (selector.selectNow(this::ready) == 0 && called.isEmpty() && closed.isEmpty() && freed.isEmpty()) {
             arrivedAt = NOT_YET;
-            selector.select(this::ready);
+            selector.select(this::ready, LONGEST_WAIT_MILLIS);
             lookedAt = arrivedAt == NOT_YET ? clock.now() : arrivedAt;
         }
     }
 
     private void ready(SelectionKey key) {
         if (arrivedAt == NOT_YET) {
-            arrivedAt = clock.now();
+            long now = clock.now();
+            arrivedAt = now - lookedAt > STOOD_STILL ? lookedAt : now;
         }
         ((ClientConnection) key.attachment()).ready(key, arrivedAt);
     }
