--- a/src/main/java/beaconturn/core/LogBudget.java
+++ b/src/main/java/beaconturn/core/LogBudget.java
@@ -1,6 +1,6 @@
 package beaconturn.core;
 
-import java.util.logging.Level;
+import java.util.function.Supplier;
 import java.util.logging.Logger;
 
 /**
@@ -27,28 +27,30 @@
         this.tokens = burst;
     }
 
-    /** Whether a line may be logged at that time, in nanoseconds; if not, it is counted as left out. */
-    public synchronized boolean allows(long now) {
+    /** Logs the line if there is budget for it at that time, in nanoseconds; else counts it as left out. */
+    public void log(long now, Supplier<String> line) {
+        long before;
+        synchronized (this) {
+            if (!spend(now)) {
+                leftOut++;
+                return;
+            }
+            before = leftOut;
+            leftOut = 0;
+        }
+        log.info(before == 0 ? line.get() : line.get() + " (" + before + " such lines left out before)");
+    }
+
+    private boolean spend(long now) {
         if (begun) {
             tokens = Math.min(burst, tokens + Math.max(0, now - refilledAt) * perSecond / SECOND);
         }
         begun = true;
         refilledAt = now;
         if (tokens < 1) {
-            leftOut++;
             return false;
         }
         tokens--;
         return true;
     }
-
-    /** Logs a line that was allowed. */
-    public void write(String line) {
-        long before;
-        synchronized (this) {
-            before = leftOut;
-            leftOut = 0;
-        }
-        log.log(Level.INFO, before == 0 ? line : line + " (" + before + " such lines left out before)");
-    }
 }
--- a/src/main/java/beaconturn/core/RequestEvents.java
+++ b/src/main/java/beaconturn/core/RequestEvents.java
@@ -25,25 +25,19 @@
     /** A request is answered with a refusal. */
     void refused(RequestTable.Entry request, Routing.Why why, long now) {
         refusals.note(now);
-        if (refused.allows(now)) {
-            refused.write(line(request, "refused", why));
-        }
+        refused.log(now, () -> line(request, "refused", why));
     }
 
     /** A request is answered as failed. */
     void failed(RequestTable.Entry request, Routing.Why why, long now) {
         failures.note(now);
-        if (failed.allows(now)) {
-            failed.write(line(request, "failed", why));
-        }
+        failed.log(now, () -> line(request, "failed", why));
     }
 
     /** A request has a further attempt, beside one that is out or after one that ended. */
     void retried(RequestTable.Entry request, String server, long now) {
-        if (retried.allows(now)) {
-            retried.write("request " + request.call().id() + ": attempt " + (request.attempts().size() + 1)
-                + " goes to " + server + " after " + attempts(request));
-        }
+        retried.log(now, () -> "request " + request.call().id() + ": attempt "
+            + (request.attempts().size() + 1) + " goes to " + server + " after " + attempts(request));
     }
 
     /** Ends the spells that are over; called now and then. */
--- a/src/main/java/beaconturn/net/ClientEvents.java
+++ b/src/main/java/beaconturn/net/ClientEvents.java
@@ -41,9 +41,8 @@
 
     /** A whole command got an error in its place. */
     void rejected(long connection, RespValue command, String why, long now) {
-        if (rejections.allows(now)) {
-            rejections.write("connection " + connection + ": command " + id(command) + " rejected: " + why);
-        }
+        rejections.log(now,
+            () -> "connection " + connection + ": command " + id(command) + " rejected: " + why);
     }
 
     private static String id(RespValue command) {
@@ -59,10 +58,8 @@
 
     /** What came on a connection cannot be split into commands; it ends after so many answers. */
     void malformed(long connection, String why, int owed, long now) {
-        if (malformed.allows(now)) {
-            malformed.write("connection " + connection + ": malformed input: " + why + "; ends after " + owed
-                + " answers");
-        }
+        malformed.log(now, () -> "connection " + connection + ": malformed input: " + why
+            + "; ends after " + owed + " answers");
     }
 
     /**
@@ -77,8 +74,8 @@
             String ids = unanswered.stream().map(ClientCall::id).collect(Collectors.joining(" "));
             LOG.warning("connection " + connection + " ends with " + unwritten + " answers owed: " + reason
                 + "; unanswered: " + ids);
-        } else if (reason.notable() && ends.get(reason).allows(now)) {
-            ends.get(reason).write("connection " + connection + " ends: " + reason);
+        } else if (reason.notable()) {
+            ends.get(reason).log(now, () -> "connection " + connection + " ends: " + reason);
         }
     }
 }
