The kit tells a command that has begun from one whose first byte is yet to come

Cause, by reading: what was written together ended a piece right behind a wrong command, which was answered; of the next command no byte had been written when its resting connection made room. The account now has each command's own first byte, and whether anything in front of it was open. Also a request that was answered before its writer noted it is noted all the same.

--- a/src/main/java/beaconturn/rehearsal/PipelinedLine.java
+++ b/src/main/java/beaconturn/rehearsal/PipelinedLine.java
@@ -69,8 +69,11 @@
         private final ClientLine.Try asked;
         private final byte[] bytes;
         private boolean written;
+        private boolean answered;
         private boolean first;
         private long batchBegan;
+        /** When its own first byte was written, or 0. */
+        private long begunAt;
 
         Command(ClientLine.Try asked, byte[] bytes) {
             this.asked = asked;
@@ -201,8 +204,10 @@
             // Each piece has a byte at least, and leaves one to each that follows.
             int spare = bytes.length - from - (pieces - piece);
             int size = piece == pieces ? spare : 1 + random.nextInt(spare);
+            long at = clock.now();
             to.getOutputStream().write(bytes, from, size);
             from += size;
+            begun(batch, from, at);
             while (said < ends.size() && ends.get(said) <= from) {
                 asked(batch.get(said++));
             }
@@ -212,6 +217,15 @@
         }
     }
 
+    /** So many bytes of what is written together are out, the last of them since a time. */
+    private synchronized void begun(List<Command> batch, int written, long at) {
+        int start = 0;
+        for (Command one : batch) {
+            one.begunAt = one.begunAt == 0 && start < written ? at : one.begunAt;
+            start += one.bytes.length;
+        }
+    }
+
     private Socket connect(List<Command> batch) throws IOException {
         synchronized (this) {
             if (socket != null) {
@@ -238,7 +252,7 @@
     }
 
     private synchronized void asked(Command one) {
-        if (over) {
+        if (over && !one.answered) {
             // The end was seen first, and what became of the command has been told.
             return;
         }
@@ -260,6 +274,9 @@
                 Command one;
                 synchronized (this) {
                     one = open.poll();
+                    if (one != null) {
+                        one.answered = true;
+                    }
                     notifyAll();
                 }
                 answered(one, value);
@@ -357,16 +374,17 @@
         boolean crossed = byRouter && !broken.isEmpty() && broken.get(0).first;
         for (Command one : broken) {
             if (one.asked != null) {
-                brokenOff(one, now, crossed);
+                brokenOff(one, now, crossed, one == broken.get(0));
             }
         }
         unsent.forEach(owner::crossed);
     }
 
-    private void brokenOff(Command one, long now, boolean crossed) {
+    private void brokenOff(Command one, long now, boolean crossed, boolean nothingInFront) {
         boolean turnedAway = crossed && crowded && answeredAt == 0;
-        if (!one.written && !turnedAway) {
-            account.add(new Entry.HalfSent(now, one.asked.id(), one.asked.router(), one.batchBegan, crossed));
+        if (!one.written && one.begunAt != 0 && !turnedAway) {
+            account.add(new Entry.HalfSent(now, one.asked.id(), one.asked.router(), one.begunAt,
+                nothingInFront));
         }
         if (crossed) {
             if (one.written) {
