Tests whose clock jumps have a poller that waits without end, as before

Cause: since the poller looks at the clock every 50 ms, a look can fall between the test's jump of its clock and the bytes it writes then, which counts them from before the jump, as it should; the test then waits for a refusal that does not come. With a clock that runs that moment is some microseconds. The test's pollers wait without end again; no assertion is changed. ClientConnectionsTest passed.

--- a/src/main/java/beaconturn/net/ClientPoller.java
+++ b/src/main/java/beaconturn/net/ClientPoller.java
@@ -28,6 +28,7 @@
     private static final long STOOD_STILL = 200_000_000;
     private final Selector selector;
     private final Clock clock;
+    private final long longestWaitMillis;
     private final Queue<ClientConnection> called = new ConcurrentLinkedQueue<>();
     private final Queue<ClientConnection> closed = new ConcurrentLinkedQueue<>();
 
@@ -37,7 +38,13 @@
     private long arrivedAt;
 
     ClientPoller(Clock clock) throws IOException {
+        this(clock, LONGEST_WAIT_MILLIS);
+    }
+
+    /** A poller that waits for so many milliseconds at the most; 0 is without end, for a clock that jumps. */
+    ClientPoller(Clock clock, long longestWaitMillis) throws IOException {
         this.clock = clock;
+        this.longestWaitMillis = longestWaitMillis;
         this.selector = Selector.open();
         this.lookedAt = clock.now();
     }
@@ -96,7 +103,7 @@
         // That look takes a wake-up with it: what was called for before it must not be waited for.
         if (selector.selectNow(this::ready) == 0 && called.isEmpty() && closed.isEmpty() && freed.isEmpty()) {
             arrivedAt = NOT_YET;
-            selector.select(this::ready, LONGEST_WAIT_MILLIS);
+            selector.select(this::ready, longestWaitMillis);
             lookedAt = arrivedAt == NOT_YET ? clock.now() : arrivedAt;
         }
     }
--- a/src/test/java/beaconturn/net/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/ClientConnectionsTest.java
@@ -49,7 +49,7 @@
     @BeforeEach
     void connect() throws IOException {
         server = ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        poller = new ClientPoller(now::get);
+        poller = new ClientPoller(now::get, 0);
         poller.start();
         connect(poller);
     }
@@ -107,7 +107,7 @@
     /** A poller that has too much to do has not read what its client wrote long ago. */
     @Test
     void whatTheKernelHoldsIsLookedAtBeforeASilentConnectionIsClosed() throws Exception {
-        ClientPoller late = new ClientPoller(now::get);
+        ClientPoller late = new ClientPoller(now::get, 0);
         connect(late);
         client.write(GET);
         now.addAndGet(3 * SECOND);
@@ -138,7 +138,7 @@
     /** A descriptor is free when the selector has gone round; counted as free before, they run out. */
     @Test
     void aClosedConnectionCountsUntilItsDescriptorIsFree() throws Exception {
-        ClientPoller late = new ClientPoller(now::get);
+        ClientPoller late = new ClientPoller(now::get, 0);
         connect(late);
         connection.close(EndReason.CLIENT_LEFT);
         assertEquals(2, connections.count());
@@ -223,7 +223,7 @@
     /** A client that has gone waits for nothing: what it wrote just before is not sent on. */
     @Test
     void aRequestWhoseClientHasClosedBehindItIsNotHandled() throws Exception {
-        ClientPoller late = new ClientPoller(now::get);
+        ClientPoller late = new ClientPoller(now::get, 0);
         connect(late);
         client.write(GET);
         client.hangUp();
