--- a/src/test/java/beaconturn/net/RouterServerTest.java
+++ b/src/test/java/beaconturn/net/RouterServerTest.java
@@ -356,6 +356,21 @@
         }
     }
 
+    /** A client that was sent off under longer deadlines cannot know of the new ones yet. */
+    @Test
+    void aWaitOfTheSettingsBeforeIsStillInRange() throws Exception {
+        surroundings = OPERATED;
+        try (Peer cache = answering(); Peer.Line client = start(cache, silentRegistry)) {
+            settings = Samples.read("classes.0.hard_limit", "500000000");
+            newConfigs.add(config(cache, silentRegistry));
+            router.reload();
+            Peer.until(() -> figures("conf_loaded").equals("1"));
+            client.write(GET);
+            assertEquals("$2\r\nva", client.answer());
+            rejected("a", "i2", "c=read,d=4001");
+        }
+    }
+
     private static String write(String id) {
         return "*5\r\n$5\r\nC.SET\r\n$16\r\n00000000000000a1\r\n" + RespWriter.bulk(id)
             + "$17\r\nc=ack,d=1500,k=k7\r\n$1\r\nx\r\n";
