--- a/review/src/Kit.java
+++ b/review/src/Kit.java
@@ -72,6 +72,14 @@
 
   /** Runs a case and ends the process with its result. */
   static void main(Record record, java.util.concurrent.Callable<Integer> play) {
+    thread(
+        "limit",
+        () -> {
+          sleep(110_000);
+          record.line("RESULT 2: not run to its end in 110 s");
+          record.close();
+          System.exit(NOT_RUN);
+        });
     int status;
     try {
       status = play.call();
