Long requests no longer wait unread for memory that unfinished ones hold

Cause: a command announced as longer than 4 KB took one of 96 permits as soon as its head had come and kept it until it was whole or timed out after 2.5 s. One without a permit stayed in the kernel after 16 KB: not refused, and its deadline not watched, as a deadline begins when the last byte is read. Permits of answered requests came back only when their connection was idle, so a client that always has a request open kept them for good.

Change: `LargeRequestMemory` counts bytes. A command needs a reservation once more than the 16 KB read-ahead has come, or when it is complete and over 4 KB. A reservation whose command still arrives is revoked after 0.2 s for another that arrives, at once for one that is complete. What finds no memory is read to its end without its value and rejected with -BUSY, so nothing waits. An answer frees the memory and drops the value, whatever is open on the connection; an attempt is therefore encoded before the last check that it may be written. A command that outgrows its reservation ends with an error: before, one permit let 64 arguments of 64 KiB in.

--- a/src/main/java/beaconturn/core/ClientRequest.java
+++ b/src/main/java/beaconturn/core/ClientRequest.java
@@ -36,7 +36,8 @@
 
   /**
    * Encodes the request for a cache server; {@code waitMillis} is the time limit stated in the
-   * encoded request.
+   * encoded request. The value may be missing if the request is completed meanwhile, so the caller
+   * checks {@link #isAwaited} again before it writes the result.
    */
   List<Slice> encode(long waitMillis);
 
--- a/src/main/java/beaconturn/net/ConnectionBudget.java
+++ b/src/main/java/beaconturn/net/ConnectionBudget.java
@@ -18,6 +18,8 @@
 
   private static final int KB_PER_MB = 1024;
 
+  private static final int BYTES_PER_KB = 1024;
+
   /** Tenths of the memory that the start command gives to the heap. */
   private static final int HEAP_TENTHS = 3;
 
@@ -60,6 +62,11 @@
         clients, descriptors / SOFT_LIMIT_DIVISOR, cacheConnections, largeRequests(memoryMb));
   }
 
+  /** The memory for large requests. */
+  long largeRequestBytes() {
+    return (long) largeRequests * LARGE_REQUEST_KB * BYTES_PER_KB;
+  }
+
   private static int heapMb(int memoryMb) {
     return memoryMb * HEAP_TENTHS / 10;
   }
--- a/src/main/java/beaconturn/net/RouterAssembly.java
+++ b/src/main/java/beaconturn/net/RouterAssembly.java
@@ -9,6 +9,7 @@
 import beaconturn.net.client.ClientEventLog;
 import beaconturn.net.client.ClientPoller;
 import beaconturn.net.client.ConnectionContext;
+import beaconturn.net.client.LargeRequestMemory;
 import beaconturn.net.client.PendingRequestIds;
 import beaconturn.net.discovery.DiscoveryWatcher;
 import beaconturn.net.discovery.EndpointListParser;
@@ -20,7 +21,6 @@
 import beaconturn.net.server.CacheServerThread;
 import beaconturn.net.server.WorkerPool;
 import java.io.IOException;
-import java.util.concurrent.Semaphore;
 import java.util.function.Consumer;
 
 /**
@@ -110,7 +110,7 @@
             inbox,
             poller,
             new PendingRequestIds(),
-            new Semaphore(budget.largeRequests()),
+            new LargeRequestMemory(budget.largeRequestBytes()),
             new ClientEventLog(),
             clients::remove);
     return new ClientAcceptor(clients, context, inputs.customization(), clock);
--- a/src/main/java/beaconturn/net/client/ClientConnection.java
+++ b/src/main/java/beaconturn/net/client/ClientConnection.java
@@ -3,7 +3,6 @@
 import beaconturn.net.client.ConnectionState.CloseProposal;
 import beaconturn.net.io.Sockets;
 import beaconturn.protocol.ProtocolException;
-import beaconturn.protocol.RespValue;
 import beaconturn.protocol.RespWriter;
 import java.io.IOException;
 import java.nio.channels.CancelledKeyException;
@@ -39,7 +38,6 @@
   private final ConnectionContext context;
   private final ConnectionState state = new ConnectionState();
   private final ClientWriter writer;
-  private final LargeRequestPermits largePermits;
   private final CommandDispatcher dispatcher;
   private final long number;
   private final long openedAtNanos;
@@ -57,11 +55,16 @@
     this.number = context.eventLog().nextConnectionNumber();
     this.openedAtNanos = context.clock().now();
     this.writer = new ClientWriter(channel, context.clock(), this::onResponsesWritten);
-    this.largePermits = new LargeRequestPermits(context.largeRequests());
     this.dispatcher = new CommandDispatcher(context, state, writer);
     this.reader =
         new CommandReader(
-            channel, context.clock(), state, writer, largePermits, this::handleCommand);
+            channel,
+            context.clock(),
+            state,
+            writer,
+            context.largeRequestMemory(),
+            () -> context.poller().schedule(this),
+            this::handleCommand);
   }
 
   /**
@@ -229,12 +232,12 @@
     List<RespClientRequest> unanswered = dispatcher.unansweredRequests();
     context.eventLog().closed(number, reason, unanswered, unwritten, context.clock().now());
     dispatcher.abandon(unanswered);
-    largePermits.releaseAll();
     context.poller().releaseClosed(this);
   }
 
   /** Reports that the descriptor is free. Poller thread only. */
   void onReleased() {
+    reader.releaseMemory();
     context.onReleased().accept(this);
   }
 
@@ -362,12 +365,12 @@
    * Dispatches a complete command. An invalid command gets an error as its response and affects no
    * other command.
    */
-  private void handleCommand(RespValue command) {
+  private void handleCommand(ReceivedCommand command) {
     try {
-      dispatcher.dispatch(command, reader.lastArrivedAtNanos());
+      dispatcher.dispatch(command);
     } catch (InvalidCommandException e) {
       reader.recordRejection();
-      context.eventLog().rejected(number, command, e.getMessage(), context.clock().now());
+      context.eventLog().rejected(number, command.value(), e.getMessage(), context.clock().now());
       respondWithError(e.getMessage());
     }
   }
@@ -394,15 +397,12 @@
   // Events from the writer.
 
   /**
-   * Runs after responses have been written; once none is outstanding, their requests and permits
-   * are released. For any thread.
+   * Runs after responses have been written; once none is outstanding, their requests are released.
+   * For any thread.
    */
   private void onResponsesWritten(boolean idle) {
     if (idle) {
       dispatcher.removeAnswered();
-      if (!largePermits.heldForCurrentCommand()) {
-        largePermits.releaseAll();
-      }
     }
     // During a graceful shutdown the close follows the last response at once; requests that arrive
     // in between would be rejected.
--- a/src/main/java/beaconturn/net/client/ClientInputBuffer.java
+++ b/src/main/java/beaconturn/net/client/ClientInputBuffer.java
@@ -15,8 +15,8 @@
  * Buffers the input of one client that is not yet processed. All bytes available from the socket
  * are read, up to a limit, before a command is taken, so that the end of the stream is detected
  * before the preceding commands are processed. Records when bytes arrived: the deadline of a
- * command counts from its last byte, however long the command waits in the buffer. Poller thread
- * only.
+ * command counts from its last byte, however long the command waits in the buffer. A large command
+ * may be read without its value, for lack of memory. Poller thread only.
  */
 final class ClientInputBuffer {
   /** Maximum number of unprocessed bytes; more input stays in the socket. */
@@ -33,23 +33,27 @@
   /** Whether the buffer holds only a part of one command, whose last byte is yet to arrive. */
   private boolean onlyPartial = true;
 
+  /** Bytes of a discarded value that are yet to arrive. */
+  private int bytesToDiscard;
+
+  /** Whether a value of the command that is arriving was discarded. */
+  private boolean valueDiscarded;
+
+  private boolean valueDiscardedInLast;
+
   /**
    * Reads the available bytes.
    *
    * @param arrivedAtNanos the earliest time at which the bytes can have arrived
-   * @param largeAllowed whether a large command may be read completely
+   * @param allowedBytes how much of a large command may be read
    * @return the number of bytes read, or a negative number at the end of the stream
    */
-  int fill(SocketChannel from, long arrivedAtNanos, boolean largeAllowed) throws IOException {
+  int fill(SocketChannel from, long arrivedAtNanos, int allowedBytes) throws IOException {
     int total = 0;
     int bytes = 1;
-    while (bytes > 0 && wantsMore(largeAllowed)) {
-      int freeBytes = Math.min(Sockets.MAX_TRANSFER_BYTES, buffer.ensureRoom());
-      bytes = from.read(ByteBuffer.wrap(buffer.array(), buffer.end(), freeBytes));
-      if (bytes > 0) {
-        buffer.filled(bytes);
-        total += bytes;
-      }
+    while (bytes > 0 && wantsMore(allowedBytes)) {
+      bytes = bytesToDiscard > 0 ? discardFrom(from) : receiveFrom(from, allowedBytes);
+      total += Math.max(0, bytes);
     }
     if (total > 0) {
       receivedBytes += total;
@@ -61,13 +65,31 @@
     return bytes < 0 ? bytes : total;
   }
 
+  private int receiveFrom(SocketChannel from, int allowedBytes) throws IOException {
+    int room = buffer.ensureRoom(allowedBytes);
+    int freeBytes = Math.min(Sockets.MAX_TRANSFER_BYTES, room);
+    int bytes = from.read(ByteBuffer.wrap(buffer.array(), buffer.end(), freeBytes));
+    buffer.filled(Math.max(0, bytes));
+    return bytes;
+  }
+
+  private int discardFrom(SocketChannel from) throws IOException {
+    int maxBytes = Math.min(Sockets.MAX_TRANSFER_BYTES, bytesToDiscard);
+    int bytes = from.read(ByteBuffer.allocate(maxBytes));
+    bytesToDiscard -= Math.max(0, bytes);
+    return bytes;
+  }
+
   /**
    * Whether there is room for more bytes. Behind a large command one more byte is read, to detect
    * the end of the stream.
    */
-  boolean wantsMore(boolean largeAllowed) {
-    return buffer.size() < READ_AHEAD_BYTES
-        || (largeAllowed && buffer.size() <= buffer.expectedBytes());
+  boolean wantsMore(int allowedBytes) {
+    return bytesToDiscard > 0
+        || buffer.size() < READ_AHEAD_BYTES
+        || (buffer.expectedBytes() > READ_AHEAD_BYTES
+            && buffer.expectedBytes() <= allowedBytes
+            && buffer.size() <= buffer.expectedBytes());
   }
 
   /** Removes and returns the next complete command, or returns null if there is none. */
@@ -75,6 +97,8 @@
     RespValue command = reader.next(buffer);
     onlyPartial = command == null;
     if (command != null) {
+      valueDiscardedInLast = valueDiscarded;
+      valueDiscarded = false;
       long handledBytes = receivedBytes - buffer.size();
       while (arrivals.peek().upToByte() < handledBytes) {
         arrivals.remove();
@@ -93,8 +117,27 @@
     return buffer.size() == 0;
   }
 
-  /** Whether the next command is known to be a large one. */
-  boolean holdsLargeCommand() {
-    return buffer.isLarge();
+  /** Whether a value of the most recently returned command was discarded. */
+  boolean valueDiscarded() {
+    return valueDiscardedInLast;
+  }
+
+  /** The minimum size of the command that is arriving if known, else 0. */
+  int expectedBytes() {
+    return buffer.expectedBytes();
+  }
+
+  /** Whether the command that is arriving has an argument that {@link #discardValue} discards. */
+  boolean hasDiscardableValue() {
+    return reader.hasIncompleteString();
+  }
+
+  /**
+   * Discards the long argument of the command that is arriving, and what is yet to arrive of it.
+   * The command is returned with an empty argument once its last byte has arrived.
+   */
+  void discardValue() {
+    bytesToDiscard = reader.discardIncompleteString(buffer);
+    valueDiscarded = true;
   }
 }
--- a/src/main/java/beaconturn/net/client/CommandDispatcher.java
+++ b/src/main/java/beaconturn/net/client/CommandDispatcher.java
@@ -17,6 +17,9 @@
    */
   private static final long DRAINING_RETRY_AFTER_NANOS = 50_000_000;
 
+  /** Retry delay for requests rejected for lack of memory; others complete meanwhile. */
+  private static final long OUT_OF_MEMORY_RETRY_AFTER_NANOS = 100_000_000;
+
   private final ConnectionContext context;
   private final ConnectionState state;
   private final ClientWriter writer;
@@ -32,19 +35,32 @@
    * Assigns a command its position among the responses, and submits the command if it is a request.
    * Poller thread only.
    *
-   * @param arrivedAtNanos when the command's last byte arrived
    * @throws InvalidCommandException if its arguments are invalid; no position is assigned then
    */
-  void dispatch(RespValue command, long arrivedAtNanos) throws InvalidCommandException {
-    List<RespValue> words = words(command);
+  void dispatch(ReceivedCommand command) throws InvalidCommandException {
+    RespClientRequest request;
+    try {
+      request = parse(command);
+    } catch (InvalidCommandException e) {
+      command.releaseMemory();
+      throw e;
+    }
+    if (request == null) {
+      command.releaseMemory();
+    } else {
+      submit(request, command);
+    }
+  }
+
+  /** Returns the command as a request, or null if it was none and has been answered. */
+  private RespClientRequest parse(ReceivedCommand command) throws InvalidCommandException {
+    List<RespValue> words = words(command.value());
     Slice name = ((RespValue.Bulk) words.get(0)).bytes();
     if (RequestParser.isRequest(name)) {
-      submit(
-          context.parser().get().parse(words, arrivedAtNanos, context.pendingIds()),
-          arrivedAtNanos);
-    } else {
-      writer.enqueue(ResponseSlot.of(localResponse(name.toString().toUpperCase(Locale.ROOT))));
+      return context.parser().get().parse(words, command.arrivedAtNanos(), context.pendingIds());
     }
+    writer.enqueue(ResponseSlot.of(localResponse(name.toString().toUpperCase(Locale.ROOT))));
+    return null;
   }
 
   private static List<RespValue> words(RespValue command) throws InvalidCommandException {
@@ -58,21 +74,28 @@
     throw new InvalidCommandException("expected a command");
   }
 
-  private void submit(RespClientRequest request, long arrivedAtNanos) {
+  private void submit(RespClientRequest request, ReceivedCommand command) {
+    request.holdMemory(command.memory());
     if (!writer.enqueue(request)) {
       request.fill(ClientWriter.END_OF_OUTPUT);
       return;
     }
     pending.add(request);
     request.accepted();
-    if (arrivedAtNanos > state.drainingSinceNanos()) {
-      boolean mayStateRetryAfter = request.settings().permissions().retryAfter();
-      request.reject(mayStateRetryAfter ? DRAINING_RETRY_AFTER_NANOS : 0);
+    if (command.arrivedAtNanos() > state.drainingSinceNanos()) {
+      reject(request, DRAINING_RETRY_AFTER_NANOS);
+    } else if (command.outOfMemory()) {
+      reject(request, OUT_OF_MEMORY_RETRY_AFTER_NANOS);
     } else {
       context.routing().accept(new RoutingMessage.RequestReceived(request));
     }
   }
 
+  private static void reject(RespClientRequest request, long retryAfterNanos) {
+    boolean mayStateRetryAfter = request.settings().permissions().retryAfter();
+    request.reject(mayStateRetryAfter ? retryAfterNanos : 0);
+  }
+
   private Slice localResponse(String commandName) {
     return switch (commandName) {
       case "PING" ->
--- a/src/main/java/beaconturn/net/client/CommandReader.java
+++ b/src/main/java/beaconturn/net/client/CommandReader.java
@@ -12,7 +12,8 @@
 /**
  * Reads one client's commands and passes them to the handler one by one, as far as there is
  * capacity for their responses. Input is read ahead of throttled commands, so that a close by the
- * client is detected.
+ * client is detected. Memory is reserved for large commands; if there is none, the value of a
+ * command is discarded as it arrives.
  *
  * <p>For the poller thread, except for methods that say otherwise.
  */
@@ -20,12 +21,16 @@
   /** Limit on the input discarded after a protocol error, so that the error response can arrive. */
   private static final int DISCARD_LIMIT_BYTES = 32 * 1024;
 
+  /** Commands of up to this size are kept without a reservation of memory. */
+  private static final int SMALL_COMMAND_BYTES = 4 * 1024;
+
   private final SocketChannel channel;
   private final Clock clock;
   private final ConnectionState state;
   private final ClientWriter writer;
-  private final LargeRequestPermits largePermits;
-  private final Consumer<RespValue> handler;
+  private final LargeRequestMemory memory;
+  private final Runnable onMemoryRevoked;
+  private final Consumer<ReceivedCommand> handler;
 
   // Written by the poller thread, read by any thread.
   private final PartialCommand partial = new PartialCommand();
@@ -38,18 +43,23 @@
   private int discardedBytes;
   private int commandsProcessed;
 
+  /** The memory for the large command that is arriving, or null if none is reserved. */
+  private MemoryReservation reservation;
+
   CommandReader(
       SocketChannel channel,
       Clock clock,
       ConnectionState state,
       ClientWriter writer,
-      LargeRequestPermits largePermits,
-      Consumer<RespValue> handler) {
+      LargeRequestMemory memory,
+      Runnable onMemoryRevoked,
+      Consumer<ReceivedCommand> handler) {
     this.channel = channel;
     this.clock = clock;
     this.state = state;
     this.writer = writer;
-    this.largePermits = largePermits;
+    this.memory = memory;
+    this.onMemoryRevoked = onMemoryRevoked;
     this.handler = handler;
     this.rejections = new RejectionRateLimit(clock);
   }
@@ -65,8 +75,7 @@
   }
 
   /**
-   * Whether commands wait for pipeline capacity, for the rejection rate limit, or for a
-   * large-request permit. For any thread.
+   * Whether commands wait for pipeline capacity or for the rejection rate limit. For any thread.
    */
   boolean isThrottled() {
     return throttled;
@@ -76,11 +85,6 @@
     return commandsProcessed;
   }
 
-  /** When the last byte of the current command arrived. */
-  long lastArrivedAtNanos() {
-    return input.lastArrivedAtNanos();
-  }
-
   /** Counts the current command as rejected; above the limit the next commands are throttled. */
   void recordRejection() {
     rejections.recordRejection();
@@ -94,7 +98,12 @@
     if (state.isClosing()) {
       return discardsInput() && !throttled;
     }
-    return input.wantsMore(largePermits.heldForCurrentCommand());
+    return input.wantsMore(allowedBytes());
+  }
+
+  /** How much of the command that is arriving may be in memory. */
+  private int allowedBytes() {
+    return reservation == null ? ClientInputBuffer.READ_AHEAD_BYTES : reservation.bytes();
   }
 
   /**
@@ -104,7 +113,7 @@
    * @return the number of bytes read, or a negative number at the end of the stream
    */
   int fill(long arrivedAtNanos) throws IOException {
-    int bytes = input.fill(channel, arrivedAtNanos, largePermits.heldForCurrentCommand());
+    int bytes = input.fill(channel, arrivedAtNanos, allowedBytes());
     if (bytes > 0) {
       partial.bytesArrived(clock.now());
     }
@@ -139,20 +148,61 @@
     while (command != null) {
       commandsProcessed++;
       commandReceived = true;
-      largePermits.commandCompleted();
-      handler.accept(command);
+      handler.accept(received(command));
       updatePartial();
       command = nextCommand();
     }
-    if (input.holdsLargeCommand()
-        && !largePermits.heldForCurrentCommand()
-        && state.acceptsCommands()) {
-      // Without a permit the command stays unread until the poller checks again; its timeout does
-      // not run meanwhile.
-      if (!largePermits.tryAcquire()) {
-        throttled = true;
+    if (!throttled && state.acceptsCommands() && !input.wantsMore(allowedBytes())) {
+      reserveOrDiscard();
+    }
+  }
+
+  /**
+   * Lets reading go on, which has stopped within a command because of its size: reserves memory for
+   * the long argument that is arriving, or discards it.
+   *
+   * @throws ProtocolException if the command is longer than any request, whose long argument is its
+   *     last
+   */
+  private void reserveOrDiscard() throws ProtocolException {
+    if (reservation == null && input.hasDiscardableValue()) {
+      reservation =
+          memory.reserveForArriving(input.expectedBytes(), clock.now(), this::memoryRevoked);
+      if (reservation == null) {
+        input.discardValue();
       }
     }
+    if (!input.wantsMore(allowedBytes())) {
+      throw new ProtocolException("command too long");
+    }
+  }
+
+  private void memoryRevoked() {
+    reservation = null;
+    input.discardValue();
+    onMemoryRevoked.run();
+  }
+
+  private ReceivedCommand received(RespValue command) {
+    boolean outOfMemory = input.valueDiscarded();
+    int bytes = command.frame().length();
+    if (reservation != null) {
+      reservation.requestComplete();
+    } else if (bytes > SMALL_COMMAND_BYTES) {
+      reservation = memory.reserveForComplete(bytes, clock.now());
+      outOfMemory = reservation == null;
+    }
+    MemoryReservation transferred = reservation;
+    reservation = null;
+    return new ReceivedCommand(command, input.lastArrivedAtNanos(), transferred, outOfMemory);
+  }
+
+  /** Releases the memory of a command that is arriving and will not be processed. */
+  void releaseMemory() {
+    if (reservation != null) {
+      reservation.release();
+      reservation = null;
+    }
   }
 
   private void updatePartial() {
@@ -182,6 +232,7 @@
    * until the sweep closes the connection; otherwise it is discarded up to a limit.
    */
   void stopReading(boolean responsesOutstanding) {
+    releaseMemory();
     throttled = responsesOutstanding;
   }
 }
--- a/src/main/java/beaconturn/net/client/ConnectionContext.java
+++ b/src/main/java/beaconturn/net/client/ConnectionContext.java
@@ -3,7 +3,6 @@
 import beaconturn.core.Clock;
 import beaconturn.core.Lifecycle;
 import beaconturn.core.RoutingMessage;
-import java.util.concurrent.Semaphore;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -16,7 +15,7 @@
  * @param routing accepts messages for the routing thread; may block while its queue is full
  * @param poller the thread that reads from all clients
  * @param pendingIds the ids of the requests without a response
- * @param largeRequests permits for large requests
+ * @param largeRequestMemory the memory for large requests
  * @param eventLog logs rejected commands and closes
  * @param onReleased notified of a closed connection once its descriptor is free
  */
@@ -27,6 +26,6 @@
     Consumer<RoutingMessage> routing,
     ClientPoller poller,
     PendingRequestIds pendingIds,
-    Semaphore largeRequests,
+    LargeRequestMemory largeRequestMemory,
     ClientEventLog eventLog,
     Consumer<ClientConnection> onReleased) {}
--- a/src/main/java/beaconturn/net/client/RequestParser.java
+++ b/src/main/java/beaconturn/net/client/RequestParser.java
@@ -71,6 +71,11 @@
    * @param value the value of a write as received, or null
    */
   public record Parts(Slice head, Slice id, Map<String, String> attributes, Slice value) {
+    /** The same parts without the value, in arrays that hold nothing else. */
+    Parts withoutValue() {
+      return new Parts(head.compact(), id.compact(), attributes, null);
+    }
+
     String attributesWithWait(long waitMillis) {
       StringJoiner out = new StringJoiner(",");
       attributes.forEach(
--- a/src/main/java/beaconturn/net/client/RespClientRequest.java
+++ b/src/main/java/beaconturn/net/client/RespClientRequest.java
@@ -21,9 +21,16 @@
 
   private final RequestDescription description;
   private final long deadlineNanos;
-  private final RequestParser.Parts parts;
   private final ParseContext parseContext;
-  private final Runnable onCompleted;
+
+  /** Dropped after its only run, as it may refer to the received bytes. Guarded by this. */
+  private Runnable onCompleted;
+
+  /** Replaced on completion by parts without the value, if that is large. */
+  private volatile RequestParser.Parts parts;
+
+  /** The memory reserved for a large value, or null. Set before the request is shared. */
+  private MemoryReservation memory;
 
   /**
    * The conditions under which a request was parsed.
@@ -59,6 +66,14 @@
     return parts.id().toString();
   }
 
+  /**
+   * Holds the memory, which may be null, until the request is completed. To be called before the
+   * request is shared with other threads.
+   */
+  void holdMemory(MemoryReservation reservation) {
+    memory = reservation;
+  }
+
   /** Counts the request as accepted: from now on a response is outstanding. */
   void accepted() {
     parseContext.metrics().requestAccepted();
@@ -78,6 +93,10 @@
     if (!fill(response)) {
       return;
     }
+    // The response may wait long for those in front of it, or for a client that does not read.
+    if (memory != null) {
+      parts = parts.withoutValue();
+    }
     boolean countsAsError = truncated && end != RequestEnd.ABANDONED;
     parseContext
         .metrics()
@@ -93,6 +112,10 @@
   @Override
   void onFilled() {
     onCompleted.run();
+    onCompleted = null;
+    if (memory != null) {
+      memory.release();
+    }
   }
 
   @Override
@@ -117,12 +140,13 @@
 
   @Override
   public List<Slice> encode(long waitMillis) {
+    RequestParser.Parts current = parts;
     List<Slice> chunks = new ArrayList<>(4);
-    chunks.add(RespWriter.arrayHeader(parts.value() == null ? 4 : 5));
-    chunks.add(parts.head());
-    chunks.add(RespWriter.bulk(parts.attributesWithWait(waitMillis)));
-    if (parts.value() != null) {
-      chunks.add(parts.value());
+    chunks.add(RespWriter.arrayHeader(current.value() == null ? 4 : 5));
+    chunks.add(current.head());
+    chunks.add(RespWriter.bulk(current.attributesWithWait(waitMillis)));
+    if (current.value() != null) {
+      chunks.add(current.value());
     }
     return chunks;
   }
--- a/src/main/java/beaconturn/net/server/CacheConnection.java
+++ b/src/main/java/beaconturn/net/server/CacheConnection.java
@@ -10,12 +10,14 @@
 import beaconturn.protocol.ProtocolException;
 import beaconturn.protocol.RespReader;
 import beaconturn.protocol.RespValue;
+import beaconturn.protocol.Slice;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.NoRouteToHostException;
 import java.net.SocketTimeoutException;
+import java.util.List;
 import java.util.logging.Logger;
 
 /**
@@ -171,14 +173,16 @@
    */
   private void writeRequest() throws IOException {
     long nowNanos = clock.now();
+    long deadlineMillis =
+        Math.max(MIN_DEADLINE_MILLIS, (attempt.timesOutAtNanos() - nowNanos) / NANOS_PER_MILLI);
+    // Encoded before the check: a completed request may already have dropped its value.
+    List<Slice> encoded = attempt.request().encode(deadlineMillis);
     if (!attempt.mayBeWritten(nowNanos) || !listener.mayWrite()) {
       outcomeIfUnwritten = AttemptOutcome.SUPERSEDED;
       throw new IOException(
           "attempt ended, timed out or no longer permitted before it was written");
     }
-    long deadlineMillis =
-        Math.max(MIN_DEADLINE_MILLIS, (attempt.timesOutAtNanos() - nowNanos) / NANOS_PER_MILLI);
-    Sockets.write(socket.socket().getOutputStream(), attempt.request().encode(deadlineMillis));
+    Sockets.write(socket.socket().getOutputStream(), encoded);
     requestWritten = true;
     listener.requestWritten();
   }
--- a/src/main/java/beaconturn/protocol/InputBuffer.java
+++ b/src/main/java/beaconturn/protocol/InputBuffer.java
@@ -22,11 +22,22 @@
 
   /** Ensures free space for reading and returns the number of free bytes after {@link #end}. */
   public int ensureRoom() {
+    return ensureRoom(Integer.MAX_VALUE);
+  }
+
+  /**
+   * Ensures free space for reading and returns the number of free bytes after {@link #end}.
+   *
+   * @param maxExpectedBytes allocates no more than this for a message whose size is known
+   */
+  public int ensureRoom(int maxExpectedBytes) {
     int unparsed = end - start;
-    boolean sizeKnown = expectedBytes > unparsed;
-    int neededBytes = (sizeKnown ? expectedBytes : unparsed) + MIN_FREE_BYTES;
+    int expected = Math.min(expectedBytes, maxExpectedBytes);
+    boolean sizeKnown = expected > unparsed;
+    int neededBytes = (sizeKnown ? expected : unparsed) + MIN_FREE_BYTES;
     if (bytes.length - start < neededBytes) {
-      byte[] next = new byte[Math.max(CHUNK_BYTES, nextCapacity(unparsed, sizeKnown))];
+      int capacity = sizeKnown ? neededBytes : nextCapacity(unparsed);
+      byte[] next = new byte[Math.max(CHUNK_BYTES, capacity)];
       System.arraycopy(bytes, start, next, 0, unparsed);
       bytes = next;
       start = 0;
@@ -35,10 +46,7 @@
     return bytes.length - end;
   }
 
-  private int nextCapacity(int unparsed, boolean sizeKnown) {
-    if (sizeKnown) {
-      return expectedBytes + MIN_FREE_BYTES;
-    }
+  private int nextCapacity(int unparsed) {
     // Little follows a value of known size, so doubling the array would waste memory.
     return expectedBytes > 0 ? unparsed + CHUNK_BYTES : 2 * unparsed;
   }
@@ -48,11 +56,6 @@
     expectedBytes = sizeBytes;
   }
 
-  /** Whether the current message is known to need an array larger than the default. */
-  public boolean isLarge() {
-    return expectedBytes > CHUNK_BYTES;
-  }
-
   /** The minimum size of the current message if known, else 0. */
   public int expectedBytes() {
     return expectedBytes;
@@ -88,6 +91,23 @@
     return new Slice(bytes, start + from, length);
   }
 
+  /**
+   * Replaces a range of unparsed bytes, given by positions from 0, in a new array of no more than
+   * the default size if the result fits. The size of the current message is unknown afterwards.
+   */
+  public void replace(int from, int to, byte[] replacement) {
+    int tailBytes = size() - to;
+    int newSize = from + replacement.length + tailBytes;
+    byte[] next = new byte[Math.max(CHUNK_BYTES, newSize + MIN_FREE_BYTES)];
+    System.arraycopy(bytes, start, next, 0, from);
+    System.arraycopy(replacement, 0, next, from, replacement.length);
+    System.arraycopy(bytes, start + to, next, from + replacement.length, tailBytes);
+    bytes = next;
+    start = 0;
+    end = newSize;
+    expectedBytes = 0;
+  }
+
   /** Marks {@code count} bytes as parsed; releases the array of a large message with its last. */
   public void consume(int count) {
     start += count;
--- a/src/main/java/beaconturn/protocol/RespReader.java
+++ b/src/main/java/beaconturn/protocol/RespReader.java
@@ -1,5 +1,6 @@
 package beaconturn.protocol;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -18,6 +19,8 @@
   private static final int MAX_DIGITS = 18;
   private static final int LINE_END_BYTES = 2;
   private static final long NULL_LENGTH = -1;
+  private static final int NO_STRING = -1;
+  private static final byte[] HEAD_OF_EMPTY_STRING = "$0\r\n".getBytes(StandardCharsets.US_ASCII);
 
   private final int maxStringBytes;
 
@@ -25,6 +28,12 @@
   private InputBuffer input;
   private int position;
 
+  // The last string of the current value that was incomplete in a call: where its frame and its
+  // bytes begin, and its length, which is negative if there was none.
+  private int incompleteFrame;
+  private int incompleteFrom;
+  private int incompleteLength = NO_STRING;
+
   /** Creates a reader that accepts strings up to that size. */
   public RespReader(int maxStringBytes) {
     this.maxStringBytes = maxStringBytes;
@@ -41,10 +50,34 @@
     RespValue value = readValue(0);
     if (value != null) {
       buffer.consume(position);
+      incompleteLength = NO_STRING;
     }
     return value;
   }
 
+  /**
+   * Whether a string of the value that is arriving was incomplete in a call of {@link #next}, and
+   * has not been discarded. It may have become complete since.
+   */
+  public boolean hasIncompleteString() {
+    return incompleteLength != NO_STRING;
+  }
+
+  /**
+   * Replaces the last string for which {@link #hasIncompleteString} is true by an empty string, and
+   * releases the bytes of it that have arrived.
+   *
+   * @return the number of bytes of the string that are yet to arrive; the caller must not add them
+   *     to the buffer
+   */
+  public int discardIncompleteString(InputBuffer buffer) {
+    int arrived = Math.min(buffer.size() - incompleteFrom, incompleteLength);
+    buffer.replace(incompleteFrame, incompleteFrom + arrived, HEAD_OF_EMPTY_STRING);
+    int toArrive = incompleteLength - arrived;
+    incompleteLength = NO_STRING;
+    return toArrive;
+  }
+
   private RespValue readValue(int depth) throws ProtocolException {
     int start = position;
     Slice line = readLine();
@@ -76,6 +109,9 @@
     int end = from + (int) length;
     if (input.size() < end + LINE_END_BYTES) {
       input.expect(end + LINE_END_BYTES);
+      incompleteFrame = start;
+      incompleteFrom = from;
+      incompleteLength = (int) length;
       return null;
     }
     if (input.at(end) != '\r' || input.at(end + 1) != '\n') {
--- a/src/main/java/beaconturn/protocol/Slice.java
+++ b/src/main/java/beaconturn/protocol/Slice.java
@@ -65,6 +65,11 @@
     return true;
   }
 
+  /** The same bytes in an array of their own. */
+  public Slice compact() {
+    return new Slice(copy(), 0, length);
+  }
+
   /** A copy of the bytes, which does not retain the shared array. */
   public byte[] copy() {
     return Arrays.copyOfRange(bytes, from, from + length);
--- a/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
@@ -23,7 +23,6 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -85,7 +84,7 @@
                 message -> routing.accept(message),
                 connectionPoller,
                 ids,
-                new Semaphore(9),
+                new LargeRequestMemory(9 << 16),
                 new ClientEventLog(),
                 connections::remove));
     connections.add(connection);
--- a/src/test/java/beaconturn/protocol/RespReaderTest.java
+++ b/src/test/java/beaconturn/protocol/RespReaderTest.java
@@ -1,12 +1,12 @@
 package beaconturn.protocol;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -107,12 +107,44 @@
     RespReader large = new RespReader(60_000);
     InputBuffer in = Bytes.buffer("$60000\r\n" + "v".repeat(1000));
     assertNull(large.next(in));
-    assertTrue(in.isLarge());
+    assertEquals(60_010, in.expectedBytes());
     Bytes.feed(in, "v".repeat(59_000) + "\r\n");
     // The free space after the value lets the next read detect the end of the stream.
     assertEquals(60_000 + 10 + 512, in.array().length);
     assertEquals(60_000, ((RespValue.Bulk) large.next(in)).bytes().length());
-    assertFalse(in.isLarge());
+    assertEquals(0, in.expectedBytes());
     assertEquals(0, in.array().length);
   }
+
+  /** Wherever a string is cut off, the rest of its message and the next one stay readable. */
+  @Test
+  void discardsIncompleteStringWithoutTheBytesAroundIt() throws ProtocolException {
+    String head = "*3\r\n$2\r\nab\r\n$30\r\n";
+    String string = "v".repeat(30);
+    String rest = "\r\n$2\r\ncd\r\n+next\r\n";
+    for (int cut = 0; cut <= string.length() + 1; cut++) {
+      String arrived = (head + string + rest).substring(0, head.length() + cut);
+      InputBuffer in = Bytes.buffer(arrived);
+      assertNull(reader.next(in));
+      int toArrive = reader.discardIncompleteString(in);
+      assertEquals(Math.max(0, string.length() - cut), toArrive);
+      Bytes.feed(in, (head + string + rest).substring(arrived.length() + toArrive));
+      List<RespValue> items = ((RespValue.Array) reader.next(in)).items();
+      assertEquals("ab", ((RespValue.Bulk) items.get(0)).bytes().toString());
+      assertEquals(0, ((RespValue.Bulk) items.get(1)).bytes().length());
+      assertEquals("cd", ((RespValue.Bulk) items.get(2)).bytes().toString());
+      assertEquals("+next", reader.next(in).frame().toString().trim());
+    }
+  }
+
+  /**
+   * Many clients may stop within a large value: none of it may be allocated before it is allowed.
+   */
+  @Test
+  void allocatesNoMoreThanAllowedForIncompleteString() throws ProtocolException {
+    InputBuffer in = Bytes.buffer("$60000\r\n");
+    assertNull(new RespReader(60_000).next(in));
+    in.ensureRoom(8_000);
+    assertEquals(8_000 + 512, in.array().length);
+  }
 }
