Comments: put back reasons and numbers that the rewording of the sources dropped

Need: the rewording left out parts of comments that give the reason for a constant or a rule. Change: eleven comments say again what the old ones held and what is still true: the recommended number of points on the ring, what the rest of a cache's share is for, at most half the routers for a hot key, why a retry is not earned, whose settings a warm start is compared with, where the step after an attempt is decided, and limits of timers, waits and writes.

--- a/src/main/java/beaconturn/core/RouterSettingsReader.java
+++ b/src/main/java/beaconturn/core/RouterSettingsReader.java
@@ -17,7 +17,7 @@
  * settings are mapped to the code's names here only.
  */
 public final class RouterSettingsReader {
-  /** Leaves room for additions without an overflow. */
+  /** Longer than any process lives, with room for additions without an overflow. */
   private static final long UNLIMITED_NANOS = Long.MAX_VALUE / 4;
 
   private final Map<String, String> values;
--- a/src/main/java/beaconturn/core/TimerQueue.java
+++ b/src/main/java/beaconturn/core/TimerQueue.java
@@ -19,7 +19,7 @@
       this.action = action;
     }
 
-    /** Cancels the timer and releases the objects that its action references. */
+    /** Cancels the timer and releases what its action references, such as requests with values. */
     void cancel() {
       action = () -> {};
     }
--- a/src/main/java/beaconturn/decision/GiveUpReason.java
+++ b/src/main/java/beaconturn/decision/GiveUpReason.java
@@ -14,6 +14,9 @@
   NO_SERVER,
   /** Another attempt is not permitted; see {@link AttemptGuard}. */
   NO_FURTHER_ATTEMPT,
-  /** The retry policy does not allow a retry; see {@link RetryPolicy}. */
+  /**
+   * Another attempt would cost other requests more than it is likely to help; see {@link
+   * RetryPolicy}.
+   */
   RETRY_NOT_EARNED
 }
--- a/src/main/java/beaconturn/decision/HashRing.java
+++ b/src/main/java/beaconturn/decision/HashRing.java
@@ -10,7 +10,7 @@
  * time.
  */
 final class HashRing {
-  /** Virtual points of a cache of average rating. */
+  /** Virtual points of a cache of average rating; the literature recommends 100 to 200. */
   private static final int POINTS_PER_SERVER = 150;
 
   /** Bounds of a cache's number of points, as multiples of {@link #POINTS_PER_SERVER}. */
--- a/src/main/java/beaconturn/decision/KeySpread.java
+++ b/src/main/java/beaconturn/decision/KeySpread.java
@@ -6,7 +6,10 @@
  * home of a hot key.
  */
 final class KeySpread {
-  /** Fraction of a cache's even share of requests that a single key may use. */
+  /**
+   * Fraction of a cache's even share of requests that a single key may use; the rest is for the
+   * cache's other keys.
+   */
   private static final double MAX_CAPACITY_SHARE = 0.5;
 
   /** {@link #MAX_CAPACITY_SHARE} in cache-aside mode, where spreading a key costs few fetches. */
@@ -36,7 +39,7 @@
   }
 
   /**
-   * Returns the number of caches for the request's key: at least one, bounded by the number of
+   * Returns the number of caches for the request's key: at least one, at most half the number of
    * routers.
    */
   int serverCountFor(RequestState request) {
--- a/src/main/java/beaconturn/decision/RequestCoordinator.java
+++ b/src/main/java/beaconturn/decision/RequestCoordinator.java
@@ -5,7 +5,8 @@
 
 /**
  * Drives each request from arrival to completion: consults the rules at every step and carries out
- * their decisions. Owns all open requests.
+ * their decisions. Owns all open requests. The step that follows an attempt is decided in {@code
+ * continueAfter}.
  */
 final class RequestCoordinator implements RequestDispatcher {
   /** Attempt index that stands for no attempt. */
--- a/src/main/java/beaconturn/decision/WarmStartState.java
+++ b/src/main/java/beaconturn/decision/WarmStartState.java
@@ -3,7 +3,8 @@
 import java.util.stream.DoubleStream;
 
 /**
- * Learned state with which the successor of a router starts.
+ * Learned state with which the successor of a router starts. The settings that it is compared with
+ * are the successor's own.
  *
  * @param responsesPerNano response rate of all caches
  * @param peakResponsesPerNano recent peak of the response rate
--- a/src/main/java/beaconturn/net/client/ClientConnections.java
+++ b/src/main/java/beaconturn/net/client/ClientConnections.java
@@ -15,7 +15,10 @@
 public final class ClientConnections {
   private static final long NANOS_PER_MILLI = 1_000_000;
 
-  /** Time without progress after which writing a response is abandoned. */
+  /**
+   * Time without progress after which writing a response is abandoned; a client that accepts no
+   * byte for so long does not return for its response.
+   */
   private static final long WRITE_TIMEOUT_NANOS = 10_000 * NANOS_PER_MILLI;
 
   /**
@@ -47,7 +50,10 @@
    */
   private static final int CLOSING_EXCESS_DIVISOR = 16;
 
-  /** Number of waits, of a millisecond each, for the poller to close evicted connections. */
+  /**
+   * Number of waits, of a millisecond each, for the poller to close evicted connections; a round of
+   * the poller takes far less.
+   */
   private static final int MAX_POLLER_WAITS = 20;
 
   private final Set<ClientConnection> connections = ConcurrentHashMap.newKeySet();
--- a/src/main/java/beaconturn/net/client/RequestParser.java
+++ b/src/main/java/beaconturn/net/client/RequestParser.java
@@ -39,7 +39,10 @@
 
   private static final Pattern ATTRIBUTE = Pattern.compile("[A-Za-z0-9_]{1,32}=[!-+\\--~]{1,256}");
 
-  /** A request is rejected if its wait exceeds this multiple of its class's deadline. */
+  /**
+   * A request is rejected if its wait exceeds this multiple of its class's deadline; a longer wait
+   * is a mistake of the client.
+   */
   private static final double MAX_WAIT_DEADLINE_MULTIPLE = 2;
 
   private final RouterSettings settings;
