Tests of client connections: one listener over loopback, one counter of rejections

Need: `LargeRequestsTest` wrote again how `ClientConnectionsTest` connects a client and counts what is rejected. Change: `LoopbackListener` and `RejectionCounter` serve both; no case or check changes.

--- a/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
@@ -12,19 +12,12 @@
 import beaconturn.core.Samples;
 import beaconturn.net.TestPeer;
 import beaconturn.protocol.Slice;
-import beaconturn.stats.RequestEnd;
-import beaconturn.stats.RequestMetrics;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterEach;
@@ -43,37 +36,26 @@
   private final BlockingQueue<RoutingMessage> routingQueue = new LinkedBlockingQueue<>();
   private Consumer<RoutingMessage> routing = routingQueue::add;
   private final PendingRequestIds ids = new PendingRequestIds();
-  private final AtomicInteger rejectedCount = new AtomicInteger();
-  private final RequestMetrics metrics =
-      new RequestMetrics() {
-        @Override
-        public void requestEnded(String requestClass, RequestEnd end) {
-          if (end == RequestEnd.REJECTED) {
-            rejectedCount.incrementAndGet();
-          }
-        }
-      };
+  private final RejectionCounter metrics = new RejectionCounter();
   private final ClientConnections connections = new ClientConnections(1, 1);
-  private ServerSocketChannel server;
+  private LoopbackListener server;
   private ClientPoller poller;
   private TestPeer.Connection client;
   private ClientConnection connection;
 
   @BeforeEach
   void connect() throws IOException {
-    server =
-        ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    server = new LoopbackListener();
     poller = new ClientPoller(nowNanos::get, 0);
     poller.start();
     connect(poller);
   }
 
   private void connect(ClientPoller connectionPoller) throws IOException {
-    Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.socket().getLocalPort());
-    socket.setSoTimeout(20_000);
-    client = new TestPeer.Connection(socket, new LinkedBlockingQueue<>());
-    SocketChannel accepted = server.accept();
-    accepted.configureBlocking(false);
+    client = server.connect(accepted -> serve(accepted, connectionPoller));
+  }
+
+  private void serve(SocketChannel accepted, ClientPoller connectionPoller) {
     connection =
         new ClientConnection(
             accepted,
@@ -418,7 +400,7 @@
     drainingClient.write(get("late"));
     TestPeer.until(
         () ->
-            rejectedCount.get() == 1
+            metrics.count() == 1
                 && drainingConnection.partialCommandSinceNanos() == Long.MAX_VALUE);
     assertEquals(1, ids.count());
     early.respond(Slice.of("+v\r\n"));
@@ -459,7 +441,7 @@
     assertEquals("+early", client.readResponse());
     assertEquals("+late", client.readResponse());
     assertEquals("end", client.readResponse());
-    assertEquals(0, rejectedCount.get());
+    assertEquals(0, metrics.count());
   }
 
   /**
--- a/src/test/java/beaconturn/net/client/LargeRequestsTest.java
+++ b/src/test/java/beaconturn/net/client/LargeRequestsTest.java
@@ -10,20 +10,13 @@
 import beaconturn.core.Samples;
 import beaconturn.net.TestPeer;
 import beaconturn.protocol.Slice;
-import beaconturn.stats.RequestEnd;
-import beaconturn.stats.RequestMetrics;
 import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -54,24 +47,14 @@
   private final LargeRequestMemory memory = new LargeRequestMemory(CAPACITY * 41_000);
   private final ClientConnections connections = new ClientConnections(99, 99);
   private final PendingRequestIds ids = new PendingRequestIds();
-  private final AtomicInteger rejectedCount = new AtomicInteger();
-  private final RequestMetrics metrics =
-      new RequestMetrics() {
-        @Override
-        public void requestEnded(String requestClass, RequestEnd end) {
-          if (end == RequestEnd.REJECTED) {
-            rejectedCount.incrementAndGet();
-          }
-        }
-      };
+  private final RejectionCounter metrics = new RejectionCounter();
   private final List<TestPeer.Connection> clients = new ArrayList<>();
-  private ServerSocketChannel server;
+  private LoopbackListener server;
   private ClientPoller poller;
 
   @BeforeEach
   void start() throws IOException {
-    server =
-        ServerSocketChannel.open().bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    server = new LoopbackListener();
     poller = new ClientPoller(nowNanos::get, 0);
     poller.start();
   }
@@ -83,12 +66,13 @@
   }
 
   private TestPeer.Connection connect() throws Exception {
-    Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.socket().getLocalPort());
-    socket.setSoTimeout(20_000);
-    TestPeer.Connection client = new TestPeer.Connection(socket, new LinkedBlockingQueue<>());
+    TestPeer.Connection client = server.connect(this::serve);
     clients.add(client);
-    SocketChannel accepted = server.accept();
-    accepted.configureBlocking(false);
+    ping(client);
+    return client;
+  }
+
+  private void serve(SocketChannel accepted) {
     ClientConnection connection =
         new ClientConnection(
             accepted,
@@ -104,8 +88,6 @@
                 connections::remove));
     connections.add(connection);
     connection.start();
-    ping(client);
-    return client;
   }
 
   /** Returns after the poller has read what it reported as readable before. */
@@ -302,7 +284,7 @@
     for (int i = 0; i < fitting; i++) {
       requests.add(nextRequest());
     }
-    TestPeer.until(() -> rejectedCount.get() == 1);
+    TestPeer.until(() -> metrics.count() == 1);
     requests.forEach(request -> request.respond(Slice.of("+v\r\n")));
     for (int i = 0; i < fitting; i++) {
       assertEquals("+v", client.readResponse());
