A write with a long head whose value was discarded is rejected, not forwarded empty

Cause: `CommandReader.received` asked for memory again for a command whose value had been discarded and whose rest is over 4 KB, and forgot the discard: it was forwarded with an empty value. Change: a command that is out of memory reserves none. Regression test: LargeRequestsTest.rejects- RequestWithLongHeadWhoseMemoryWasRevoked; it failed before (no answer, as the request was forwarded). No command without discarded value is concerned.

--- a/src/main/java/beaconturn/net/client/CommandReader.java
+++ b/src/main/java/beaconturn/net/client/CommandReader.java
@@ -188,7 +188,7 @@
     int bytes = command.frame().length();
     if (reservation != null) {
       reservation.requestComplete();
-    } else if (bytes > SMALL_COMMAND_BYTES) {
+    } else if (!outOfMemory && bytes > SMALL_COMMAND_BYTES) {
       reservation = memory.reserveForComplete(bytes, clock.now());
       outOfMemory = reservation == null;
     }
--- a/src/test/java/beaconturn/net/client/LargeRequestsTest.java
+++ b/src/test/java/beaconturn/net/client/LargeRequestsTest.java
@@ -302,4 +302,25 @@
     assertEquals("-ERR command too long", client.readResponse());
     TestPeer.until(() -> memory.reservedBytes() == 0);
   }
+
+  /** Guards against writes that are forwarded without their value, behind a head of over 4 KB. */
+  @Test
+  void rejectsRequestWithLongHeadWhoseMemoryWasRevoked() throws Exception {
+    StringBuilder attributes = new StringBuilder("c=ack,d=1500");
+    for (char name = 'a'; name < 'a' + 14; name++) {
+      attributes.append(',').append(String.valueOf(name).repeat(32)).append('=');
+      attributes.append("a".repeat(256));
+    }
+    TestPeer.Connection client = connect();
+    client.write(
+        headOfSet("long", VALUE_BYTES)
+                .replace("$12\r\nc=ack,d=1500", "$" + attributes.length() + "\r\n" + attributes)
+            + VALUE.substring(0, PART_BYTES));
+    TestPeer.until(() -> held() == 1);
+    nowNanos.addAndGet(LargeRequestMemory.REVOCABLE_AFTER_NANOS);
+    connectStopped(CAPACITY, PART_BYTES);
+    client.write(VALUE.substring(PART_BYTES) + "\r\n");
+    assertEquals(BUSY, client.readResponse());
+    assertEquals(0, routingQueue.size());
+  }
 }
