A router starts on arm64: JVM options of one kind of machine are passed on there alone

Cause: deploy/run.sh and ProcessLauncher passed -XX:StackShadowPages=10 to any JVM. That of arm64 accepts 20 to 50 and ends at once ("intx StackShadowPages=10 is outside the allowed range"), so no router started and every test that starts a process failed for a reason that says nothing of the router.

Change: the options that stood twice are in deploy/jvm.options (an argument file of the java command, and a resource of the jar, from which rehearsals take them); the one that only x86-64 accepts is in deploy/jvm-x86_64.options. run.sh may start no other program: it passes that file on where the loader of x86-64 is installed and that of arm64 is not. x86-64 keeps its options, in another order.

--- a/deploy/run.sh
+++ b/deploy/run.sh
@@ -30,8 +30,11 @@
 export MALLOC_ARENA_MAX=1
 archive=
 [ ! -f target/beaconturn.jsa ] || archive=-XX:SharedArchiveFile=target/beaconturn.jsa
+# The kind of machine is told by the loader of C programs, without another program. Where both loaders are installed it
+# is unknown, and the options that only x86-64 accepts are left out.
+machine=
+[ ! -e /lib64/ld-linux-x86-64.so.2 ] || [ -e /lib/ld-linux-aarch64.so.1 ] || machine=@deploy/jvm-x86_64.options
 # shellcheck disable=SC2086
-exec java $archive -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xshare:auto -Xss256k -XX:StackShadowPages=10 \
-    -Xms${heap}m -Xmx${heap}m -XX:+AlwaysPreTouch -XX:MaxDirectMemorySize=24m \
-    -XX:ReservedCodeCacheSize=24m -XX:MaxMetaspaceSize=48m -Djdk.nio.maxCachedBufferSize=8192 \
-    -XX:-UsePerfData -Djava.net.preferIPv4Stack=true -jar target/beaconturn.jar serve
+exec java $archive @deploy/jvm.options $machine -Xms${heap}m -Xmx${heap}m -XX:+AlwaysPreTouch \
+    -XX:ReservedCodeCacheSize=24m -XX:MaxMetaspaceSize=48m -Djava.net.preferIPv4Stack=true \
+    -jar target/beaconturn.jar serve
--- a/src/main/java/beaconturn/rehearsal/ProcessLauncher.java
+++ b/src/main/java/beaconturn/rehearsal/ProcessLauncher.java
@@ -14,18 +14,7 @@
 /** Starts each router as a separate process, with the JVM options of a production router. */
 public final class ProcessLauncher implements RouterLauncher {
   private static final String MAIN_CLASS = "beaconturn.cli.Main";
-  private static final List<String> JVM_OPTIONS =
-      List.of(
-          "-XX:+UseSerialGC",
-          "-XX:TieredStopAtLevel=1",
-          "-Xshare:auto",
-          "-Xss256k",
-          "-XX:StackShadowPages=10",
-          "-Xms64m",
-          "-Xmx64m",
-          "-XX:MaxDirectMemorySize=24m",
-          "-XX:-UsePerfData",
-          "-Djdk.nio.maxCachedBufferSize=8192");
+  private static final List<String> HEAP_OPTIONS = List.of("-Xms64m", "-Xmx64m");
   private static final long NANOS_PER_MILLI = 1_000_000;
 
   /** Arguments of {@link MemoryLeakProgram}: rate in kB per second and limit in kB. */
@@ -69,7 +58,8 @@
   private static List<String> command(List<String> programArguments, List<String> arguments) {
     List<String> command = new ArrayList<>();
     command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(JVM_OPTIONS);
+    command.addAll(JvmOptions.ofThisMachine());
+    command.addAll(HEAP_OPTIONS);
     command.addAll(programArguments);
     command.addAll(arguments);
     return command;
