The limit on connections to cache servers counts what a thread takes on arm64

Cause: ConnectionBudget counts 56 KB a thread, which holds on x86-64 with ten shadow pages. On arm64 a thread in a blocking read takes 101 KB, so that with 96 MB and 1,024 descriptors 488 threads were allowed, 49 MB for which 28 MB are left: the process could pass its memory limit there.

Change: 112 KB where the JVM has its default of shadow pages; x86-64 keeps its figure.

Result: ConnectionBudgetTest checks both kinds on any machine, with the case "1024, 96" that failed with 56 KB (1 of 7) and passes with 112 KB.

--- a/src/main/java/beaconturn/net/ConnectionBudget.java
+++ b/src/main/java/beaconturn/net/ConnectionBudget.java
@@ -1,5 +1,7 @@
 package beaconturn.net;
 
+import java.util.Set;
+
 /**
  * Limits on the connections of a router, so that it runs out of neither descriptors nor memory: a
  * client connection takes a few KB, a connection to a cache server takes a thread.
@@ -26,8 +28,16 @@
   /** Memory of the JVM outside the heap, with no connection open. */
   private static final int JVM_BASE_MB = 40;
 
-  /** Stack and bookkeeping of a thread, with the shadow pages that the start command sets. */
-  private static final int THREAD_KB = 56;
+  /**
+   * Stack and bookkeeping of a thread on x86-64, with the shadow pages that the start command sets.
+   */
+  private static final int X86_64_THREAD_KB = 56;
+
+  /** The same with the shadow pages that a JVM has by default, as on arm64. */
+  private static final int THREAD_KB = 112;
+
+  /** The names that JVMs give to x86-64 in the property {@code os.arch}. */
+  private static final Set<String> X86_64_NAMES = Set.of("amd64", "x86_64");
 
   private static final int MIN_THREADS = 64;
 
@@ -53,11 +63,21 @@
   /** Idle clients are closed sooner once clients use more than this part of all descriptors. */
   private static final int SOFT_LIMIT_DIVISOR = 4;
 
-  /** Computes the budget of a process with the given number of descriptors and amount of memory. */
+  /** Computes the budget of a process on this machine. */
   static ConnectionBudget of(int descriptors, int memoryMb) {
+    return of(descriptors, memoryMb, System.getProperty("os.arch"));
+  }
+
+  /**
+   * Computes the budget of a process with the given number of descriptors and amount of memory.
+   *
+   * @param architecture the kind of machine, a value of the property {@code os.arch}
+   */
+  static ConnectionBudget of(int descriptors, int memoryMb, String architecture) {
+    int threadKb = X86_64_NAMES.contains(architecture) ? X86_64_THREAD_KB : THREAD_KB;
     int forConnections = descriptors - OTHER_DESCRIPTORS;
     int clients = (forConnections / 2 - 1) * OPEN_CLIENT_PARTS / CLIENT_PARTS;
-    int cacheConnections = Math.min(forConnections / 2, threads(memoryMb));
+    int cacheConnections = Math.min(forConnections / 2, threads(memoryMb, threadKb));
     return new ConnectionBudget(
         clients, descriptors / SOFT_LIMIT_DIVISOR, cacheConnections, largeRequests(memoryMb));
   }
@@ -71,9 +91,9 @@
     return memoryMb * HEAP_TENTHS / 10;
   }
 
-  private static int threads(int memoryMb) {
+  private static int threads(int memoryMb, int threadKb) {
     int forThreadsMb = memoryMb - heapMb(memoryMb) - JVM_BASE_MB;
-    return Math.max(MIN_THREADS, forThreadsMb * KB_PER_MB / THREAD_KB);
+    return Math.max(MIN_THREADS, forThreadsMb * KB_PER_MB / threadKb);
   }
 
   private static int largeRequests(int memoryMb) {
--- a/src/test/java/beaconturn/net/ConnectionBudgetTest.java
+++ b/src/test/java/beaconturn/net/ConnectionBudgetTest.java
@@ -10,14 +10,19 @@
    * All connections together must exceed neither the descriptors nor the memory for their threads.
    */
   @ParameterizedTest
-  @CsvSource({"1024, 192", "1024, 128", "256, 192", "64, 64", "256, 32", "4096, 2048"})
+  @CsvSource({"1024, 192", "1024, 128", "1024, 96", "256, 192", "64, 64", "256, 32", "4096, 2048"})
   void staysWithinDescriptorAndMemoryLimits(int sockets, int memoryMb) {
-    ConnectionBudget budget = ConnectionBudget.of(sockets, memoryMb);
+    assertWithinLimits(sockets, memoryMb, ConnectionBudget.of(sockets, memoryMb, "amd64"), 45);
+    assertWithinLimits(sockets, memoryMb, ConnectionBudget.of(sockets, memoryMb, "aarch64"), 101);
+  }
+
+  private static void assertWithinLimits(
+      int sockets, int memoryMb, ConnectionBudget budget, int threadKb) {
     assertTrue(budget.clients() > 0 && budget.cacheConnections() > 0);
     int closing = 1 + budget.clients() / 16;
     assertTrue(budget.clients() + closing + budget.cacheConnections() < sockets - 20);
     int memoryForThreadsMb = memoryMb - memoryMb * 3 / 10 - 40;
-    assertTrue(budget.cacheConnections() <= Math.max(64, memoryForThreadsMb * 1024 / 45));
+    assertTrue(budget.cacheConnections() <= Math.max(64, memoryForThreadsMb * 1024 / threadKb));
     assertTrue(2 * 66 * budget.largeRequests() <= memoryMb * 3 / 10 * 1024);
   }
 }
