Log the disconnect of a client with what is open and unread, and the cancelled requests

Change: a line for each disconnect with unanswered requests (their number and first ids, bytes read and not processed, how long input was left unread) and one for each request that is cancelled by it, both rate-limited; on-call has them.

--- a/src/main/java/beaconturn/core/RequestEventLog.java
+++ b/src/main/java/beaconturn/core/RequestEventLog.java
@@ -6,9 +6,10 @@
 import java.util.stream.Collectors;
 
 /**
- * Logs rejections, failures and retries of requests, each with the request's id, the reason and the
- * outcomes of its attempts so far. Lines of single requests are rate-limited; the start and the end
- * of a series of rejections or failures are always logged. Confined to the routing thread.
+ * Logs rejections, failures, cancellations and retries of requests, each with the request's id, the
+ * reason and the outcomes of its attempts so far. Lines of single requests are rate-limited; the
+ * start and the end of a series of rejections or failures are always logged. Confined to the
+ * routing thread.
  */
 final class RequestEventLog {
   private static final Logger LOG = Logger.getLogger(RoutingEngine.class.getName());
@@ -23,6 +24,8 @@
   private final RateLimitedLog rejectedLines =
       new RateLimitedLog(LOG, BURST_LINES, LINES_PER_SECOND);
   private final RateLimitedLog failedLines = new RateLimitedLog(LOG, BURST_LINES, LINES_PER_SECOND);
+  private final RateLimitedLog cancelledLines =
+      new RateLimitedLog(LOG, BURST_LINES, LINES_PER_SECOND);
   private final RateLimitedLog retriedLines =
       new RateLimitedLog(LOG, BURST_LINES, LINES_PER_SECOND);
 
@@ -36,6 +39,17 @@
     failedLines.log(nowNanos, () -> line(entry, "failed", reason));
   }
 
+  /** Logs a request whose client disconnected before it had its response. */
+  void cancelled(RequestTable.RequestEntry entry, long nowNanos) {
+    cancelledLines.log(
+        nowNanos,
+        () ->
+            "request "
+                + entry.request().id()
+                + " cancelled: client disconnected, attempts "
+                + attemptOutcomes(entry));
+  }
+
   /** Logs a retry or a hedged request. */
   void retried(RequestTable.RequestEntry entry, Supplier<String> serverName, long nowNanos) {
     retriedLines.log(
--- a/src/main/java/beaconturn/core/RoutingEngine.java
+++ b/src/main/java/beaconturn/core/RoutingEngine.java
@@ -75,7 +75,7 @@
     } else if (message instanceof RoutingMessage.RequestReceived received) {
       requestReceived(received.request());
     } else if (message instanceof RoutingMessage.ClientDisconnected disconnected) {
-      cancel(context.requests().of(disconnected.request()));
+      clientDisconnected(context.requests().of(disconnected.request()));
     } else if (message instanceof RoutingMessage.AttemptCompleted completed) {
       attempts.attemptEnded(completed.attempt(), completed.result());
     } else if (message instanceof RoutingMessage.StreamingStarted started) {
@@ -186,6 +186,13 @@
     }
   }
 
+  private void clientDisconnected(RequestTable.RequestEntry entry) {
+    if (entry != null && !entry.isClosed()) {
+      context.eventLog().cancelled(entry, context.clock().now());
+      cancel(entry);
+    }
+  }
+
   private void cancel(RequestTable.RequestEntry entry) {
     if (entry != null && !entry.isClosed()) {
       context.requests().close(entry);
--- a/src/main/java/beaconturn/net/client/ClientConnection.java
+++ b/src/main/java/beaconturn/net/client/ClientConnection.java
@@ -235,6 +235,22 @@
     context.poller().releaseClosed(this);
   }
 
+  /** Closes after the client has closed or reset the connection. Poller thread only. */
+  private void closeAfterDisconnect() {
+    List<RespClientRequest> unanswered = dispatcher.unansweredRequests();
+    if (!unanswered.isEmpty() && !state.isClosed()) {
+      context
+          .eventLog()
+          .clientDisconnected(
+              number,
+              unanswered,
+              reader.unprocessedBytes(),
+              reader.unreadForNanos(),
+              context.clock().now());
+    }
+    close(CloseReason.CLIENT_DISCONNECTED);
+  }
+
   /** Reports that the descriptor is free. Poller thread only. */
   void onReleased() {
     reader.releaseMemory();
@@ -289,10 +305,10 @@
       }
     } catch (IOException e) {
       LOG.finer("client connection closed: " + e.getMessage());
-      close(CloseReason.CLIENT_DISCONNECTED);
+      closeAfterDisconnect();
     } catch (CancelledKeyException e) {
       // The channel was closed because the client had reset the connection.
-      close(CloseReason.CLIENT_DISCONNECTED);
+      closeAfterDisconnect();
     } catch (RuntimeException | Error e) {
       handleInternalError(e);
     }
@@ -328,7 +344,9 @@
     if (writeFailure != null) {
       close(writeFailure);
     } else if (!state.isClosed()) {
-      int read = reader.wantsToRead() ? SelectionKey.OP_READ : 0;
+      boolean reads = reader.wantsToRead();
+      reader.recordReading(reads);
+      int read = reads ? SelectionKey.OP_READ : 0;
       int write = writer.isBlocked() ? SelectionKey.OP_WRITE : 0;
       if (key.interestOps() != (read | write)) {
         key.interestOps(read | write);
@@ -347,7 +365,7 @@
     if (bytes < 0) {
       // Commands that arrived just before the end of the stream are dropped: their client has
       // disconnected.
-      close(CloseReason.CLIENT_DISCONNECTED);
+      closeAfterDisconnect();
     } else if (bytes > 0) {
       processCommands();
     }
--- a/src/main/java/beaconturn/net/client/ClientEventLog.java
+++ b/src/main/java/beaconturn/net/client/ClientEventLog.java
@@ -23,12 +23,17 @@
   private static final int ID_INDEX = 2;
 
   private static final int MAX_ID_LENGTH = 32;
+  private static final int MAX_LOGGED_IDS = 4;
+  private static final long NANOS_PER_MILLI = 1_000_000;
   private final AtomicLong connectionCount = new AtomicLong();
   private final RateLimitedLog rejectionLog =
       new RateLimitedLog(LOG, BURST_LINES, LINES_PER_SECOND);
   private final RateLimitedLog protocolErrorLog =
       new RateLimitedLog(LOG, BURST_LINES, LINES_PER_SECOND);
 
+  private final RateLimitedLog disconnectLog =
+      new RateLimitedLog(LOG, BURST_LINES, LINES_PER_SECOND);
+
   /** One limit per reason, so that many closes for one reason do not hide those for another. */
   private final Map<CloseReason, RateLimitedLog> closeLogs = new EnumMap<>(CloseReason.class);
 
@@ -89,6 +94,39 @@
                 + " pending responses");
   }
 
+  /**
+   * Logs that a client has disconnected while requests have no response.
+   *
+   * @param unanswered the requests without a response
+   * @param unprocessedBytes bytes that were read and not processed
+   * @param unreadForNanos how long input was last left in the socket before the router read the end
+   *     of the stream, 0 for not at all
+   */
+  void clientDisconnected(
+      long connectionNumber,
+      Collection<RespClientRequest> unanswered,
+      int unprocessedBytes,
+      long unreadForNanos,
+      long nowNanos) {
+    disconnectLog.log(
+        nowNanos,
+        () ->
+            "connection "
+                + connectionNumber
+                + ": client disconnected with "
+                + unanswered.size()
+                + " unanswered requests, "
+                + unprocessedBytes
+                + " bytes unprocessed, input left unread for "
+                + unreadForNanos / NANOS_PER_MILLI
+                + " ms; first requests: "
+                + ids(unanswered.stream().limit(MAX_LOGGED_IDS).toList()));
+  }
+
+  private static String ids(Collection<RespClientRequest> requests) {
+    return requests.stream().map(RespClientRequest::id).collect(Collectors.joining(" "));
+  }
+
   /**
    * Logs that a connection closes.
    *
@@ -103,7 +141,6 @@
       int unwritten,
       long nowNanos) {
     if (!reason.isClientInitiated() && unwritten > 0) {
-      String ids = unanswered.stream().map(RespClientRequest::id).collect(Collectors.joining(" "));
       LOG.warning(
           "connection "
               + connectionNumber
@@ -112,7 +149,7 @@
               + " responses outstanding: "
               + reason
               + "; unanswered requests: "
-              + ids);
+              + ids(unanswered));
     } else if (reason.isLogged()) {
       closeLogs
           .get(reason)
--- a/src/main/java/beaconturn/net/client/ClientInputBuffer.java
+++ b/src/main/java/beaconturn/net/client/ClientInputBuffer.java
@@ -117,6 +117,11 @@
     return buffer.size() == 0;
   }
 
+  /** The number of bytes that were read and not processed. */
+  int size() {
+    return buffer.size();
+  }
+
   /** Whether a value of the most recently returned command was discarded. */
   boolean valueDiscarded() {
     return valueDiscardedInLast;
--- a/src/main/java/beaconturn/net/client/CommandReader.java
+++ b/src/main/java/beaconturn/net/client/CommandReader.java
@@ -21,6 +21,8 @@
   /** Limit on the input discarded after a protocol error, so that the error response can arrive. */
   private static final int DISCARD_LIMIT_BYTES = 32 * 1024;
 
+  private static final long NEVER = Long.MAX_VALUE;
+
   /** Commands of up to this size are kept without a reservation of memory. */
   private static final int SMALL_COMMAND_BYTES = 4 * 1024;
 
@@ -43,6 +45,12 @@
   private int discardedBytes;
   private int commandsProcessed;
 
+  /** When reading from the socket stopped, or {@code Long.MAX_VALUE} while the socket is read. */
+  private long readingStoppedAtNanos = NEVER;
+
+  /** How long the socket was last left unread. */
+  private long unreadForNanos;
+
   /** The memory for the large command that is arriving, or null if none is reserved. */
   private MemoryReservation reservation;
 
@@ -101,6 +109,26 @@
     return input.wantsMore(allowedBytes());
   }
 
+  /** Records whether the socket is watched for bytes from now on. */
+  void recordReading(boolean reading) {
+    if (!reading) {
+      readingStoppedAtNanos = Math.min(readingStoppedAtNanos, clock.now());
+    } else if (readingStoppedAtNanos != NEVER) {
+      unreadForNanos = clock.now() - readingStoppedAtNanos;
+      readingStoppedAtNanos = NEVER;
+    }
+  }
+
+  /** How long the socket was last left unread, 0 for never. */
+  long unreadForNanos() {
+    return unreadForNanos;
+  }
+
+  /** The number of bytes that were read and not processed. */
+  int unprocessedBytes() {
+    return input.size();
+  }
+
   /** How much of the command that is arriving may be in memory. */
   private int allowedBytes() {
     return reservation == null ? ClientInputBuffer.READ_AHEAD_BYTES : reservation.bytes();
--- a/src/test/java/beaconturn/net/client/ClientEventLogTest.java
+++ b/src/test/java/beaconturn/net/client/ClientEventLogTest.java
@@ -86,6 +86,16 @@
     assertEquals(List.of(), lines);
   }
 
+  @Test
+  void logsDisconnectWithUnansweredRequestsAndUnreadInput() {
+    events.clientDisconnected(
+        3, List.of(request("a1"), request("b2")), 16_384, SECOND_NANOS / 2, SECOND_NANOS);
+    assertEquals(
+        "connection 3: client disconnected with 2 unanswered requests, 16384 bytes unprocessed,"
+            + " input left unread for 500 ms; first requests: a1 b2",
+        lines.get(0).getMessage());
+  }
+
   private static RespValue command(String... words) {
     return new RespValue.Array(
         Slice.of(""),
