--- a/src/main/java/beaconturn/net/client/ClientConnection.java
+++ b/src/main/java/beaconturn/net/client/ClientConnection.java
@@ -238,7 +238,8 @@
   /** Closes after the client has closed or reset the connection. Poller thread only. */
   private void closeAfterDisconnect() {
     List<RespClientRequest> unanswered = dispatcher.unansweredRequests();
-    if (!unanswered.isEmpty() && !state.isClosed()) {
+    boolean requestsLeft = !unanswered.isEmpty() || reader.unprocessedBytes() > 0;
+    if (requestsLeft && !state.isClosed()) {
       context
           .eventLog()
           .clientDisconnected(
