Nothing is sent on for a client that left behind unread input

Cause: 16 KB were read ahead of commands that wait (for one of 33 places, for a client that does not take a response, or behind rejected commands). Behind a full buffer, and behind a protocol error with responses outstanding, the socket was not read, so neither the end of the stream nor a reset was seen while what had been read went on being sent. Evidence: all that is out for such a client ends within 6 ms, when room is free; the reproduction shows it from 400 reads on, with long writes behind 33 reads, with invalid commands between reads and with bytes behind a protocol error.

Change: the router always reads on. Input that is left unread has an age (InputBacklog); after 25 ms the commands that wait are rejected in their places (a run of rejections takes the memory of one) and the poller reads on, 64 KB in 5 ms for all such connections together (BacklogReader). No attempt is written once input was left unread for 60 ms, which holds for a client that writes faster than that. Input behind a protocol error is discarded without end, at that pace. The line of a disconnect is also logged where input had been left unread.

--- a/src/main/java/beaconturn/net/client/ClientConnection.java
+++ b/src/main/java/beaconturn/net/client/ClientConnection.java
@@ -48,6 +48,9 @@
   /** Poller thread only. Null until the connection is registered with the selector. */
   private SelectionKey key;
 
+  /** Poller thread only. Whether the poller reads on for this connection. */
+  private boolean backlogWatched;
+
   /** Creates a connection for an accepted channel; nothing is read before {@link #start}. */
   public ClientConnection(SocketChannel channel, ConnectionContext context) {
     this.channel = channel;
@@ -55,7 +58,7 @@
     this.number = context.eventLog().nextConnectionNumber();
     this.openedAtNanos = context.clock().now();
     this.writer = new ClientWriter(channel, context.clock(), this::onResponsesWritten);
-    this.dispatcher = new CommandDispatcher(context, state, writer);
+    this.dispatcher = new CommandDispatcher(context, state, writer, this::isClientPresent);
     this.reader =
         new CommandReader(
             channel,
@@ -64,7 +67,8 @@
             writer,
             context.largeRequestMemory(),
             () -> context.poller().schedule(this),
-            this::handleCommand);
+            this::handleCommand,
+            dispatcher::rejectWaiting);
   }
 
   /**
@@ -239,7 +243,7 @@
   private void closeAfterDisconnect() {
     List<RespClientRequest> unanswered = dispatcher.unansweredRequests();
     boolean requestsLeft = !unanswered.isEmpty() || reader.unprocessedBytes() > 0;
-    if (requestsLeft && !state.isClosed()) {
+    if (!state.isClosed() && (requestsLeft || reader.unreadForNanos() > 0)) {
       context
           .eventLog()
           .clientDisconnected(
@@ -345,22 +349,80 @@
     if (writeFailure != null) {
       close(writeFailure);
     } else if (!state.isClosed()) {
-      boolean reads = reader.wantsToRead();
-      reader.recordReading(reads);
-      int read = reads ? SelectionKey.OP_READ : 0;
+      int read = reader.wantsToRead() ? SelectionKey.OP_READ : 0;
       int write = writer.isBlocked() ? SelectionKey.OP_WRITE : 0;
       if (key.interestOps() != (read | write)) {
         key.interestOps(read | write);
       }
+      if (reader.backlog().exists() && !backlogWatched) {
+        backlogWatched = true;
+        context.poller().watchBacklog(this);
+      }
     }
   }
 
-  private void read(long arrivedAtNanos) throws IOException {
+  // Input that is left unread. Poller thread only.
+
+  /** Whether input may lie unread in the socket. */
+  boolean hasBacklog() {
+    return !state.isClosed() && reader.backlog().exists();
+  }
+
+  /** Reports that {@link #readBacklog} will not be called until there is another backlog. */
+  void backlogEnded() {
+    backlogWatched = false;
+  }
+
+  /**
+   * Reads on where input was left unread. Requests that wait are rejected for that if they have
+   * waited for some time and others of this client are in flight, whose client may have left.
+   *
+   * @return the number of bytes read, at most a few KB more than {@code maxBytes}
+   */
+  int readBacklog(int maxBytes) {
+    int[] bytes = {0};
+    guarded(() -> bytes[0] = Math.max(0, readBacklogNow(maxBytes)));
+    return bytes[0];
+  }
+
+  private int readBacklogNow(int maxBytes) throws IOException {
     if (state.isClosing()) {
-      if (reader.discardsInput() && !reader.discard()) {
-        close(CloseReason.PROTOCOL_ERROR);
+      return discardInput(maxBytes);
+    }
+    if (reader.wantsToRead()) {
+      return read(context.poller().lastSelectAtNanos());
+    }
+    boolean mayRejectWaiting =
+        dispatcher.hasUnanswered()
+            && reader.backlog().isOlderThan(InputBacklog.MAX_WAIT_NANOS, context.clock().now());
+    return mayRejectWaiting ? rejectWaiting(maxBytes) : 0;
+  }
+
+  private int rejectWaiting(int maxBytes) throws IOException {
+    try {
+      int bytes = reader.rejectWaiting(maxBytes, context.poller().lastSelectAtNanos());
+      if (bytes < 0) {
+        closeAfterDisconnect();
       }
-      return;
+      return bytes;
+    } catch (ProtocolException e) {
+      closeWithError(e.getMessage());
+      return 0;
+    }
+  }
+
+  /**
+   * Whether the client is known to be connected: it may have left if its input has been left unread
+   * for some time. For any thread.
+   */
+  private boolean isClientPresent() {
+    long nowNanos = context.clock().now();
+    return !reader.backlog().isOlderThan(InputBacklog.PRESENCE_TIMEOUT_NANOS, nowNanos);
+  }
+
+  private int read(long arrivedAtNanos) throws IOException {
+    if (state.isClosing()) {
+      return discardInput(Sockets.MAX_TRANSFER_BYTES);
     }
     int bytes = reader.fill(arrivedAtNanos);
     if (bytes < 0) {
@@ -370,6 +432,30 @@
     } else if (bytes > 0) {
       processCommands();
     }
+    return bytes;
+  }
+
+  /**
+   * Discards input after a protocol error. Beyond a limit the connection closes, or input is read
+   * at the pace of {@link BacklogReader} while responses are outstanding.
+   */
+  private int discardInput(int maxBytes) throws IOException {
+    if (!reader.discardsInput()) {
+      return 0;
+    }
+    int total = 0;
+    int bytes = 1;
+    while (bytes > 0 && total < maxBytes) {
+      bytes = reader.discard();
+      total += Math.max(0, bytes);
+    }
+    if (bytes < 0 && dispatcher.hasUnanswered()) {
+      closeAfterDisconnect();
+    } else if (bytes < 0
+        || reader.isDiscardLimitReached() && writer.outputShutdownAtNanos() != NEVER) {
+      close(CloseReason.PROTOCOL_ERROR);
+    }
+    return total;
   }
 
   private void processCommands() {
@@ -410,7 +496,7 @@
         .protocolError(number, reason, writer.pendingResponses(), context.clock().now());
     writer.enqueue(ResponseSlot.of(RespWriter.error("ERR " + reason)));
     writer.shutdownOutputAfterPending();
-    reader.stopReading(writer.outputShutdownAtNanos() == NEVER);
+    reader.stopReading();
   }
 
   // Events from the writer.
--- a/src/main/java/beaconturn/net/client/ClientInputBuffer.java
+++ b/src/main/java/beaconturn/net/client/ClientInputBuffer.java
@@ -28,6 +28,10 @@
   private final RespReader reader = new RespReader(RespReader.MAX_VALUE_BYTES);
   private final Deque<Arrival> arrivals = new ArrayDeque<>(2);
   private long receivedBytes;
+
+  /** Whether the last read found no more bytes. */
+  private boolean readToEnd = true;
+
   private long lastArrivedAtNanos;
 
   /** Whether the buffer holds only a part of one command, whose last byte is yet to arrive. */
@@ -53,6 +57,7 @@
     int bytes = 1;
     while (bytes > 0 && wantsMore(allowedBytes)) {
       bytes = bytesToDiscard > 0 ? discardFrom(from) : receiveFrom(from, allowedBytes);
+      readToEnd = bytes <= 0;
       total += Math.max(0, bytes);
     }
     if (total > 0) {
@@ -92,6 +97,11 @@
             && buffer.size() <= buffer.expectedBytes());
   }
 
+  /** Whether the last read found no more bytes, so that none were left in the socket. */
+  boolean wasReadToEnd() {
+    return readToEnd;
+  }
+
   /** Removes and returns the next complete command, or returns null if there is none. */
   RespValue next() throws ProtocolException {
     RespValue command = reader.next(buffer);
--- a/src/main/java/beaconturn/net/client/ClientPoller.java
+++ b/src/main/java/beaconturn/net/client/ClientPoller.java
@@ -27,6 +27,9 @@
   /** Maximum wait for events before the clock is read again. */
   private static final long MAX_WAIT_MILLIS = 50;
 
+  /** Maximum wait while input of a connection is left unread. */
+  private static final long BACKLOG_WAIT_MILLIS = BacklogReader.INTERVAL_NANOS / 1_000_000;
+
   /** A wait longer than this means that the process was stopped or starved of CPU. */
   private static final long PROCESS_STALL_NANOS = 200_000_000;
 
@@ -40,6 +43,7 @@
 
   // Poller thread only.
   private final List<ClientConnection> releasing = new ArrayList<>();
+  private final BacklogReader backlogs = new BacklogReader();
   private long lastSelectAtNanos;
   private long arrivedAtNanos;
 
@@ -90,6 +94,11 @@
     selector.wakeup();
   }
 
+  /** Reads on for a connection whose input was left unread, until it is read to its end. */
+  void watchBacklog(ClientConnection connection) {
+    backlogs.add(connection);
+  }
+
   private void run() {
     while (true) {
       try {
@@ -102,6 +111,7 @@
         for (ClientConnection c = scheduled.poll(); c != null; c = scheduled.poll()) {
           c.onScheduled(selector);
         }
+        backlogs.readIfDue(clock.now());
       } catch (IOException e) {
         LOG.log(Level.SEVERE, "client poller failed to select; reading from clients continues", e);
         LockSupport.parkNanos(FAILURE_PAUSE_NANOS);
@@ -126,7 +136,7 @@
         && closed.isEmpty()
         && releasing.isEmpty()) {
       arrivedAtNanos = UNKNOWN;
-      selector.select(this::onReady, maxWaitMillis);
+      selector.select(this::onReady, backlogs.isEmpty() ? maxWaitMillis : BACKLOG_WAIT_MILLIS);
       lastSelectAtNanos = arrivedAtNanos == UNKNOWN ? clock.now() : arrivedAtNanos;
     }
   }
--- a/src/main/java/beaconturn/net/client/ClientWriter.java
+++ b/src/main/java/beaconturn/net/client/ClientWriter.java
@@ -114,6 +114,25 @@
     return true;
   }
 
+  /**
+   * Appends a response that is complete and short. Equal ones in a row take no more memory than
+   * one, and one position of the pipeline.
+   */
+  void enqueueRepeatable(Slice response) {
+    synchronized (this) {
+      if (closing) {
+        return;
+      }
+      if (slots.peekLast() instanceof RepeatedResponse last && last.repeats(response)) {
+        last.add();
+      } else {
+        pendingResponses++;
+        slots.add(new RepeatedResponse(response));
+      }
+    }
+    write();
+  }
+
   /**
    * Shuts down the output if no response is outstanding; false if one is. The input stays open: a
    * full close would reset the connection if a request arrives meanwhile, and the last response
@@ -206,7 +225,7 @@
       }
       unwritten = null;
       writingSinceNanos = NEVER;
-      if (slots.peek().stream() == null) {
+      if (slots.peek().endsWithChunk()) {
         completeFirst();
       }
     }
--- a/src/main/java/beaconturn/net/client/CommandDispatcher.java
+++ b/src/main/java/beaconturn/net/client/CommandDispatcher.java
@@ -6,12 +6,16 @@
 import beaconturn.protocol.Slice;
 import java.util.List;
 import java.util.Locale;
+import java.util.function.BooleanSupplier;
+import java.util.logging.Logger;
 
 /**
  * Turns the commands of one client into requests, submits them to the routing thread, and reports
  * requests whose client has disconnected. Keeps the requests that have no response yet.
  */
 final class CommandDispatcher {
+  private static final Logger LOG = Logger.getLogger(CommandDispatcher.class.getName());
+
   /**
    * Retry delay for requests rejected during a graceful shutdown; another router serves the retry.
    */
@@ -20,15 +24,30 @@
   /** Retry delay for requests rejected for lack of memory; others complete meanwhile. */
   private static final long OUT_OF_MEMORY_RETRY_AFTER_NANOS = 100_000_000;
 
+  /** Retry delay for commands of a client that has sent more than is kept for it. */
+  private static final long BACKLOG_RETRY_AFTER_NANOS = 100_000_000;
+
   private final ConnectionContext context;
   private final ConnectionState state;
   private final ClientWriter writer;
+  private final BooleanSupplier clientPresent;
   private final PendingRequests pending = new PendingRequests();
 
-  CommandDispatcher(ConnectionContext context, ConnectionState state, ClientWriter writer) {
+  /**
+   * Creates a dispatcher.
+   *
+   * @param clientPresent whether the client is known to be connected; nothing is sent on otherwise.
+   *     For any thread
+   */
+  CommandDispatcher(
+      ConnectionContext context,
+      ConnectionState state,
+      ClientWriter writer,
+      BooleanSupplier clientPresent) {
     this.context = context;
     this.state = state;
     this.writer = writer;
+    this.clientPresent = clientPresent;
   }
 
   /**
@@ -76,6 +95,7 @@
 
   private void submit(RespClientRequest request, ReceivedCommand command) {
     request.holdMemory(command.memory());
+    request.onlyWhile(clientPresent);
     if (!writer.enqueue(request)) {
       request.fill(ClientWriter.END_OF_OUTPUT);
       return;
@@ -86,11 +106,36 @@
       reject(request, DRAINING_RETRY_AFTER_NANOS);
     } else if (command.outOfMemory()) {
       reject(request, OUT_OF_MEMORY_RETRY_AFTER_NANOS);
+    } else if (!clientPresent.getAsBoolean()) {
+      reject(request, BACKLOG_RETRY_AFTER_NANOS);
     } else {
       context.routing().accept(new RoutingMessage.RequestReceived(request));
     }
   }
 
+  /**
+   * Rejects a command of a client that has sent more than is kept for it, whatever the command is,
+   * so that all such commands have the same response. Poller thread only.
+   */
+  void rejectWaiting(ReceivedCommand command) {
+    RequestParser parser = context.parser().get();
+    long retryAfterNanos = parser.mayStateRetryAfter() ? BACKLOG_RETRY_AFTER_NANOS : 0;
+    try {
+      List<RespValue> words = words(command.value());
+      if (RequestParser.isRequest(((RespValue.Bulk) words.get(0)).bytes())) {
+        RespClientRequest request =
+            parser.parse(words, command.arrivedAtNanos(), context.pendingIds());
+        request.accepted();
+        request.reject(retryAfterNanos);
+      }
+    } catch (InvalidCommandException e) {
+      // An invalid command is rejected like the others.
+      LOG.finer(e.getMessage());
+    }
+    command.releaseMemory();
+    writer.enqueueRepeatable(RespClientRequest.rejection(retryAfterNanos));
+  }
+
   private static void reject(RespClientRequest request, long retryAfterNanos) {
     boolean mayStateRetryAfter = request.settings().permissions().retryAfter();
     request.reject(mayStateRetryAfter ? retryAfterNanos : 0);
@@ -107,6 +152,11 @@
     };
   }
 
+  /** Whether a request has no response. For any thread. */
+  boolean hasUnanswered() {
+    return pending.hasUnanswered();
+  }
+
   /** Returns the requests without a response. For any thread. */
   List<RespClientRequest> unansweredRequests() {
     return pending.unanswered();
--- a/src/main/java/beaconturn/net/client/CommandReader.java
+++ b/src/main/java/beaconturn/net/client/CommandReader.java
@@ -21,8 +21,6 @@
   /** Limit on the input discarded after a protocol error, so that the error response can arrive. */
   private static final int DISCARD_LIMIT_BYTES = 32 * 1024;
 
-  private static final long NEVER = Long.MAX_VALUE;
-
   /** Commands of up to this size are kept without a reservation of memory. */
   private static final int SMALL_COMMAND_BYTES = 4 * 1024;
 
@@ -34,7 +32,10 @@
   private final Runnable onMemoryRevoked;
   private final Consumer<ReceivedCommand> handler;
 
+  private final Consumer<ReceivedCommand> rejectionHandler;
+
   // Written by the poller thread, read by any thread.
+  private final InputBacklog backlog = new InputBacklog();
   private final PartialCommand partial = new PartialCommand();
   private volatile boolean commandReceived;
   private volatile boolean throttled;
@@ -45,10 +46,7 @@
   private int discardedBytes;
   private int commandsProcessed;
 
-  /** When reading from the socket stopped, or {@code Long.MAX_VALUE} while the socket is read. */
-  private long readingStoppedAtNanos = NEVER;
-
-  /** How long the socket was last left unread. */
+  /** How long input was last left unread. */
   private long unreadForNanos;
 
   /** The memory for the large command that is arriving, or null if none is reserved. */
@@ -61,7 +59,8 @@
       ClientWriter writer,
       LargeRequestMemory memory,
       Runnable onMemoryRevoked,
-      Consumer<ReceivedCommand> handler) {
+      Consumer<ReceivedCommand> handler,
+      Consumer<ReceivedCommand> rejectionHandler) {
     this.channel = channel;
     this.clock = clock;
     this.state = state;
@@ -69,6 +68,7 @@
     this.memory = memory;
     this.onMemoryRevoked = onMemoryRevoked;
     this.handler = handler;
+    this.rejectionHandler = rejectionHandler;
     this.rejections = new RejectionRateLimit(clock);
   }
 
@@ -98,28 +98,33 @@
     rejections.recordRejection();
   }
 
+  /** Input that may lie unread in the socket. For any thread. */
+  InputBacklog backlog() {
+    return backlog;
+  }
+
   /**
-   * Whether the socket is to be watched for bytes. Throttled commands do not stop reading, so that
-   * a close by the client is detected.
+   * Whether the socket is to be watched for bytes. Throttled commands do not stop reading before
+   * the read-ahead is full; from then on {@link #rejectWaiting} reads on.
    */
   boolean wantsToRead() {
     if (state.isClosing()) {
-      return discardsInput() && !throttled;
+      return discardsInput() && (!isDiscardLimitReached() || !backlog.exists());
     }
     return input.wantsMore(allowedBytes());
   }
 
-  /** Records whether the socket is watched for bytes from now on. */
-  void recordReading(boolean reading) {
-    if (!reading) {
-      readingStoppedAtNanos = Math.min(readingStoppedAtNanos, clock.now());
-    } else if (readingStoppedAtNanos != NEVER) {
-      unreadForNanos = clock.now() - readingStoppedAtNanos;
-      readingStoppedAtNanos = NEVER;
+  private void recordBacklog(boolean readToEnd) {
+    long nowNanos = clock.now();
+    if (!readToEnd) {
+      backlog.mayRemain(nowNanos);
+    } else if (backlog.exists()) {
+      unreadForNanos = backlog.ageNanos(nowNanos);
+      backlog.cleared();
     }
   }
 
-  /** How long the socket was last left unread, 0 for never. */
+  /** How long input was last left unread, 0 for never. */
   long unreadForNanos() {
     return unreadForNanos;
   }
@@ -145,25 +150,60 @@
     if (bytes > 0) {
       partial.bytesArrived(clock.now());
     }
+    recordBacklog(input.wasReadToEnd());
     return bytes;
   }
 
+  /**
+   * Rejects the commands that wait and reads on, until the input has been read to its end or that
+   * many bytes have been read.
+   *
+   * @param arrivedAtNanos the earliest time at which the bytes can have arrived
+   * @return the number of bytes read, or a negative number at the end of the stream
+   * @throws ProtocolException if the input cannot be split into commands
+   */
+  int rejectWaiting(int maxBytes, long arrivedAtNanos) throws IOException, ProtocolException {
+    int total = 0;
+    int bytes = 0;
+    while (bytes >= 0 && total < maxBytes && backlog.exists() && state.acceptsCommands()) {
+      RespValue command = input.next();
+      while (command != null) {
+        take(command, rejectionHandler);
+        command = input.next();
+      }
+      if (!input.wantsMore(allowedBytes())) {
+        reserveOrDiscard();
+      }
+      bytes = fill(arrivedAtNanos);
+      total += Math.max(0, bytes);
+    }
+    return bytes < 0 ? bytes : total;
+  }
+
   /** Whether the connection is closing after a protocol error and discards further input. */
   boolean discardsInput() {
     return state.closeReason() == CloseReason.PROTOCOL_ERROR;
   }
 
   /**
-   * Reads and discards a bounded part of the input after a protocol error. Unread bytes would cause
-   * a reset that can cut off the error response; reading without a bound would let one client
-   * occupy the poller.
+   * Reads and discards a part of the input after a protocol error. Unread bytes would cause a reset
+   * that can cut off the error response.
    *
-   * @return false at the end of the stream or once the limit is reached
+   * @return the number of bytes read, or a negative number at the end of the stream
    */
-  boolean discard() throws IOException {
+  int discard() throws IOException {
     int bytes = channel.read(ByteBuffer.allocate(Sockets.MAX_TRANSFER_BYTES));
-    discardedBytes += bytes;
-    return bytes >= 0 && discardedBytes < DISCARD_LIMIT_BYTES;
+    discardedBytes = Math.min(DISCARD_LIMIT_BYTES, discardedBytes + Math.max(0, bytes));
+    recordBacklog(bytes <= 0);
+    return bytes;
+  }
+
+  /**
+   * Whether as much input has been discarded as is discarded at once: reading without a bound would
+   * let one client occupy the poller.
+   */
+  boolean isDiscardLimitReached() {
+    return discardedBytes >= DISCARD_LIMIT_BYTES;
   }
 
   /**
@@ -174,10 +214,7 @@
   void processCommands() throws ProtocolException {
     RespValue command = nextCommand();
     while (command != null) {
-      commandsProcessed++;
-      commandReceived = true;
-      handler.accept(received(command));
-      updatePartial();
+      take(command, handler);
       command = nextCommand();
     }
     if (!throttled && state.acceptsCommands() && !input.wantsMore(allowedBytes())) {
@@ -185,6 +222,13 @@
     }
   }
 
+  private void take(RespValue command, Consumer<ReceivedCommand> commandHandler) {
+    commandsProcessed++;
+    commandReceived = true;
+    commandHandler.accept(received(command));
+    updatePartial();
+  }
+
   /**
    * Lets reading go on, which has stopped within a command because of its size: reserves memory for
    * the long argument that is arriving, or discards it.
@@ -255,12 +299,9 @@
     return input.next();
   }
 
-  /**
-   * Stops reading after a protocol error. If responses are outstanding, the input stays unread
-   * until the sweep closes the connection; otherwise it is discarded up to a limit.
-   */
-  void stopReading(boolean responsesOutstanding) {
+  /** Stops reading commands after a protocol error; what follows is discarded. */
+  void stopReading() {
     releaseMemory();
-    throttled = responsesOutstanding;
+    throttled = false;
   }
 }
--- a/src/main/java/beaconturn/net/client/PendingRequests.java
+++ b/src/main/java/beaconturn/net/client/PendingRequests.java
@@ -18,6 +18,11 @@
     requests.removeIf(ResponseSlot::isFilled);
   }
 
+  /** Whether a request currently has no response. */
+  synchronized boolean hasUnanswered() {
+    return requests.stream().anyMatch(request -> !request.isFilled());
+  }
+
   /** Returns the requests that currently have no response. */
   synchronized List<RespClientRequest> unanswered() {
     return requests.stream().filter(request -> !request.isFilled()).toList();
--- a/src/main/java/beaconturn/net/client/RequestParser.java
+++ b/src/main/java/beaconturn/net/client/RequestParser.java
@@ -135,6 +135,11 @@
         description, arrivedAtNanos + waitNanos, parts, parseContext, () -> ids.release(id));
   }
 
+  /** Whether a rejection may state when the client may retry. */
+  boolean mayStateRetryAfter() {
+    return settings.routing().permissions().retryAfter();
+  }
+
   private int classIndex(Map<String, String> attributes) throws InvalidCommandException {
     int index = settings.classNames().indexOf(attributes.get("c"));
     if (index < 0) {
--- a/src/main/java/beaconturn/net/client/RespClientRequest.java
+++ b/src/main/java/beaconturn/net/client/RespClientRequest.java
@@ -11,6 +11,7 @@
 import beaconturn.stats.RequestMetrics;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 /**
  * A request received as a RESP2 command, and its position among the responses of the client
@@ -29,6 +30,9 @@
   /** Replaced on completion by parts without the value, if that is large. */
   private volatile RequestParser.Parts parts;
 
+  /** Whether the client is known to be connected. Set before the request is shared. */
+  private BooleanSupplier clientPresent = () -> true;
+
   /** The memory reserved for a large value, or null. Set before the request is shared. */
   private MemoryReservation memory;
 
@@ -74,6 +78,14 @@
     memory = reservation;
   }
 
+  /**
+   * Sets what tells whether the client is known to be connected. To be called before the request is
+   * shared with other threads.
+   */
+  void onlyWhile(BooleanSupplier clientIsPresent) {
+    clientPresent = clientIsPresent;
+  }
+
   /** Counts the request as accepted: from now on a response is outstanding. */
   void accepted() {
     parseContext.metrics().requestAccepted();
@@ -130,7 +142,7 @@
 
   @Override
   public boolean isAwaited() {
-    return !isFilled();
+    return !isFilled() && clientPresent.getAsBoolean();
   }
 
   @Override
@@ -161,15 +173,22 @@
     complete(RequestEnd.SUCCEEDED, response == null ? ClientWriter.END_OF_OUTPUT : response);
   }
 
-  /** Rounds the delay up to whole milliseconds, so that no client retries too early. */
   @Override
   public void reject(long retryAfterNanos) {
-    complete(
-        RequestEnd.REJECTED,
-        RespWriter.error(
-            retryAfterNanos <= 0
-                ? "BUSY"
-                : "BUSY " + (retryAfterNanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI));
+    complete(RequestEnd.REJECTED, rejection(retryAfterNanos));
+  }
+
+  /**
+   * The response that rejects a command. Rounds the delay up to whole milliseconds, so that no
+   * client retries too early.
+   *
+   * @param retryAfterNanos when the client may retry, 0 for no advice
+   */
+  static Slice rejection(long retryAfterNanos) {
+    return RespWriter.error(
+        retryAfterNanos <= 0
+            ? "BUSY"
+            : "BUSY " + (retryAfterNanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI);
   }
 
   @Override
--- a/src/main/java/beaconturn/net/client/ResponseSlot.java
+++ b/src/main/java/beaconturn/net/client/ResponseSlot.java
@@ -51,12 +51,17 @@
    * Returns the complete response or the next chunk of a streamed one, or null if none is
    * available.
    */
-  final Slice nextChunk() {
+  Slice nextChunk() {
     // Read in this order: a streamed response has its stream before the slot is filled.
     Slice completeResponse = response;
     return stream != null ? stream.next() : completeResponse;
   }
 
+  /** Whether the chunk that was returned last is the end of the response. */
+  boolean endsWithChunk() {
+    return stream == null;
+  }
+
   /** Fills in the response; false if the slot is already filled. */
   final boolean fill(Slice bytes) {
     Runnable action;
--- a/src/test/java/beaconturn/rehearsal/DisconnectedClientsTest.java
+++ b/src/test/java/beaconturn/rehearsal/DisconnectedClientsTest.java
@@ -19,6 +19,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** No attempt begins after its client has left, on a router in a process of its own. */
 @Timeout(60)
@@ -129,4 +131,83 @@
       assertTrue(attempts.size() > 10, "only " + attempts.size() + " attempts");
     }
   }
+
+  /** Inputs that fill the read-ahead of a connection in different ways. */
+  private enum Input {
+    THOUSANDS_OF_READS(100) {
+      @Override
+      String text(String prefix) {
+        return reads(prefix, 4000);
+      }
+    },
+    READS_AND_CLOSE_AT_ONCE(0) {
+      @Override
+      String text(String prefix) {
+        return reads(prefix, 400);
+      }
+    },
+    LONG_WRITES_BEHIND_READS(80) {
+      @Override
+      String text(String prefix) {
+        return reads(prefix, 33)
+            + write(prefix + "w1", LONG_VALUE_BYTES)
+            + write(prefix + "w2", LONG_VALUE_BYTES)
+            + write(prefix + "w3", LONG_VALUE_BYTES);
+      }
+    },
+    INVALID_COMMANDS_BETWEEN_READS(80) {
+      @Override
+      String text(String prefix) {
+        String invalid = command("C.GET", "key", "id", "c=nobody,d=1000").repeat(600);
+        return reads(prefix, 20) + invalid + reads(prefix + "later", 20);
+      }
+    },
+    BYTES_BEHIND_A_PROTOCOL_ERROR(80) {
+      @Override
+      String text(String prefix) {
+        return reads(prefix, 30) + "!" + "x".repeat(200_000);
+      }
+    };
+
+    private static final int LONG_VALUE_BYTES = 60_000;
+    private final long staysMillis;
+
+    Input(long staysMillis) {
+      this.staysMillis = staysMillis;
+    }
+
+    abstract String text(String prefix);
+  }
+
+  private static String write(String id, int valueBytes) {
+    return command("C.SET", "key-" + id, id, "c=ack,d=" + WAIT_MILLIS, "v".repeat(valueBytes));
+  }
+
+  @ParameterizedTest
+  @EnumSource(Input.class)
+  void requestsOfClientThatLeftAreNotSent(Input input) throws Exception {
+    try (RouterInProcess router = startRouter()) {
+      leave(router, "a-", input.text("a-"), input.staysMillis);
+      assertNoAttemptBegunLate(router);
+      assertTrue(attempts.size() > 2, "only " + attempts.size() + " attempts");
+    }
+  }
+
+  @Test
+  void requestsOfManyClientsThatLeftAtOnceAreNotSent() throws Exception {
+    try (RouterInProcess router = startRouter()) {
+      List<TestPeer.Connection> clients = new ArrayList<>();
+      for (int i = 0; i < 20; i++) {
+        clients.add(router.connect());
+        clients.get(i).write(reads("c" + i + "-", 250));
+      }
+      finished.await(80, TimeUnit.MILLISECONDS);
+      for (int i = 0; i < 20; i++) {
+        clients.get(i).close();
+        disconnectedAtNanos.put("c" + i + "-", System.nanoTime());
+      }
+      assertNoAttemptBegunLate(router);
+      assertTrue(attempts.size() > 10, "only " + attempts.size() + " attempts");
+    }
+  }
 }
