Commands of one connection are limited to 256 in 50 ms, unknown ones count as rejected

Change: CommandRateLimit (RejectionRateLimit before) counts all commands of a connection in a window, 256 in 50 ms, and unknown commands among the 16 rejections. What is left unread for that is read on at the pace of BacklogReader, 16 KB in 5 ms for all connections together (64 KB before), also where no request is out.

--- a/src/main/java/beaconturn/net/client/BacklogReader.java
+++ b/src/main/java/beaconturn/net/client/BacklogReader.java
@@ -11,7 +11,7 @@
 final class BacklogReader {
   static final long INTERVAL_NANOS = 5_000_000;
 
-  private static final int BYTES_PER_INTERVAL = 64 * 1024;
+  private static final int BYTES_PER_INTERVAL = 16 * 1024;
 
   private final Deque<ClientConnection> connections = new ArrayDeque<>();
   private long lastReadAtNanos;
--- a/src/main/java/beaconturn/net/client/ClientConnection.java
+++ b/src/main/java/beaconturn/net/client/ClientConnection.java
@@ -374,8 +374,8 @@
   }
 
   /**
-   * Reads on where input was left unread. Requests that wait are rejected for that if they have
-   * waited for some time and others of this client are in flight, whose client may have left.
+   * Reads on where input was left unread. Requests that have waited for some time are rejected for
+   * that, as their client may have left.
    *
    * @return the number of bytes read, at most a few KB more than {@code maxBytes}
    */
@@ -392,10 +392,10 @@
     if (reader.wantsToRead()) {
       return read(context.poller().lastSelectAtNanos());
     }
-    boolean mayRejectWaiting =
-        dispatcher.hasUnanswered()
-            && reader.backlog().isOlderThan(InputBacklog.MAX_WAIT_NANOS, context.clock().now());
-    return mayRejectWaiting ? rejectWaiting(maxBytes) : 0;
+    long nowNanos = context.clock().now();
+    return reader.backlog().isOlderThan(InputBacklog.MAX_WAIT_NANOS, nowNanos)
+        ? rejectWaiting(maxBytes)
+        : 0;
   }
 
   private int rejectWaiting(int maxBytes) throws IOException {
--- a/src/main/java/beaconturn/net/client/CommandDispatcher.java
+++ b/src/main/java/beaconturn/net/client/CommandDispatcher.java
@@ -141,14 +141,14 @@
     request.reject(mayStateRetryAfter ? retryAfterNanos : 0);
   }
 
-  private Slice localResponse(String commandName) {
+  private Slice localResponse(String commandName) throws InvalidCommandException {
     return switch (commandName) {
       case "PING" ->
           context.lifecycle().ready()
               ? RespWriter.simple("PONG")
               : RespWriter.error("ERR starting");
       case "CLIENT", "SELECT" -> RespWriter.simple("OK");
-      default -> RespWriter.error("ERR unknown command");
+      default -> throw new InvalidCommandException("unknown command");
     };
   }
 
--- /dev/null
+++ b/src/main/java/beaconturn/net/client/CommandRateLimit.java
@@ -0,0 +1,50 @@
+package beaconturn.net.client;
+
+import beaconturn.core.Clock;
+
+/**
+ * Limits how many commands of one connection are handled per time window, and how many of them may
+ * be rejected. Commands beyond a limit wait, so that a client that sends commands in a loop cannot
+ * occupy the poller or the routing thread. Poller thread only.
+ */
+final class CommandRateLimit {
+  /** Rejections per window beyond which commands wait; above what a client sends by mistake. */
+  private static final int MAX_REJECTIONS = 16;
+
+  /** Commands per window beyond which commands wait. */
+  private static final int MAX_COMMANDS = 256;
+
+  /** Length of a window, about the interval at which throttled connections are rechecked. */
+  private static final long WINDOW_NANOS = 50_000_000;
+
+  private final Clock clock;
+  private long windowStartNanos;
+  private int commands;
+  private int rejections;
+
+  CommandRateLimit(Clock clock) {
+    this.clock = clock;
+  }
+
+  /** Counts a command that is handled now. */
+  void recordCommand() {
+    long nowNanos = clock.now();
+    if (commands == 0 || nowNanos - windowStartNanos >= WINDOW_NANOS) {
+      windowStartNanos = nowNanos;
+      commands = 0;
+      rejections = 0;
+    }
+    commands++;
+  }
+
+  /** Counts the current command as rejected. */
+  void recordRejection() {
+    rejections++;
+  }
+
+  /** Whether the next command is to wait. */
+  boolean isExceeded() {
+    boolean overLimit = rejections >= MAX_REJECTIONS || commands >= MAX_COMMANDS;
+    return overLimit && clock.now() - windowStartNanos < WINDOW_NANOS;
+  }
+}
--- a/src/main/java/beaconturn/net/client/CommandReader.java
+++ b/src/main/java/beaconturn/net/client/CommandReader.java
@@ -42,7 +42,7 @@
 
   // Poller thread only.
   private final ClientInputBuffer input = new ClientInputBuffer();
-  private final RejectionRateLimit rejections;
+  private final CommandRateLimit rateLimit;
   private int discardedBytes;
   private int commandsProcessed;
 
@@ -69,7 +69,7 @@
     this.onMemoryRevoked = onMemoryRevoked;
     this.handler = handler;
     this.rejectionHandler = rejectionHandler;
-    this.rejections = new RejectionRateLimit(clock);
+    this.rateLimit = new CommandRateLimit(clock);
   }
 
   /** The command that has partially arrived. For any thread. */
@@ -82,9 +82,7 @@
     return commandReceived;
   }
 
-  /**
-   * Whether commands wait for pipeline capacity or for the rejection rate limit. For any thread.
-   */
+  /** Whether commands wait for pipeline capacity or for the rate limit. For any thread. */
   boolean isThrottled() {
     return throttled;
   }
@@ -95,7 +93,7 @@
 
   /** Counts the current command as rejected; above the limit the next commands are throttled. */
   void recordRejection() {
-    rejections.recordRejection();
+    rateLimit.recordRejection();
   }
 
   /** Input that may lie unread in the socket. For any thread. */
@@ -214,6 +212,7 @@
   void processCommands() throws ProtocolException {
     RespValue command = nextCommand();
     while (command != null) {
+      rateLimit.recordCommand();
       take(command, handler);
       command = nextCommand();
     }
@@ -292,7 +291,7 @@
     // Set before the check: the thread that writes a response and frees capacity must see that a
     // command waits for it.
     throttled = true;
-    if (!writer.hasCapacity() || rejections.isExceeded()) {
+    if (!writer.hasCapacity() || rateLimit.isExceeded()) {
       return null;
     }
     throttled = false;
--- a/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
@@ -24,6 +24,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /** Closing and draining of client connections, with a clock controlled by the test. */
 @Timeout(60)
@@ -608,6 +610,23 @@
     nextRequest().respond(Slice.of("+v\r\n"));
   }
 
+  /** Guards against clients that occupy the poller with commands that the router itself answers. */
+  @ParameterizedTest
+  @CsvSource({"PING, 256, -ERR starting", "HELLO, 16, -ERR unknown command"})
+  void throttlesCommandsOfClientInLoop(String name, int limit, String response) throws Exception {
+    String command = "*1\r\n$" + name.length() + "\r\n" + name + "\r\n";
+    client.write(command.repeat(limit) + get("behind"));
+    for (int i = 0; i < limit; i++) {
+      assertEquals(response, client.readResponse(), "command " + i);
+    }
+    connections.sweep(nowNanos.get());
+    awaitPollerRound();
+    assertEquals(0, routingQueue.size());
+    nowNanos.addAndGet(SECOND_NANOS / 10);
+    connections.sweep(nowNanos.get());
+    nextRequest().respond(Slice.of("+v\r\n"));
+  }
+
   /** An internal error must not leave a request without a response. */
   @Test
   void internalErrorFailsPendingRequestsThenClosesConnection() throws Exception {
