After a stop of the process nothing is sent on before closes of that time are seen

Cause: after SIGCONT all threads run at once. Timers and responses of the time of the stop have the routing thread retry and hedge, and the attempt is written before the poller has seen that the client left. A trace shows more: the wait of the poller that the stop interrupts ends without events (EINTR, its time is over), so that a whole turn passes before the closes are read.

Change: the thread that writes an attempt waits for a turn of the poller that starts after it, at most 0.2 s, if the last turn started over 80 ms ago (PollerTurns); an idle poller starts one each 50 ms, so nothing waits otherwise. If none ends in time nothing is sent.

The tests of net.client, net.server, RouterServerTest, LayoutTest and RoutingEngineTest pass.

--- a/src/main/java/beaconturn/core/ClientRequest.java
+++ b/src/main/java/beaconturn/core/ClientRequest.java
@@ -31,6 +31,15 @@
     return true;
   }
 
+  /**
+   * Whether the client still waits, as far as can be known now. Called right before an attempt is
+   * written; may block for a part of a second after the process was stopped. Not for the routing
+   * thread.
+   */
+  default boolean confirmAwaited() {
+    return isAwaited();
+  }
+
   /** When the client stops waiting, in nanoseconds of the router's clock. */
   long deadlineNanos();
 
--- a/src/main/java/beaconturn/net/client/ClientConnection.java
+++ b/src/main/java/beaconturn/net/client/ClientConnection.java
@@ -58,7 +58,7 @@
     this.number = context.eventLog().nextConnectionNumber();
     this.openedAtNanos = context.clock().now();
     this.writer = new ClientWriter(channel, context.clock(), this::onResponsesWritten);
-    this.dispatcher = new CommandDispatcher(context, state, writer, this::isClientPresent);
+    this.dispatcher = new CommandDispatcher(context, state, writer, new Presence());
     this.reader =
         new CommandReader(
             channel,
@@ -411,13 +411,18 @@
     }
   }
 
-  /**
-   * Whether the client is known to be connected: it may have left if its input has been left unread
-   * for some time. For any thread.
-   */
-  private boolean isClientPresent() {
-    long nowNanos = context.clock().now();
-    return !reader.backlog().isOlderThan(InputBacklog.PRESENCE_TIMEOUT_NANOS, nowNanos);
+  /** Whether this client is known to be connected. */
+  private final class Presence implements ClientPresence {
+    @Override
+    public boolean isKnown() {
+      long nowNanos = context.clock().now();
+      return !reader.backlog().isOlderThan(InputBacklog.PRESENCE_TIMEOUT_NANOS, nowNanos);
+    }
+
+    @Override
+    public boolean confirm() {
+      return context.poller().awaitTurnIfStalled() && isKnown();
+    }
   }
 
   private int read(long arrivedAtNanos) throws IOException {
--- a/src/main/java/beaconturn/net/client/ClientPoller.java
+++ b/src/main/java/beaconturn/net/client/ClientPoller.java
@@ -36,6 +36,7 @@
   private final Selector selector;
   private final Clock clock;
   private final long maxWaitMillis;
+  private final PollerTurns turns;
 
   // Used by any thread.
   private final Queue<ClientConnection> scheduled = new ConcurrentLinkedQueue<>();
@@ -61,6 +62,7 @@
     this.maxWaitMillis = maxWaitMillis;
     this.selector = Selector.open();
     this.lastSelectAtNanos = clock.now();
+    this.turns = new PollerTurns(selector::wakeup, clock.now());
   }
 
   /** Starts the poller thread, which runs as long as the process. */
@@ -94,6 +96,14 @@
     selector.wakeup();
   }
 
+  /**
+   * Waits for a turn of the poller if it has not had one for some time, as after the process was
+   * stopped; false if there is none in time. Not for the poller thread.
+   */
+  boolean awaitTurnIfStalled() {
+    return turns.awaitTurnIfStalled(clock.now());
+  }
+
   /** Reads on for a connection whose input was left unread, until it is read to its end. */
   void watchBacklog(ClientConnection connection) {
     backlogs.add(connection);
@@ -105,6 +115,7 @@
         for (ClientConnection c = closed.poll(); c != null; c = closed.poll()) {
           releasing.add(c);
         }
+        long startedAtNanos = clock.now();
         pollOnce();
         releasing.forEach(ClientConnection::onReleased);
         releasing.clear();
@@ -112,6 +123,7 @@
           c.onScheduled(selector);
         }
         backlogs.readIfDue(clock.now());
+        turns.turnEnded(startedAtNanos);
       } catch (IOException e) {
         LOG.log(Level.SEVERE, "client poller failed to select; reading from clients continues", e);
         LockSupport.parkNanos(FAILURE_PAUSE_NANOS);
--- a/src/main/java/beaconturn/net/client/CommandDispatcher.java
+++ b/src/main/java/beaconturn/net/client/CommandDispatcher.java
@@ -6,7 +6,6 @@
 import beaconturn.protocol.Slice;
 import java.util.List;
 import java.util.Locale;
-import java.util.function.BooleanSupplier;
 import java.util.logging.Logger;
 
 /**
@@ -30,24 +29,23 @@
   private final ConnectionContext context;
   private final ConnectionState state;
   private final ClientWriter writer;
-  private final BooleanSupplier clientPresent;
+  private final ClientPresence clientPresence;
   private final PendingRequests pending = new PendingRequests();
 
   /**
    * Creates a dispatcher.
    *
-   * @param clientPresent whether the client is known to be connected; nothing is sent on otherwise.
-   *     For any thread
+   * @param clientPresence whether the client is known to be connected; nothing is sent on otherwise
    */
   CommandDispatcher(
       ConnectionContext context,
       ConnectionState state,
       ClientWriter writer,
-      BooleanSupplier clientPresent) {
+      ClientPresence clientPresence) {
     this.context = context;
     this.state = state;
     this.writer = writer;
-    this.clientPresent = clientPresent;
+    this.clientPresence = clientPresence;
   }
 
   /**
@@ -95,7 +93,7 @@
 
   private void submit(RespClientRequest request, ReceivedCommand command) {
     request.holdMemory(command.memory());
-    request.onlyWhile(clientPresent);
+    request.onlyWhile(clientPresence);
     if (!writer.enqueue(request)) {
       request.fill(ClientWriter.END_OF_OUTPUT);
       return;
@@ -106,7 +104,7 @@
       reject(request, DRAINING_RETRY_AFTER_NANOS);
     } else if (command.outOfMemory()) {
       reject(request, OUT_OF_MEMORY_RETRY_AFTER_NANOS);
-    } else if (!clientPresent.getAsBoolean()) {
+    } else if (!clientPresence.isKnown()) {
       reject(request, BACKLOG_RETRY_AFTER_NANOS);
     } else {
       context.routing().accept(new RoutingMessage.RequestReceived(request));
--- a/src/main/java/beaconturn/net/client/RespClientRequest.java
+++ b/src/main/java/beaconturn/net/client/RespClientRequest.java
@@ -11,7 +11,6 @@
 import beaconturn.stats.RequestMetrics;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.BooleanSupplier;
 
 /**
  * A request received as a RESP2 command, and its position among the responses of the client
@@ -31,7 +30,7 @@
   private volatile RequestParser.Parts parts;
 
   /** Whether the client is known to be connected. Set before the request is shared. */
-  private BooleanSupplier clientPresent = () -> true;
+  private ClientPresence clientPresence = ClientPresence.ALWAYS;
 
   /** The memory reserved for a large value, or null. Set before the request is shared. */
   private MemoryReservation memory;
@@ -82,8 +81,8 @@
    * Sets what tells whether the client is known to be connected. To be called before the request is
    * shared with other threads.
    */
-  void onlyWhile(BooleanSupplier clientIsPresent) {
-    clientPresent = clientIsPresent;
+  void onlyWhile(ClientPresence presence) {
+    clientPresence = presence;
   }
 
   /** Counts the request as accepted: from now on a response is outstanding. */
@@ -142,7 +141,12 @@
 
   @Override
   public boolean isAwaited() {
-    return !isFilled() && clientPresent.getAsBoolean();
+    return !isFilled() && clientPresence.isKnown();
+  }
+
+  @Override
+  public boolean confirmAwaited() {
+    return isAwaited() && clientPresence.confirm() && isAwaited();
   }
 
   @Override
--- a/src/main/java/beaconturn/net/server/CacheConnection.java
+++ b/src/main/java/beaconturn/net/server/CacheConnection.java
@@ -172,12 +172,13 @@
    * drain.
    */
   private void writeRequest() throws IOException {
+    boolean awaited = attempt.request().confirmAwaited();
     long nowNanos = clock.now();
     long deadlineMillis =
         Math.max(MIN_DEADLINE_MILLIS, (attempt.timesOutAtNanos() - nowNanos) / NANOS_PER_MILLI);
     // Encoded before the check: a completed request may already have dropped its value.
     List<Slice> encoded = attempt.request().encode(deadlineMillis);
-    if (!attempt.mayBeWritten(nowNanos) || !listener.mayWrite()) {
+    if (!awaited || !attempt.mayBeWritten(nowNanos) || !listener.mayWrite()) {
       outcomeIfUnwritten = AttemptOutcome.SUPERSEDED;
       throw new IOException(
           "attempt ended, timed out or no longer permitted before it was written");
--- a/src/test/java/beaconturn/rehearsal/DisconnectedClientsTest.java
+++ b/src/test/java/beaconturn/rehearsal/DisconnectedClientsTest.java
@@ -36,6 +36,7 @@
   private static final long WAIT_MILLIS = 1200;
 
   private static final int SEVERAL_CLIENTS = 5;
+  private static final int FEW_READS = 3;
 
   @TempDir private Path folder;
   private final Map<String, Long> disconnectedAtNanos = new ConcurrentHashMap<>();
@@ -194,4 +195,25 @@
       assertTrue(cacheServers.arrivals().size() > 10);
     }
   }
+
+  /** After the process was stopped, its threads go on in any order. */
+  @Test
+  void requestsOfClientsThatLeftWhileTheRouterWasStoppedAreNotSent() throws Exception {
+    try (RouterInProcess router = startRouter()) {
+      List<TestPeer.Connection> clients = new ArrayList<>();
+      for (int i = 0; i < SEVERAL_CLIENTS; i++) {
+        clients.add(router.connect());
+        clients.get(i).write(reads("c" + i + "-", FEW_READS));
+      }
+      TestPeer.until(() -> cacheServers.arrivals().size() >= SEVERAL_CLIENTS * FEW_READS);
+      router.process().setPaused(true);
+      for (int i = 0; i < SEVERAL_CLIENTS; i++) {
+        clients.get(i).close();
+        disconnectedAtNanos.put("c" + i + "-", System.nanoTime());
+      }
+      finished.await(2 * SERVICE_MILLIS, TimeUnit.MILLISECONDS);
+      router.process().setPaused(false);
+      assertNoAttemptBegunLate(router);
+    }
+  }
 }
