A write that may not be repeated is executed once for each id, also after its client left

Cause: PendingRequestIds forgot an id with the end of its request, and each process of an upgrade has its own set. What an attempt may have done outlives the client that asked, and the answer.

A request that was never written releases its id. The id of a read may come again, as before.

--- a/src/main/java/beaconturn/core/ClientRequest.java
+++ b/src/main/java/beaconturn/core/ClientRequest.java
@@ -40,6 +40,14 @@
     return isAwaited();
   }
 
+  /**
+   * Called right before the bytes of an attempt are written; false if the request was completed
+   * meanwhile, and nothing may be written. From then on the request may have been executed.
+   */
+  default boolean startAttempt() {
+    return true;
+  }
+
   /** When the client stops waiting, in nanoseconds of the router's clock. */
   long deadlineNanos();
 
--- a/src/main/java/beaconturn/net/PeerProcess.java
+++ b/src/main/java/beaconturn/net/PeerProcess.java
@@ -1,6 +1,7 @@
 package beaconturn.net;
 
 import beaconturn.decision.WarmStartState;
+import beaconturn.net.client.ExecutedRequestIds;
 import beaconturn.net.control.MonotonicMillis;
 
 /**
@@ -10,13 +11,16 @@
 final class PeerProcess {
   private static final String SLOTS_FILE = "seats";
   private static final String STATE_FILE = "learned";
+  private static final String EXECUTED_IDS_FILE = "ids";
 
   private final ProcessSlots slots;
   private final UpgradeState upgradeState;
+  private final ExecutedIdsFile executedIds;
 
   PeerProcess(RouterConfig config) {
     this.slots = new ProcessSlots(config.stateFile(SLOTS_FILE));
     this.upgradeState = new UpgradeState(config.stateFile(STATE_FILE));
+    this.executedIds = new ExecutedIdsFile(config.stateFile(EXECUTED_IDS_FILE));
   }
 
   boolean isRunning() {
@@ -28,6 +32,11 @@
     return upgradeState.read(MonotonicMillis.millis());
   }
 
+  /** The ids of requests that may have been executed by either process. */
+  ExecutedRequestIds executedRequestIds() {
+    return executedIds.open();
+  }
+
   /** Stores this process's state for the other one. */
   void writeState(WarmStartState state) {
     upgradeState.write(state, MonotonicMillis.millis());
--- a/src/main/java/beaconturn/net/ProcessHandover.java
+++ b/src/main/java/beaconturn/net/ProcessHandover.java
@@ -3,6 +3,7 @@
 import beaconturn.core.Lifecycle;
 import beaconturn.decision.WarmStartState;
 import beaconturn.net.client.ClientConnections;
+import beaconturn.net.client.ExecutedRequestIds;
 import beaconturn.net.io.ConnectionLimit;
 
 /**
@@ -45,6 +46,11 @@
     return ConnectionBudget.of(config.sockets() / processes, config.memoryMb());
   }
 
+  /** The ids of requests that may not be repeated, shared with another process that may run. */
+  ExecutedRequestIds executedRequestIds() {
+    return peer == null ? new ExecutedRequestIds() : peer.executedRequestIds();
+  }
+
   /** Records the state of the routing engine, to be passed to the next process. */
   void recordState(WarmStartState state) {
     latestState = state;
--- a/src/main/java/beaconturn/net/RouterAssembly.java
+++ b/src/main/java/beaconturn/net/RouterAssembly.java
@@ -109,7 +109,7 @@
             inputs.lifecycle(),
             inbox,
             poller,
-            new PendingRequestIds(),
+            new PendingRequestIds(handover.executedRequestIds()),
             new LargeRequestMemory(budget.largeRequestBytes()),
             new ClientEventLog(),
             clients::remove);
--- a/src/main/java/beaconturn/net/client/RequestParser.java
+++ b/src/main/java/beaconturn/net/client/RequestParser.java
@@ -103,7 +103,8 @@
    * @param words the arguments of the command, its name first
    * @param arrivedAtNanos when its last byte arrived
    * @param ids the ids of pending requests
-   * @throws InvalidCommandException if an argument is invalid or a pending request has the id
+   * @throws InvalidCommandException if an argument is invalid, a pending request has the id, or one
+   *     that may not be repeated and may have been executed
    */
   public RespClientRequest parse(List<RespValue> words, long arrivedAtNanos, PendingRequestIds ids)
       throws InvalidCommandException {
@@ -124,15 +125,16 @@
     Slice id = name(words, ID, "id");
     Parts parts = new Parts(head(words), id, attributes, isWrite ? words.get(VALUE).frame() : null);
     RequestDescription description = description(classIndex, key, isWrite, attributes);
-    if (!ids.reserve(id)) {
-      throw new InvalidCommandException("a request of this id is open");
-    }
+    RequestIdReservation reservation =
+        requestClass.idempotency() == Idempotency.IDEMPOTENT
+            ? ids.reserve(id)
+            : ids.reserveForOneExecution(id, arrivedAtNanos);
     long objectiveAtNanos = arrivedAtNanos + requestClass.latencyObjectiveNanos();
     RespClientRequest.ParseContext parseContext =
         new RespClientRequest.ParseContext(
             settings.routing(), attributes.get("c"), objectiveAtNanos, metrics);
     return new RespClientRequest(
-        description, arrivedAtNanos + waitNanos, parts, parseContext, () -> ids.release(id));
+        description, arrivedAtNanos + waitNanos, parts, parseContext, reservation);
   }
 
   /** Whether a rejection may state when the client may retry. */
--- a/src/main/java/beaconturn/net/client/RespClientRequest.java
+++ b/src/main/java/beaconturn/net/client/RespClientRequest.java
@@ -23,8 +23,8 @@
   private final long deadlineNanos;
   private final ParseContext parseContext;
 
-  /** Dropped after its only run, as it may refer to the received bytes. Guarded by this. */
-  private Runnable onCompleted;
+  /** Dropped once released, as it may refer to the received bytes. Guarded by this. */
+  private RequestIdReservation idReservation;
 
   /** Replaced on completion by parts without the value, if that is large. */
   private volatile RequestParser.Parts parts;
@@ -47,7 +47,7 @@
       RoutingSettings settings, String className, long objectiveAtNanos, RequestMetrics metrics) {}
 
   /**
-   * Creates a request without a response; {@code onCompleted} runs once the request is answered or
+   * Creates a request without a response; the id is released once the request is answered or
    * abandoned.
    */
   public RespClientRequest(
@@ -55,12 +55,12 @@
       long deadlineNanos,
       RequestParser.Parts parts,
       ParseContext parseContext,
-      Runnable onCompleted) {
+      RequestIdReservation idReservation) {
     this.description = description;
     this.deadlineNanos = deadlineNanos;
     this.parts = parts;
     this.parseContext = parseContext;
-    this.onCompleted = onCompleted;
+    this.idReservation = idReservation;
   }
 
   /** The request id given by the client. */
@@ -122,8 +122,8 @@
 
   @Override
   void onFilled() {
-    onCompleted.run();
-    onCompleted = null;
+    idReservation.release();
+    idReservation = null;
     if (memory != null) {
       memory.release();
     }
@@ -149,6 +149,15 @@
     return isAwaited() && clientPresence.confirm() && isAwaited();
   }
 
+  @Override
+  public synchronized boolean startAttempt() {
+    if (isFilled()) {
+      return false;
+    }
+    idReservation.executionPossible();
+    return true;
+  }
+
   @Override
   public long deadlineNanos() {
     return deadlineNanos;
--- a/src/main/java/beaconturn/net/server/CacheConnection.java
+++ b/src/main/java/beaconturn/net/server/CacheConnection.java
@@ -178,7 +178,10 @@
         Math.max(MIN_DEADLINE_MILLIS, (attempt.timesOutAtNanos() - nowNanos) / NANOS_PER_MILLI);
     // Encoded before the check: a completed request may already have dropped its value.
     List<Slice> encoded = attempt.request().encode(deadlineMillis);
-    if (!awaited || !attempt.mayBeWritten(nowNanos) || !listener.mayWrite()) {
+    if (!awaited
+        || !attempt.mayBeWritten(nowNanos)
+        || !listener.mayWrite()
+        || !attempt.request().startAttempt()) {
       outcomeIfUnwritten = AttemptOutcome.SUPERSEDED;
       throw new IOException(
           "attempt ended, timed out or no longer permitted before it was written");
