Large responses that wait behind others no longer fill the heap

Cause: up to 33 responses of 64 KiB wait on each connection, and nothing bounded what all connections hold together.

Change: ResponseMemory, a fifth of the heap for responses over 4 KB that are not next in order; one connection may use a quarter of it, a sixteenth once half is in use, so that one client cannot use it up for others. A response that finds no place is failed in its place, at once. The memory is released when the response has been written or dropped.

Responses that are next in order and not taken by their clients are not counted: at most 64 KiB for each connection.

--- a/src/main/java/beaconturn/net/ConnectionBudget.java
+++ b/src/main/java/beaconturn/net/ConnectionBudget.java
@@ -11,8 +11,14 @@
  * @param cacheConnections maximum number of open connections to cache servers, each of which may
  *     need a thread
  * @param largeRequests maximum number of requests of the largest size held at once
+ * @param waitingResponseBytes maximum size of all large responses that wait behind others
  */
-record ConnectionBudget(int clients, int clientSoftLimit, int cacheConnections, int largeRequests) {
+record ConnectionBudget(
+    int clients,
+    int clientSoftLimit,
+    int cacheConnections,
+    int largeRequests,
+    long waitingResponseBytes) {
   /**
    * Descriptors that are not for connections: the jar, the log, discovery, the listener, the JVM.
    */
@@ -52,6 +58,9 @@
 
   private static final int MAX_LARGE_REQUESTS = 96;
 
+  /** The part of the heap for responses that wait behind others. */
+  private static final int WAITING_RESPONSE_HEAP_DIVISOR = 5;
+
   /**
    * Descriptors of clients are divided into this many parts: 16 for open connections, one for those
    * that are closing.
@@ -79,7 +88,11 @@
     int clients = (forConnections / 2 - 1) * OPEN_CLIENT_PARTS / CLIENT_PARTS;
     int cacheConnections = Math.min(forConnections / 2, threads(memoryMb, threadKb));
     return new ConnectionBudget(
-        clients, descriptors / SOFT_LIMIT_DIVISOR, cacheConnections, largeRequests(memoryMb));
+        clients,
+        descriptors / SOFT_LIMIT_DIVISOR,
+        cacheConnections,
+        largeRequests(memoryMb),
+        (long) heapMb(memoryMb) * KB_PER_MB * BYTES_PER_KB / WAITING_RESPONSE_HEAP_DIVISOR);
   }
 
   /** The memory for large requests. */
--- a/src/main/java/beaconturn/net/RouterAssembly.java
+++ b/src/main/java/beaconturn/net/RouterAssembly.java
@@ -11,6 +11,7 @@
 import beaconturn.net.client.ConnectionContext;
 import beaconturn.net.client.LargeRequestMemory;
 import beaconturn.net.client.PendingRequestIds;
+import beaconturn.net.client.ResponseMemory;
 import beaconturn.net.discovery.DiscoveryWatcher;
 import beaconturn.net.discovery.EndpointListParser;
 import beaconturn.net.discovery.WatchBackoff;
@@ -111,6 +112,7 @@
             poller,
             new PendingRequestIds(handover.executedRequestIds()),
             new LargeRequestMemory(budget.largeRequestBytes()),
+            new ResponseMemory(budget.waitingResponseBytes()),
             new ClientEventLog(),
             clients::remove);
     return new ClientAcceptor(clients, context, inputs.customization(), clock);
--- a/src/main/java/beaconturn/net/client/ClientWriter.java
+++ b/src/main/java/beaconturn/net/client/ClientWriter.java
@@ -101,6 +101,11 @@
         && (unwritten == null || pendingResponses <= MAX_PIPELINED_BEHIND_BLOCKED);
   }
 
+  /** Whether the slot is the next to be written. */
+  synchronized boolean isNext(ResponseSlot slot) {
+    return slots.peek() == slot;
+  }
+
   /** Appends the slot to the response queue; false if the connection is closing. */
   boolean enqueue(ResponseSlot slot) {
     synchronized (this) {
@@ -169,6 +174,7 @@
   synchronized int discardPending() {
     closing = true;
     slots.stream().map(ResponseSlot::stream).filter(Objects::nonNull).forEach(BoundedPipe::cancel);
+    slots.forEach(ResponseSlot::dequeued);
     slots.clear();
     unwritten = null;
     writingSinceNanos = NEVER;
@@ -233,7 +239,7 @@
 
   /** Removes the first response, which has been written completely. */
   private void completeFirst() {
-    slots.poll();
+    slots.poll().dequeued();
     pendingResponses--;
     idleSinceNanos = clock.now();
   }
--- a/src/main/java/beaconturn/net/client/CommandDispatcher.java
+++ b/src/main/java/beaconturn/net/client/CommandDispatcher.java
@@ -30,6 +30,7 @@
   private final ConnectionState state;
   private final ClientWriter writer;
   private final ClientPresence clientPresence;
+  private final WaitingResponses waitingResponses;
   private final PendingRequests pending = new PendingRequests();
 
   /**
@@ -46,6 +47,8 @@
     this.state = state;
     this.writer = writer;
     this.clientPresence = clientPresence;
+    this.waitingResponses =
+        new WaitingResponses(writer, context.responseMemory().ofConnection(), context.clock());
   }
 
   /**
@@ -94,6 +97,7 @@
   private void submit(RespClientRequest request, ReceivedCommand command) {
     request.holdMemory(command.memory());
     request.onlyWhile(clientPresence);
+    request.limitResponse(waitingResponses);
     if (!writer.enqueue(request)) {
       request.fill(ClientWriter.END_OF_OUTPUT);
       return;
--- a/src/main/java/beaconturn/net/client/ConnectionContext.java
+++ b/src/main/java/beaconturn/net/client/ConnectionContext.java
@@ -16,6 +16,7 @@
  * @param poller the thread that reads from all clients
  * @param pendingIds the ids of the requests without a response
  * @param largeRequestMemory the memory for large requests
+ * @param responseMemory the memory for large responses that wait
  * @param eventLog logs rejected commands and closes
  * @param onReleased notified of a closed connection once its descriptor is free
  */
@@ -27,5 +28,6 @@
     ClientPoller poller,
     PendingRequestIds pendingIds,
     LargeRequestMemory largeRequestMemory,
+    ResponseMemory responseMemory,
     ClientEventLog eventLog,
     Consumer<ClientConnection> onReleased) {}
--- a/src/main/java/beaconturn/net/client/RespClientRequest.java
+++ b/src/main/java/beaconturn/net/client/RespClientRequest.java
@@ -32,6 +32,9 @@
   /** Whether the client is known to be connected. Set before the request is shared. */
   private ClientPresence clientPresence = ClientPresence.ALWAYS;
 
+  /** The memory for a response that has to wait, or null for no limit. Set before sharing. */
+  private WaitingResponses waitingResponses;
+
   /** The memory reserved for a large value, or null. Set before the request is shared. */
   private MemoryReservation memory;
 
@@ -77,6 +80,11 @@
     memory = reservation;
   }
 
+  /** Limits the memory of the response. To be called before the request is shared. */
+  void limitResponse(WaitingResponses memory) {
+    waitingResponses = memory;
+  }
+
   /**
    * Sets what tells whether the client is known to be connected. To be called before the request is
    * shared with other threads.
@@ -183,7 +191,13 @@
 
   @Override
   public void respond(Slice response) {
-    complete(RequestEnd.SUCCEEDED, response == null ? ClientWriter.END_OF_OUTPUT : response);
+    if (response == null) {
+      complete(RequestEnd.SUCCEEDED, ClientWriter.END_OF_OUTPUT);
+    } else if (waitingResponses == null || waitingResponses.reserve(this, response.length())) {
+      complete(RequestEnd.SUCCEEDED, response);
+    } else {
+      fail();
+    }
   }
 
   @Override
--- a/src/main/java/beaconturn/net/client/ResponseSlot.java
+++ b/src/main/java/beaconturn/net/client/ResponseSlot.java
@@ -20,6 +20,12 @@
   /** Guarded by this. */
   private Runnable onAvailable = () -> {};
 
+  /** Runs once the slot has left the queue of responses, or null. Guarded by this. */
+  private Runnable onDequeued;
+
+  /** Guarded by this. */
+  private boolean dequeued;
+
   /** Creates a slot that is already filled. */
   static ResponseSlot of(Slice bytes) {
     ResponseSlot slot = new ResponseSlot();
@@ -88,6 +94,30 @@
     action.run();
   }
 
+  /** Sets an action that runs once the slot has left the queue of responses, at once if it has. */
+  final void onDequeued(Runnable action) {
+    synchronized (this) {
+      if (!dequeued) {
+        onDequeued = action;
+        return;
+      }
+    }
+    action.run();
+  }
+
+  /** Reports that the slot has left the queue: it has been written, or never will be. */
+  final void dequeued() {
+    Runnable action;
+    synchronized (this) {
+      dequeued = true;
+      action = onDequeued;
+      onDequeued = null;
+    }
+    if (action != null) {
+      action.run();
+    }
+  }
+
   /** Called once, before the response is visible. */
   void onFilled() {}
 
--- a/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
@@ -69,6 +69,7 @@
                 connectionPoller,
                 ids,
                 new LargeRequestMemory(9 << 16),
+                new ResponseMemory(1 << 24),
                 new ClientEventLog(),
                 connections::remove));
     connections.add(connection);
--- a/src/test/java/beaconturn/net/client/InputBacklogTest.java
+++ b/src/test/java/beaconturn/net/client/InputBacklogTest.java
@@ -55,6 +55,7 @@
             poller,
             ids,
             new LargeRequestMemory(9 << 16),
+            new ResponseMemory(1 << 24),
             new ClientEventLog(),
             connections::remove);
     client =
--- a/src/test/java/beaconturn/net/client/LargeRequestsTest.java
+++ b/src/test/java/beaconturn/net/client/LargeRequestsTest.java
@@ -84,6 +84,7 @@
                 poller,
                 ids,
                 memory,
+                new ResponseMemory(1 << 24),
                 new ClientEventLog(),
                 connections::remove));
     connections.add(connection);
