Input that came while the process was stopped counts as left unread since then

Cause: input that did not fit into the read-ahead counted as left unread from the moment of reading. The kernel had accepted the connection, its input and its close during the stop, so that for 60 ms more attempts were allowed for a client that had long left. The first bytes of a connection that is accepted after a stop counted as new, too.

Change: the age of a backlog counts from the earliest time at which the input can have arrived; for the first bytes of a connection accepted within 0.1 s after a stop that is the start of the stop, also for the deadline of its requests.

Two cases of the class now send 400 reads, as 250 of theirs fit into the read-ahead.

--- a/src/main/java/beaconturn/net/client/ClientConnection.java
+++ b/src/main/java/beaconturn/net/client/ClientConnection.java
@@ -103,12 +103,21 @@
    * the connection is closing.
    */
   long awaitingFirstByteSinceNanos() {
-    boolean hasSent = reader.hasReceivedCommand() || reader.partial().exists();
-    return hasSent || isCloseProposedOrClosed() || outputShutdownAtNanos() != NEVER
+    return hasSent() || isCloseProposedOrClosed() || outputShutdownAtNanos() != NEVER
         ? NEVER
         : openedAtNanos;
   }
 
+  /** Whether the client has sent a byte. */
+  boolean hasSent() {
+    return reader.hasReceivedCommand() || reader.partial().exists();
+  }
+
+  /** When the connection was accepted. */
+  long openedAtNanos() {
+    return openedAtNanos;
+  }
+
   /**
    * When the last bytes of the partial command arrived, or {@code Long.MAX_VALUE} if there is no
    * partial command that waits for its client alone.
--- a/src/main/java/beaconturn/net/client/ClientPoller.java
+++ b/src/main/java/beaconturn/net/client/ClientPoller.java
@@ -33,6 +33,9 @@
   /** A wait longer than this means that the process was stopped or starved of CPU. */
   private static final long PROCESS_STALL_NANOS = 200_000_000;
 
+  /** Time for the listener to accept what was queued while the process was stopped. */
+  private static final long ACCEPT_DELAY_NANOS = 100_000_000;
+
   private final Selector selector;
   private final Clock clock;
   private final long maxWaitMillis;
@@ -47,6 +50,12 @@
   private final BacklogReader backlogs = new BacklogReader();
   private long lastSelectAtNanos;
   private long arrivedAtNanos;
+  private long lastTurnAtNanos;
+
+  /** When the process was last stopped or starved, and when it went on; or {@link #UNKNOWN}. */
+  private long stalledAtNanos = UNKNOWN;
+
+  private long resumedAtNanos = UNKNOWN;
 
   /** Creates a poller; {@link #start} starts its thread. */
   public ClientPoller(Clock clock) throws IOException {
@@ -116,7 +125,9 @@
           releasing.add(c);
         }
         long startedAtNanos = clock.now();
+        lastTurnAtNanos = startedAtNanos;
         pollOnce();
+        detectStall(startedAtNanos, clock.now());
         releasing.forEach(ClientConnection::onReleased);
         releasing.clear();
         for (ClientConnection c = scheduled.poll(); c != null; c = scheduled.poll()) {
@@ -153,12 +164,36 @@
     }
   }
 
+  private void detectStall(long startedAtNanos, long nowNanos) {
+    if (nowNanos - startedAtNanos > PROCESS_STALL_NANOS) {
+      stalledAtNanos = startedAtNanos;
+      resumedAtNanos = nowNanos;
+    }
+  }
+
+  /**
+   * The earliest time at which the first bytes of a connection can have arrived: the kernel accepts
+   * connections and their input while the process is stopped.
+   */
+  private long firstArrivalNanos(ClientConnection connection) {
+    boolean stalling = clock.now() - lastTurnAtNanos > PROCESS_STALL_NANOS;
+    if (stalling) {
+      return Math.min(arrivedAtNanos, lastTurnAtNanos);
+    }
+    boolean acceptedAfterStall =
+        stalledAtNanos != UNKNOWN
+            && connection.openedAtNanos() > stalledAtNanos
+            && connection.openedAtNanos() < resumedAtNanos + ACCEPT_DELAY_NANOS;
+    return acceptedAfterStall ? Math.min(arrivedAtNanos, stalledAtNanos) : arrivedAtNanos;
+  }
+
   private void onReady(SelectionKey key) {
     if (arrivedAtNanos == UNKNOWN) {
       long now = clock.now();
       boolean processStalled = now - lastSelectAtNanos > PROCESS_STALL_NANOS;
       arrivedAtNanos = processStalled ? lastSelectAtNanos : now;
     }
-    ((ClientConnection) key.attachment()).onReady(key, arrivedAtNanos);
+    ClientConnection connection = (ClientConnection) key.attachment();
+    connection.onReady(key, connection.hasSent() ? arrivedAtNanos : firstArrivalNanos(connection));
   }
 }
--- a/src/main/java/beaconturn/net/client/CommandReader.java
+++ b/src/main/java/beaconturn/net/client/CommandReader.java
@@ -112,12 +112,12 @@
     return input.wantsMore(allowedBytes());
   }
 
-  private void recordBacklog(boolean readToEnd) {
-    long nowNanos = clock.now();
+  private void recordBacklog(boolean readToEnd, long arrivedAtNanos) {
     if (!readToEnd) {
-      backlog.mayRemain(nowNanos);
+      // What is left may have arrived, and the client may have left, as early as what was read.
+      backlog.mayRemain(arrivedAtNanos);
     } else if (backlog.exists()) {
-      unreadForNanos = backlog.ageNanos(nowNanos);
+      unreadForNanos = backlog.ageNanos(clock.now());
       backlog.cleared();
     }
   }
@@ -148,7 +148,7 @@
     if (bytes > 0) {
       partial.bytesArrived(clock.now());
     }
-    recordBacklog(input.wasReadToEnd());
+    recordBacklog(input.wasReadToEnd(), arrivedAtNanos);
     return bytes;
   }
 
@@ -192,7 +192,7 @@
   int discard() throws IOException {
     int bytes = channel.read(ByteBuffer.allocate(Sockets.MAX_TRANSFER_BYTES));
     discardedBytes = Math.min(DISCARD_LIMIT_BYTES, discardedBytes + Math.max(0, bytes));
-    recordBacklog(bytes <= 0);
+    recordBacklog(bytes <= 0, clock.now());
     return bytes;
   }
 
--- a/src/main/java/beaconturn/net/client/InputBacklog.java
+++ b/src/main/java/beaconturn/net/client/InputBacklog.java
@@ -24,9 +24,13 @@
     sinceNanos = NEVER;
   }
 
-  /** Records that reading stopped before the end of the input. */
-  void mayRemain(long nowNanos) {
-    sinceNanos = Math.min(sinceNanos, nowNanos);
+  /**
+   * Records that reading stopped before the end of the input.
+   *
+   * @param arrivedAtNanos the earliest time at which the input can have arrived
+   */
+  void mayRemain(long arrivedAtNanos) {
+    sinceNanos = Math.min(sinceNanos, arrivedAtNanos);
   }
 
   boolean exists() {
--- a/src/test/java/beaconturn/rehearsal/DisconnectedClientsTest.java
+++ b/src/test/java/beaconturn/rehearsal/DisconnectedClientsTest.java
@@ -184,7 +184,7 @@
       List<TestPeer.Connection> clients = new ArrayList<>();
       for (int i = 0; i < SEVERAL_CLIENTS; i++) {
         clients.add(router.connect());
-        clients.get(i).write(reads("c" + i + "-", 250));
+        clients.get(i).write(reads("c" + i + "-", 400));
       }
       finished.await(80, TimeUnit.MILLISECONDS);
       for (int i = 0; i < SEVERAL_CLIENTS; i++) {
@@ -216,4 +216,18 @@
       assertNoAttemptBegunLate(router);
     }
   }
+
+  /** The kernel accepts connections while the process is stopped, and all that they send. */
+  @Test
+  void requestsOfClientsThatCameAndLeftWhileTheRouterWasStoppedAreNotSent() throws Exception {
+    try (RouterInProcess router = startRouter()) {
+      router.process().setPaused(true);
+      for (int i = 0; i < SEVERAL_CLIENTS; i++) {
+        leave(router, "c" + i + "-", reads("c" + i + "-", 400), 0);
+      }
+      finished.await(2 * SERVICE_MILLIS, TimeUnit.MILLISECONDS);
+      router.process().setPaused(false);
+      assertNoAttemptBegunLate(router);
+    }
+  }
 }
