A connection in use while its cache server restarts is not used again

Change: connections have the generation of their cache server; each call to close connections begins another one, and a connection of an earlier one is closed when its attempt has ended.

--- a/src/main/java/beaconturn/net/server/CacheConnection.java
+++ b/src/main/java/beaconturn/net/server/CacheConnection.java
@@ -51,6 +51,7 @@
   }
 
   private final CacheSocket socket;
+  private final int generation;
   private final long connectTimeoutNanos;
   private final Clock clock;
   private final CacheResponseReader responseReader;
@@ -68,9 +69,11 @@
 
   CacheConnection(
       InetSocketAddress address,
+      int generation,
       CacheServerEnvironment environment,
       CacheConnectionListener listener) {
     this.socket = new CacheSocket(address);
+    this.generation = generation;
     this.connectTimeoutNanos = environment.connectTimeoutNanos();
     this.clock = environment.clock();
     this.responseReader = environment.responseReader();
@@ -81,6 +84,11 @@
     return socket.address();
   }
 
+  /** The generation of its cache server's connections in which it was created. */
+  int generation() {
+    return generation;
+  }
+
   /**
    * Writes the attempt, connecting first if necessary, and reads its response. Runs on a worker
    * thread.
--- a/src/main/java/beaconturn/net/server/CacheServer.java
+++ b/src/main/java/beaconturn/net/server/CacheServer.java
@@ -37,6 +37,9 @@
   private InetSocketAddress address;
   private boolean retired;
 
+  /** Counts the calls to close connections; earlier connections are not used again. */
+  private int generation;
+
   /** Open connections, including idle ones. Written by the actor, read by the routing thread. */
   private volatile int connectionCount;
 
@@ -110,6 +113,10 @@
     return acceptsRequests;
   }
 
+  /**
+   * Closes the idle connections, and those in use once their attempts have ended, as they may lead
+   * to a process that is gone.
+   */
   void closeIdle() {
     post(new CacheServerTask.CloseIdle());
   }
@@ -191,6 +198,7 @@
   }
 
   void onCloseIdle() {
+    generation++;
     idle.closeAll();
   }
 
@@ -216,9 +224,13 @@
     return outcome == AttemptOutcome.CONNECT_FAILED || outcome == AttemptOutcome.RESET;
   }
 
-  /** Closes the connection if its attempt was aborted or it leads to a former address. */
+  /**
+   * Closes the connection if its attempt was aborted, or if it may lead to a former address or
+   * process.
+   */
   private void reuseOrClose(CacheConnection connection, boolean wasInUse, long idleSinceNanos) {
-    if (wasInUse && !retired && connection.address().equals(address)) {
+    boolean current = connection.generation() == generation && connection.address().equals(address);
+    if (wasInUse && !retired && current) {
       idle.add(connection, idleSinceNanos);
     } else {
       idle.close(connection);
@@ -260,7 +272,7 @@
   @SuppressWarnings("NonAtomicVolatileUpdate") // Only the actor's thread writes it.
   private CacheConnection newConnection() {
     connectionCount++;
-    return new CacheConnection(address, environment, connectionListener);
+    return new CacheConnection(address, generation, environment, connectionListener);
   }
 
   private void runOn(OutboundAttempt attempt, CacheConnection connection) {
--- a/src/main/java/beaconturn/net/server/CacheServerTask.java
+++ b/src/main/java/beaconturn/net/server/CacheServerTask.java
@@ -78,7 +78,7 @@
     }
   }
 
-  /** Closes all idle connections. */
+  /** Closes all idle connections, and those in use once their attempts have ended. */
   record CloseIdle() implements CacheServerTask {
     @Override
     public void applyTo(CacheServer server) {
--- a/src/test/java/beaconturn/net/server/CacheServerPoolTest.java
+++ b/src/test/java/beaconturn/net/server/CacheServerPoolTest.java
@@ -22,6 +22,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
@@ -30,6 +31,10 @@
 class CacheServerPoolTest {
   private static final long SECOND_NANOS = 1_000_000_000;
   private static final int SERVER_COUNT = 200;
+
+  /** So many that connections settle meanwhile and are used again. */
+  private static final int MANY_ATTEMPTS = 300;
+
   private final Clock clock = Clock.system();
   private final WorkerPool workers = new WorkerPool("fleet-cache", SECOND_NANOS / 100);
   private final BlockingQueue<RoutingMessage> routingMessages = new LinkedBlockingQueue<>();
@@ -121,4 +126,52 @@
       TestPeer.until(() -> workers.threadCount() == 0);
     }
   }
+
+  private static EndpointUpdate.AddressedEndpoint started(
+      long id, TestPeer peer, long bootTimeNanos) {
+    return new EndpointUpdate.AddressedEndpoint(
+        new Endpoint(id, 0, 0, 0, EndpointHealth.READY, 1, bootTimeNanos),
+        "fleet-" + id,
+        peer.dialAddress());
+  }
+
+  private void update(int version, EndpointUpdate.AddressedEndpoint member) {
+    pool.applyUpdate(new EndpointUpdate(version, EndpointListKind.DELTA, List.of(member)));
+  }
+
+  private AttemptOutcome outcomeOf(long server) throws InterruptedException {
+    assertTrue(pool.send(attempt(server)));
+    return ((RoutingMessage.AttemptCompleted) routingMessages.take()).result().outcome();
+  }
+
+  /** A connection may lead to the process before the restart that was announced meanwhile. */
+  @Test
+  @Timeout(60)
+  void connectionInUseWhileServerRestartsIsNotUsedAgain() throws Exception {
+    CountDownLatch arrived = new CountDownLatch(1);
+    CountDownLatch restarted = new CountDownLatch(1);
+    try (TestPeer peer =
+        new TestPeer(
+            line -> {
+              while (!line.readCommand().equals("end")) {
+                if (line.isFirst()) {
+                  line.note("arrived on first");
+                }
+                arrived.countDown();
+                restarted.await();
+                line.write("*3\r\n$2\r\nva\r\n$3\r\nhit\r\n$-1\r\n");
+              }
+            })) {
+      update(1, started(1, peer, 10));
+      assertTrue(pool.send(attempt(1)));
+      arrived.await();
+      update(2, started(1, peer, 20));
+      restarted.countDown();
+      routingMessages.take();
+      for (int i = 0; i < MANY_ATTEMPTS; i++) {
+        outcomeOf(1);
+      }
+      assertEquals(List.of("arrived on first"), peer.remainingNotes());
+    }
+  }
 }
--- a/src/test/java/beaconturn/net/server/CacheServerTest.java
+++ b/src/test/java/beaconturn/net/server/CacheServerTest.java
@@ -204,6 +204,7 @@
       CacheConnection connection =
           new CacheConnection(
               peer.address(),
+              0,
               environment(
                   clock,
                   routingMessages::add,
