A listed server whose address a later one has taken over gets no more requests

Connections are made to the address, so that the work of the old server, warm as far as the router knew, went to the new cold one, beyond its slow-start budget.

Change: of the servers listed at one address, the one that started last gets requests; attempts for another one end as superseded, its idle connections are closed, and a log line says so. Servers without a known start are compared as equal, as before.

Result: CacheServerPoolTest.nothingIsSentToServerWhoseAddressAnotherHasTakenOver failed before (the attempt was answered by the new server) and passes; tests of net.server (28) and RouterServerTest pass.

--- a/src/main/java/beaconturn/net/server/CacheServerPool.java
+++ b/src/main/java/beaconturn/net/server/CacheServerPool.java
@@ -25,7 +25,12 @@
 
   /** A cache server as stated in the endpoint list, and its actor. */
   private record PooledServer(
-      CacheServer actor, String host, int zone, EndpointHealth health, long bootTimeNanos) {
+      CacheServer actor,
+      String host,
+      String dialAddress,
+      int zone,
+      EndpointHealth health,
+      long bootTimeNanos) {
     boolean isGone() {
       return health == EndpointHealth.GONE;
     }
@@ -39,6 +44,9 @@
   private final CacheServerEnvironment environment;
   private final Map<Long, PooledServer> servers = new HashMap<>();
 
+  /** The server that started last of those listed at an address. */
+  private final Map<String, Long> latestByAddress = new HashMap<>();
+
   /** The ids of servers excluded by operators, listed or not. */
   private final Set<Long> excluded = new HashSet<>();
 
@@ -115,10 +123,56 @@
     servers.put(
         entry.serverId(),
         new PooledServer(
-            actor, member.host(), entry.zone(), entry.health(), entry.bootTimeNanos()));
+            actor,
+            member.host(),
+            member.dialAddress(),
+            entry.zone(),
+            entry.health(),
+            entry.bootTimeNanos()));
+    updateAddress(entry.serverId());
     updateAcceptance(entry.serverId());
   }
 
+  /**
+   * Records which server started last at the address. The process of any other server at that
+   * address is gone although it is still listed: what is sent to it would reach the later one.
+   */
+  private void updateAddress(long serverId) {
+    PooledServer server = servers.get(serverId);
+    Long latestId = latestByAddress.get(server.dialAddress());
+    PooledServer latest = latestId == null ? null : servers.get(latestId);
+    boolean replaces =
+        latest == null
+            || latest.isGone()
+            || !latest.dialAddress().equals(server.dialAddress())
+            || latest.bootTimeNanos() <= server.bootTimeNanos();
+    if (!replaces) {
+      return;
+    }
+    latestByAddress.put(server.dialAddress(), serverId);
+    if (latest != null && latestId != serverId && isSuperseded(latest)) {
+      LOG.warning(
+          "cache server "
+              + server.host()
+              + " started at "
+              + server.dialAddress()
+              + ", the address of cache server "
+              + latest.host()
+              + ", which gets no more requests");
+      latest.actor().closeIdle();
+      updateAcceptance(latestId);
+    }
+  }
+
+  private boolean isSuperseded(PooledServer server) {
+    Long latestId = latestByAddress.get(server.dialAddress());
+    PooledServer latest = latestId == null ? null : servers.get(latestId);
+    return latest != null
+        && !latest.isGone()
+        && latest.dialAddress().equals(server.dialAddress())
+        && latest.bootTimeNanos() > server.bootTimeNanos();
+  }
+
   private static String describe(EndpointUpdate.AddressedEndpoint member) {
     Endpoint entry = member.endpoint();
     String state =
@@ -153,7 +207,10 @@
     PooledServer server = servers.get(serverId);
     server
         .actor()
-        .acceptsRequests(server.health() == EndpointHealth.READY && !excluded.contains(serverId));
+        .acceptsRequests(
+            server.health() == EndpointHealth.READY
+                && !excluded.contains(serverId)
+                && !isSuperseded(server));
   }
 
   @Override
@@ -194,7 +251,14 @@
     server.actor().closeIdle();
     servers.put(
         serverId,
-        new PooledServer(server.actor(), server.host(), server.zone(), EndpointHealth.GONE, 0));
+        new PooledServer(
+            server.actor(),
+            server.host(),
+            server.dialAddress(),
+            server.zone(),
+            EndpointHealth.GONE,
+            0));
+    latestByAddress.remove(server.dialAddress(), serverId);
     goneCount++;
   }
 
--- a/src/test/java/beaconturn/net/server/CacheServerPoolTest.java
+++ b/src/test/java/beaconturn/net/server/CacheServerPoolTest.java
@@ -144,6 +144,22 @@
     return ((RoutingMessage.AttemptCompleted) routingMessages.take()).result().outcome();
   }
 
+  /** A list that still has a server that is gone must not send its work to the one after it. */
+  @Test
+  @Timeout(60)
+  void nothingIsSentToServerWhoseAddressAnotherHasTakenOver() throws Exception {
+    try (TestPeer peer = cacheServer()) {
+      update(1, started(1, peer, 10));
+      assertEquals(AttemptOutcome.OK, outcomeOf(1));
+      update(2, started(2, peer, 20));
+      assertEquals(AttemptOutcome.SUPERSEDED, outcomeOf(1));
+      assertEquals(AttemptOutcome.OK, outcomeOf(2));
+      update(3, started(1, peer, 30));
+      assertEquals(AttemptOutcome.OK, outcomeOf(1));
+      assertEquals(AttemptOutcome.SUPERSEDED, outcomeOf(2));
+    }
+  }
+
   /** A connection may lead to the process before the restart that was announced meanwhile. */
   @Test
   @Timeout(60)
