--- a/src/test/java/beaconturn/net/TestPeer.java
+++ b/src/test/java/beaconturn/net/TestPeer.java
@@ -197,11 +197,16 @@
       return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
     }
 
+    /** Reads that many bytes. */
+    public String readBytes(int count) throws IOException {
+      byte[] bytes = new byte[count];
+      new DataInputStream(socket.getInputStream()).readFully(bytes);
+      return new String(bytes, StandardCharsets.ISO_8859_1);
+    }
+
     /** Reads as many bytes as the text has and asserts that they are equal to it. */
     void expectBytes(String text) throws IOException {
-      byte[] bytes = new byte[text.length()];
-      new DataInputStream(socket.getInputStream()).readFully(bytes);
-      assertEquals(text, new String(bytes, StandardCharsets.ISO_8859_1));
+      assertEquals(text, readBytes(text.length()));
     }
 
     /** The arguments of the next command joined by blanks, or "end". */
