--- a/src/main/java/beaconturn/net/client/ClientConnection.java
+++ b/src/main/java/beaconturn/net/client/ClientConnection.java
@@ -465,13 +465,17 @@
     }
     if (bytes < 0 && dispatcher.hasUnanswered()) {
       closeAfterDisconnect();
-    } else if (bytes < 0
-        || reader.isDiscardLimitReached() && writer.outputShutdownAtNanos() != NEVER) {
+    } else if (bytes < 0 || isDiscardComplete()) {
       close(CloseReason.PROTOCOL_ERROR);
     }
     return total;
   }
 
+  /** Whether enough has been discarded for the error response to arrive. */
+  private boolean isDiscardComplete() {
+    return reader.isDiscardLimitReached() && writer.outputShutdownAtNanos() != NEVER;
+  }
+
   private void processCommands() {
     try {
       reader.processCommands();
--- a/src/main/java/beaconturn/net/client/ExecutedRequestIds.java
+++ b/src/main/java/beaconturn/net/client/ExecutedRequestIds.java
@@ -48,7 +48,7 @@
     long hash = hash(id);
     long fingerprint = fingerprint(hash);
     long nowSeconds = nowNanos / NANOS_PER_SECOND;
-    long entry = fingerprint << TIME_BITS | nowSeconds & TIME_MASK;
+    long entry = (fingerprint << TIME_BITS) | (nowSeconds & TIME_MASK);
     int first = firstEntry(hash);
     int claimed = -1;
     while (claimed < 0) {
@@ -94,7 +94,7 @@
 
   /** The time since an entry was claimed, in seconds; the longest possible for an empty one. */
   private static long age(long entry, long nowSeconds) {
-    return entry == EMPTY ? Long.MAX_VALUE : nowSeconds - entry & TIME_MASK;
+    return entry == EMPTY ? Long.MAX_VALUE : (nowSeconds - entry) & TIME_MASK;
   }
 
   private long get(int index) {
@@ -116,8 +116,8 @@
   /** Mixes the hash, as similar ids have similar ones (finalizer of MurmurHash3). */
   private static long hash(Slice id) {
     long hash = Fnv1a.of(id);
-    hash = (hash ^ hash >>> 33) * 0xff51afd7ed558ccdL;
-    hash = (hash ^ hash >>> 33) * 0xc4ceb9fe1a85ec53L;
-    return hash ^ hash >>> 33;
+    hash = (hash ^ (hash >>> 33)) * 0xff51afd7ed558ccdL;
+    hash = (hash ^ (hash >>> 33)) * 0xc4ceb9fe1a85ec53L;
+    return hash ^ (hash >>> 33);
   }
 }
