Tests of clients that leave: one way to connect several; a field in place of an array

Need: two tests of DisconnectedClientsTest and two of ClientConnectionsTest had the same steps written twice; readBacklog passed its result through an array.

Change: connectSeveral and closeAll, assertNextRequestWaitsForNextWindow; a field of the poller's thread. Checks and bounds are the same.

--- a/src/main/java/beaconturn/net/client/ClientConnection.java
+++ b/src/main/java/beaconturn/net/client/ClientConnection.java
@@ -51,6 +51,9 @@
   /** Poller thread only. Whether the poller reads on for this connection. */
   private boolean backlogWatched;
 
+  /** Poller thread only. Bytes that the last call of {@link #readBacklog} has read. */
+  private int backlogBytesRead;
+
   /** Creates a connection for an accepted channel; nothing is read before {@link #start}. */
   public ClientConnection(SocketChannel channel, ConnectionContext context) {
     this.channel = channel;
@@ -389,9 +392,9 @@
    * @return the number of bytes read, at most a few KB more than {@code maxBytes}
    */
   int readBacklog(int maxBytes) {
-    int[] bytes = {0};
-    guarded(() -> bytes[0] = Math.max(0, readBacklogNow(maxBytes)));
-    return bytes[0];
+    backlogBytesRead = 0;
+    guarded(() -> backlogBytesRead = readBacklogNow(maxBytes));
+    return Math.max(0, backlogBytesRead);
   }
 
   private int readBacklogNow(int maxBytes) throws IOException {
--- a/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
@@ -593,6 +593,15 @@
     assertEquals("-ERR starting", client.readResponse());
   }
 
+  private void assertNextRequestWaitsForNextWindow() throws Exception {
+    connections.sweep(nowNanos.get());
+    awaitPollerRound();
+    assertEquals(0, routingQueue.size());
+    nowNanos.addAndGet(SECOND_NANOS / 10);
+    connections.sweep(nowNanos.get());
+    nextRequest().respond(Slice.of("+v\r\n"));
+  }
+
   /**
    * Guards against a client that sends invalid commands in a loop; it is throttled but not
    * disconnected.
@@ -603,12 +612,7 @@
     for (int i = 0; i < 16; i++) {
       assertTrue(client.readResponse().startsWith("-ERR "), "command " + i);
     }
-    connections.sweep(nowNanos.get());
-    awaitPollerRound();
-    assertEquals(0, routingQueue.size());
-    nowNanos.addAndGet(SECOND_NANOS / 10);
-    connections.sweep(nowNanos.get());
-    nextRequest().respond(Slice.of("+v\r\n"));
+    assertNextRequestWaitsForNextWindow();
   }
 
   /** Guards against clients that occupy the poller with commands that the router itself answers. */
@@ -620,12 +624,7 @@
     for (int i = 0; i < limit; i++) {
       assertEquals(response, client.readResponse(), "command " + i);
     }
-    connections.sweep(nowNanos.get());
-    awaitPollerRound();
-    assertEquals(0, routingQueue.size());
-    nowNanos.addAndGet(SECOND_NANOS / 10);
-    connections.sweep(nowNanos.get());
-    nextRequest().respond(Slice.of("+v\r\n"));
+    assertNextRequestWaitsForNextWindow();
   }
 
   /** An internal error must not leave a request without a response. */
--- a/src/test/java/beaconturn/rehearsal/DisconnectedClientsTest.java
+++ b/src/test/java/beaconturn/rehearsal/DisconnectedClientsTest.java
@@ -38,6 +38,9 @@
   private static final int SEVERAL_CLIENTS = 5;
   private static final int FEW_READS = 3;
 
+  /** More than the router reads ahead. */
+  private static final int MANY_READS = 400;
+
   @TempDir private Path folder;
   private final Map<String, Long> disconnectedAtNanos = new ConcurrentHashMap<>();
   private final CountDownLatch finished = new CountDownLatch(1);
@@ -178,19 +181,29 @@
     }
   }
 
+  private List<TestPeer.Connection> connectSeveral(RouterInProcess router, int readsEach)
+      throws Exception {
+    List<TestPeer.Connection> clients = new ArrayList<>();
+    for (int i = 0; i < SEVERAL_CLIENTS; i++) {
+      clients.add(router.connect());
+      clients.get(i).write(reads("c" + i + "-", readsEach));
+    }
+    return clients;
+  }
+
+  private void closeAll(List<TestPeer.Connection> clients) {
+    for (int i = 0; i < clients.size(); i++) {
+      clients.get(i).close();
+      disconnectedAtNanos.put("c" + i + "-", System.nanoTime());
+    }
+  }
+
   @Test
   void requestsOfSeveralClientsThatLeftAtOnceAreNotSent() throws Exception {
     try (RouterInProcess router = startRouter()) {
-      List<TestPeer.Connection> clients = new ArrayList<>();
-      for (int i = 0; i < SEVERAL_CLIENTS; i++) {
-        clients.add(router.connect());
-        clients.get(i).write(reads("c" + i + "-", 400));
-      }
+      List<TestPeer.Connection> clients = connectSeveral(router, MANY_READS);
       finished.await(80, TimeUnit.MILLISECONDS);
-      for (int i = 0; i < SEVERAL_CLIENTS; i++) {
-        clients.get(i).close();
-        disconnectedAtNanos.put("c" + i + "-", System.nanoTime());
-      }
+      closeAll(clients);
       assertNoAttemptBegunLate(router);
       assertTrue(cacheServers.arrivals().size() > 10);
     }
@@ -200,17 +213,10 @@
   @Test
   void requestsOfClientsThatLeftWhileTheRouterWasStoppedAreNotSent() throws Exception {
     try (RouterInProcess router = startRouter()) {
-      List<TestPeer.Connection> clients = new ArrayList<>();
-      for (int i = 0; i < SEVERAL_CLIENTS; i++) {
-        clients.add(router.connect());
-        clients.get(i).write(reads("c" + i + "-", FEW_READS));
-      }
+      List<TestPeer.Connection> clients = connectSeveral(router, FEW_READS);
       TestPeer.until(() -> cacheServers.arrivals().size() >= SEVERAL_CLIENTS * FEW_READS);
       router.process().setPaused(true);
-      for (int i = 0; i < SEVERAL_CLIENTS; i++) {
-        clients.get(i).close();
-        disconnectedAtNanos.put("c" + i + "-", System.nanoTime());
-      }
+      closeAll(clients);
       finished.await(2 * SERVICE_MILLIS, TimeUnit.MILLISECONDS);
       router.process().setPaused(false);
       assertNoAttemptBegunLate(router);
@@ -223,7 +229,7 @@
     try (RouterInProcess router = startRouter()) {
       router.process().setPaused(true);
       for (int i = 0; i < SEVERAL_CLIENTS; i++) {
-        leave(router, "c" + i + "-", reads("c" + i + "-", 400), 0);
+        leave(router, "c" + i + "-", reads("c" + i + "-", MANY_READS), 0);
       }
       finished.await(2 * SERVICE_MILLIS, TimeUnit.MILLISECONDS);
       router.process().setPaused(false);
