The deadline of a request counts from when its unread bytes can have arrived

Cause, found by reading the change: bytes that were left in the socket, as the read-ahead was full, counted as arrived when they were read.

Change: input that is read while a backlog exists counts from the time at which the backlog can have begun.

--- a/src/main/java/beaconturn/net/client/CommandReader.java
+++ b/src/main/java/beaconturn/net/client/CommandReader.java
@@ -144,11 +144,12 @@
    * @return the number of bytes read, or a negative number at the end of the stream
    */
   int fill(long arrivedAtNanos) throws IOException {
-    int bytes = input.fill(channel, arrivedAtNanos, allowedBytes());
+    long earliestNanos = Math.min(arrivedAtNanos, backlog.sinceNanos());
+    int bytes = input.fill(channel, earliestNanos, allowedBytes());
     if (bytes > 0) {
       partial.bytesArrived(clock.now());
     }
-    recordBacklog(input.wasReadToEnd(), arrivedAtNanos);
+    recordBacklog(input.wasReadToEnd(), earliestNanos);
     return bytes;
   }
 
--- a/src/main/java/beaconturn/net/client/InputBacklog.java
+++ b/src/main/java/beaconturn/net/client/InputBacklog.java
@@ -33,6 +33,11 @@
     sinceNanos = Math.min(sinceNanos, arrivedAtNanos);
   }
 
+  /** When the input that may remain can have arrived, {@code Long.MAX_VALUE} if there is none. */
+  long sinceNanos() {
+    return sinceNanos;
+  }
+
   boolean exists() {
     return sinceNanos != NEVER;
   }
--- a/src/test/java/beaconturn/net/client/InputBacklogTest.java
+++ b/src/test/java/beaconturn/net/client/InputBacklogTest.java
@@ -33,12 +33,14 @@
   private static final int IN_FLIGHT = 33;
 
   private static final int COMMANDS = 1000;
+  private static final long WAIT_NANOS = 1500 * MILLI_NANOS;
   private final AtomicLong nowNanos = new AtomicLong(1000 * MILLI_NANOS);
   private final BlockingQueue<RoutingMessage> routingQueue = new LinkedBlockingQueue<>();
   private final PendingRequestIds ids = new PendingRequestIds();
   private final RejectionCounter metrics = new RejectionCounter();
   private final ClientConnections connections = new ClientConnections(9, 9);
   private final AtomicInteger servedAtOnce = new AtomicInteger();
+  private final AtomicLong latestDeadlineNanos = new AtomicLong();
   private volatile boolean respondsAtOnce;
   private LoopbackListener server;
   private TestPeer.Connection client;
@@ -72,6 +74,7 @@
   private void route(RoutingMessage message) {
     if (respondsAtOnce && message instanceof RoutingMessage.RequestReceived received) {
       servedAtOnce.incrementAndGet();
+      latestDeadlineNanos.accumulateAndGet(received.request().deadlineNanos(), Math::max);
       received.request().respond(Slice.of("+w\r\n"));
     } else {
       routingQueue.add(message);
@@ -114,6 +117,7 @@
 
   @Test
   void everyCommandBeyondTheReadAheadHasItsResponseInOrder() throws Exception {
+    long sentAtNanos = nowNanos.get();
     client.write(gets(COMMANDS));
     List<ClientRequest> inFlight = requestsInFlight();
     advanceUntil(() -> metrics.count() > COMMANDS / 2);
@@ -135,6 +139,9 @@
       served += response.equals("+w") ? 1 : 0;
     }
     assertEquals(metrics.count(), rejected);
+    assertTrue(
+        served == 0 || latestDeadlineNanos.get() <= sentAtNanos + WAIT_NANOS,
+        "a deadline counts from when its command was read, not from when it can have arrived");
     assertTrue(rejected > COMMANDS / 2, rejected + " rejected");
   }
 
