--- a/src/main/java/beaconturn/net/client/ClientPresence.java
+++ b/src/main/java/beaconturn/net/client/ClientPresence.java
@@ -1,6 +1,6 @@
 package beaconturn.net.client;
 
-/** Whether a client is known to be connected; requests are not sent on otherwise. */
+/** Whether a client is known to be connected; requests are not forwarded otherwise. */
 interface ClientPresence {
   /** A client that is always present. */
   ClientPresence ALWAYS =
--- a/src/main/java/beaconturn/net/client/CommandDispatcher.java
+++ b/src/main/java/beaconturn/net/client/CommandDispatcher.java
@@ -36,7 +36,8 @@
   /**
    * Creates a dispatcher.
    *
-   * @param clientPresence whether the client is known to be connected; nothing is sent on otherwise
+   * @param clientPresence whether the client is known to be connected; nothing is forwarded
+   *     otherwise
    */
   CommandDispatcher(
       ConnectionContext context,
--- a/src/main/java/beaconturn/net/client/InputBacklog.java
+++ b/src/main/java/beaconturn/net/client/InputBacklog.java
@@ -10,8 +10,8 @@
   static final long MAX_WAIT_NANOS = 25_000_000;
 
   /**
-   * Age of a backlog from which the client may have left unnoticed, so that nothing is sent on for
-   * it: an attempt may begin up to 0.1 s after the close.
+   * Age of a backlog from which the client may have left unnoticed, so that nothing is forwarded
+   * for it: an attempt may begin up to 0.1 s after the close.
    */
   static final long PRESENCE_TIMEOUT_NANOS = 60_000_000;
 
--- a/src/test/java/beaconturn/net/client/InputBacklogTest.java
+++ b/src/test/java/beaconturn/net/client/InputBacklogTest.java
@@ -24,7 +24,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Clients that send more than is kept for them, with a clock controlled by the test. */
+/** Input beyond the read-ahead of a connection, with a clock controlled by the test. */
 @Timeout(60)
 class InputBacklogTest {
   private static final long MILLI_NANOS = 1_000_000;
@@ -169,9 +169,9 @@
     assertEquals(0, metrics.count());
   }
 
-  /** A client that writes without pause may have left long ago, as far as the router knows. */
+  /** The close of a client that writes without pause is not seen. */
   @Test
-  void nothingIsSentOnWhileInputIsLeftUnread() {
+  void presenceIsUnknownWhileInputIsLeftUnread() {
     InputBacklog backlog = new InputBacklog();
     backlog.mayRemain(0);
     backlog.mayRemain(MILLI_NANOS);
