Rehearsals: the kill of a planned stop counts from the SIGTERM that was sent

The log of that router has its stop begin 0.15 s before its end, and the pause of another one ended in the same millisecond, 0.7 s late: the thread of the rehearsal was late with both steps (why was not traced), but the kill was scheduled by the time of the plan.

Change: the kill is scheduled when SIGTERM is sent, as long after it as before.

What is checked is the same.

--- a/src/main/java/beaconturn/rehearsal/Rehearsal.java
+++ b/src/main/java/beaconturn/rehearsal/Rehearsal.java
@@ -395,17 +395,9 @@
       return;
     }
     boolean planned = fault.kind() == Fault.Kind.ROUTER_TERM;
-    schedule(fromNanos, planned ? routerProcess::terminate : routerProcess::kill);
-    if (planned) {
-      long maxDeadlineNanos =
-          scenario.requestClasses().stream()
-              .mapToLong(Scenario.RequestClass::deadlineNanos)
-              .max()
-              .orElse(0);
-      schedule(
-          fromNanos + Math.min(maxDeadlineNanos, MAX_KILL_DELAY_NANOS) + KILL_GRACE_NANOS,
-          routerProcess::killIfStillStopping);
-    }
+    schedule(
+        fromNanos,
+        planned ? () -> terminate(routerProcess, killDelayNanos()) : routerProcess::kill);
     schedule(
         fromNanos
             + (planned
@@ -414,6 +406,22 @@
         () -> clients.setAvoided(router, true));
   }
 
+  /** The time from SIGTERM to the earliest SIGKILL. */
+  private long killDelayNanos() {
+    long maxDeadlineNanos =
+        scenario.requestClasses().stream()
+            .mapToLong(Scenario.RequestClass::deadlineNanos)
+            .max()
+            .orElse(0);
+    return Math.min(maxDeadlineNanos, MAX_KILL_DELAY_NANOS) + KILL_GRACE_NANOS;
+  }
+
+  /** Starts a planned stop; the kill counts from now, even if this step is late. */
+  private void terminate(RouterProcess routerProcess, long killDelayNanos) {
+    routerProcess.terminate();
+    schedule(clock.now() + killDelayNanos, routerProcess::killIfStillStopping);
+  }
+
   private void scheduleRouterFaultEnd(Scenario.FaultSpec fault, int router, long toNanos) {
     if (fault.kind() == Fault.Kind.ROUTER_PAUSE) {
       schedule(toNanos, () -> routers.get(router).setPaused(false));
