Large responses that wait for the routing thread no longer fill the heap

What callers saw: no response for 20 s. 300 clients send 33 reads each and read nothing; the responses have 60 KB.

Cause: a thread that has read a response posts it to the routing thread's mailbox of 8192 messages and is free for the next attempt. Nothing bounded what waits there. In the heap dump of a failing run 628 responses, 37 MB of 64, wait in that mailbox or in threads that wait to post; the router does nothing but collect garbage.

Change: responses over 4 KB take memory from ReceivedResponseMemory once their size is known, and give it back when the routing thread has handled the result. A thread waits for memory until its attempt times out, in the order in which they came. The limit is a fifth of the heap, half of that for one cache server, so that one that writes slowly leaves memory to the others. It works as what frees the memory, the routing thread, waits for none of them.

--- a/src/main/java/beaconturn/core/OutboundAttempt.java
+++ b/src/main/java/beaconturn/core/OutboundAttempt.java
@@ -17,6 +17,9 @@
   /** Written by the routing thread, read by any thread. */
   private volatile boolean ended;
 
+  /** Set before the result is posted, run by the routing thread. */
+  private volatile Runnable onResultHandled;
+
   // Confined to the routing thread.
   private AttemptOutcome outcome;
   private TimerQueue.Timer timeoutTimer;
@@ -61,6 +64,23 @@
     return sentAtNanos + allowedNanos;
   }
 
+  /**
+   * Sets an action that runs once the routing thread has handled the result of this attempt, as the
+   * result takes memory until then. For the thread that posts the result, before it does.
+   */
+  public void onResultHandled(Runnable action) {
+    onResultHandled = action;
+  }
+
+  /** Reports that the result of this attempt has been handled. Routing thread only. */
+  void resultHandled() {
+    Runnable action = onResultHandled;
+    onResultHandled = null;
+    if (action != null) {
+      action.run();
+    }
+  }
+
   long requestId() {
     return requestId;
   }
--- a/src/main/java/beaconturn/core/RoutingEngine.java
+++ b/src/main/java/beaconturn/core/RoutingEngine.java
@@ -77,7 +77,7 @@
     } else if (message instanceof RoutingMessage.ClientDisconnected disconnected) {
       clientDisconnected(context.requests().of(disconnected.request()));
     } else if (message instanceof RoutingMessage.AttemptCompleted completed) {
-      attempts.attemptEnded(completed.attempt(), completed.result());
+      attemptCompleted(completed);
     } else if (message instanceof RoutingMessage.StreamingStarted started) {
       attempts.streamingStarted(started);
     } else if (message instanceof RoutingMessage.WarmStartReceived received) {
@@ -85,6 +85,14 @@
     }
   }
 
+  private void attemptCompleted(RoutingMessage.AttemptCompleted completed) {
+    try {
+      attempts.attemptEnded(completed.attempt(), completed.result());
+    } finally {
+      completed.attempt().resultHandled();
+    }
+  }
+
   private void handleUrgent(RoutingMessage.Urgent message) {
     if (message instanceof RoutingMessage.EndpointUpdateReceived received) {
       endpointsUpdated(received.update());
--- a/src/main/java/beaconturn/net/ConnectionBudget.java
+++ b/src/main/java/beaconturn/net/ConnectionBudget.java
@@ -12,13 +12,16 @@
  *     need a thread
  * @param largeRequests maximum number of requests of the largest size held at once
  * @param waitingResponseBytes maximum size of all large responses that wait behind others
+ * @param receivedResponseBytes maximum size of all large responses that are being received or wait
+ *     for the routing thread
  */
 record ConnectionBudget(
     int clients,
     int clientSoftLimit,
     int cacheConnections,
     int largeRequests,
-    long waitingResponseBytes) {
+    long waitingResponseBytes,
+    long receivedResponseBytes) {
   /**
    * Descriptors that are not for connections: the jar, the log, discovery, the listener, the JVM.
    */
@@ -61,6 +64,9 @@
   /** The part of the heap for responses that wait behind others. */
   private static final int WAITING_RESPONSE_HEAP_DIVISOR = 5;
 
+  /** The part of the heap for responses that are being received. */
+  private static final int RECEIVED_RESPONSE_HEAP_DIVISOR = 5;
+
   /**
    * Descriptors of clients are divided into this many parts: 16 for open connections, one for those
    * that are closing.
@@ -92,7 +98,8 @@
         descriptors / SOFT_LIMIT_DIVISOR,
         cacheConnections,
         largeRequests(memoryMb),
-        (long) heapMb(memoryMb) * KB_PER_MB * BYTES_PER_KB / WAITING_RESPONSE_HEAP_DIVISOR);
+        heapBytes(memoryMb) / WAITING_RESPONSE_HEAP_DIVISOR,
+        heapBytes(memoryMb) / RECEIVED_RESPONSE_HEAP_DIVISOR);
   }
 
   /** The memory for large requests. */
@@ -104,6 +111,10 @@
     return memoryMb * HEAP_TENTHS / 10;
   }
 
+  private static long heapBytes(int memoryMb) {
+    return (long) heapMb(memoryMb) * KB_PER_MB * BYTES_PER_KB;
+  }
+
   private static int threads(int memoryMb, int threadKb) {
     int forThreadsMb = memoryMb - heapMb(memoryMb) - JVM_BASE_MB;
     return Math.max(MIN_THREADS, forThreadsMb * KB_PER_MB / threadKb);
--- a/src/main/java/beaconturn/net/RouterAssembly.java
+++ b/src/main/java/beaconturn/net/RouterAssembly.java
@@ -20,6 +20,7 @@
 import beaconturn.net.server.CacheServerEnvironment;
 import beaconturn.net.server.CacheServerPool;
 import beaconturn.net.server.CacheServerThread;
+import beaconturn.net.server.ReceivedResponseMemory;
 import beaconturn.net.server.WorkerPool;
 import java.io.IOException;
 import java.util.function.Consumer;
@@ -146,6 +147,7 @@
                 inbox,
                 cacheConnections,
                 new CacheResponseReader(routing),
+                new ReceivedResponseMemory(handover.budget().receivedResponseBytes()),
                 routing.permissions().connectTimeoutNanos(),
                 cacheIdleTimeoutNanos(),
                 metrics.requests(),
--- a/src/main/java/beaconturn/net/server/CacheConnection.java
+++ b/src/main/java/beaconturn/net/server/CacheConnection.java
@@ -55,6 +55,7 @@
   private final long connectTimeoutNanos;
   private final Clock clock;
   private final CacheResponseReader responseReader;
+  private final ReceivedResponseMemory.OfServer responseMemory;
   private final CacheConnectionListener listener;
   private final InputBuffer input = new InputBuffer();
   private final RespReader respReader = new RespReader(RespReader.MAX_VALUE_BYTES);
@@ -62,6 +63,9 @@
   /** Null while idle. */
   private OutboundAttempt attempt;
 
+  /** The memory of the attempt's response; null before it is needed. */
+  private ReceivedResponseMemory.Reservation reservation;
+
   private boolean requestWritten;
 
   /** The attempt's outcome if the connection fails before the request is completely written. */
@@ -71,12 +75,14 @@
       InetSocketAddress address,
       int generation,
       CacheServerEnvironment environment,
+      ReceivedResponseMemory.OfServer responseMemory,
       CacheConnectionListener listener) {
     this.socket = new CacheSocket(address);
     this.generation = generation;
     this.connectTimeoutNanos = environment.connectTimeoutNanos();
     this.clock = environment.clock();
     this.responseReader = environment.responseReader();
+    this.responseMemory = responseMemory;
     this.listener = listener;
   }
 
@@ -96,6 +102,7 @@
   void execute(OutboundAttempt next) {
     attempt = next;
     requestWritten = false;
+    reservation = null;
     outcomeIfUnwritten = AttemptOutcome.CONNECT_FAILED;
     StateAfterAttempt state = StateAfterAttempt.BROKEN;
     try {
@@ -210,10 +217,31 @@
       if (value != null) {
         return endAttempt(responseReader.read(value, clock.now()));
       }
+      reserveMemory(input.expectedBytes());
     }
     return StateAfterAttempt.BROKEN;
   }
 
+  /**
+   * Waits until a response of this size may be received. The memory is released once the routing
+   * thread has handled the result of the attempt, whatever that is.
+   */
+  private void reserveMemory(int responseBytes) throws IOException {
+    if (reservation == null) {
+      reservation = responseMemory.newReservation();
+      attempt.onResultHandled(reservation::release);
+    }
+    try {
+      long timeoutNanos = attempt.timesOutAtNanos() - clock.now();
+      if (!reservation.growTo(responseBytes, timeoutNanos)) {
+        throw new IOException("no memory for the response of " + attempt.request().id());
+      }
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted while waiting for memory", e);
+    }
+  }
+
   /** Always closes the pipe, as the client's connection waits for the rest of the response. */
   private StateAfterAttempt streamResponse(LargeResponseStream large, InputStream from)
       throws IOException, ProtocolException {
--- a/src/main/java/beaconturn/net/server/CacheServer.java
+++ b/src/main/java/beaconturn/net/server/CacheServer.java
@@ -31,6 +31,7 @@
   private final Map<OutboundAttempt, CacheConnection> inUse = new ConcurrentHashMap<>();
 
   private final IdleConnections idle;
+  private final ReceivedResponseMemory.OfServer responseMemory;
   private final CacheConnectionListener connectionListener;
   private final RepeatedEventLog unanswered;
   private final RepeatedEventLog malformed;
@@ -56,6 +57,7 @@
     this.environment = environment;
     this.host = host;
     this.address = address;
+    this.responseMemory = environment.responseMemory().ofServer();
     this.connectionListener = new ConnectionReporter(this, environment);
     this.idle = new IdleConnections(environment.idleTimeoutNanos(), this::onConnectionClosed);
     this.unanswered =
@@ -272,7 +274,8 @@
   @SuppressWarnings("NonAtomicVolatileUpdate") // Only the actor's thread writes it.
   private CacheConnection newConnection() {
     connectionCount++;
-    return new CacheConnection(address, generation, environment, connectionListener);
+    return new CacheConnection(
+        address, generation, environment, responseMemory, connectionListener);
   }
 
   private void runOn(OutboundAttempt attempt, CacheConnection connection) {
--- a/src/main/java/beaconturn/net/server/CacheServerEnvironment.java
+++ b/src/main/java/beaconturn/net/server/CacheServerEnvironment.java
@@ -15,6 +15,7 @@
  *     mailbox is full
  * @param connectionLimit limits the open connections to all cache servers together
  * @param responseReader maps responses to attempt results
+ * @param responseMemory limits the memory of the responses that are received
  * @param connectTimeoutNanos the timeout for opening a connection
  * @param idleTimeoutNanos how long a connection may stay idle before it is closed
  * @param metrics counts the attempts that were written
@@ -27,6 +28,7 @@
     Consumer<RoutingMessage> routingThread,
     ConnectionLimit connectionLimit,
     CacheResponseReader responseReader,
+    ReceivedResponseMemory responseMemory,
     long connectTimeoutNanos,
     long idleTimeoutNanos,
     RequestMetrics metrics,
--- a/src/test/java/beaconturn/net/server/CacheServerPoolTest.java
+++ b/src/test/java/beaconturn/net/server/CacheServerPoolTest.java
@@ -6,10 +6,13 @@
 
 import beaconturn.core.ClientRequest;
 import beaconturn.core.Clock;
+import beaconturn.core.EndpointDiscovery;
 import beaconturn.core.EndpointUpdate;
 import beaconturn.core.OutboundAttempt;
 import beaconturn.core.RequestDescription;
+import beaconturn.core.RoutingEngine;
 import beaconturn.core.RoutingMessage;
+import beaconturn.core.Samples;
 import beaconturn.decision.AttemptOutcome;
 import beaconturn.decision.Endpoint;
 import beaconturn.decision.EndpointHealth;
@@ -35,6 +38,23 @@
   /** So many that connections settle meanwhile and are used again. */
   private static final int MANY_ATTEMPTS = 300;
 
+  private static final int LARGE_VALUE_BYTES = 40_000;
+  private static final int LARGE_ATTEMPTS = 30;
+
+  /** The memory of one server, for {@link #RESPONSES_IN_MEMORY} responses. */
+  private static final int SERVER_MEMORY_BYTES = 150_000;
+
+  private static final int RESPONSES_IN_MEMORY = 3;
+
+  private static final EndpointDiscovery NO_DISCOVERY =
+      new EndpointDiscovery() {
+        @Override
+        public void watch(boolean on) {}
+
+        @Override
+        public void fetch() {}
+      };
+
   private final Clock clock = Clock.system();
   private final WorkerPool workers = new WorkerPool("fleet-cache", SECOND_NANOS / 100);
   private final BlockingQueue<RoutingMessage> routingMessages = new LinkedBlockingQueue<>();
@@ -100,6 +120,54 @@
     }
   }
 
+  /** Guards against a heap that is full of responses which the routing thread has not handled. */
+  @Test
+  @Timeout(60)
+  void largeResponsesThatWaitForTheRoutingThreadStayWithinTheirMemory() throws Exception {
+    CacheServerPool limited =
+        new CacheServerPool(
+            CacheServerTest.environment(
+                clock,
+                routingMessages::add,
+                new ConnectionLimit(MANY_ATTEMPTS),
+                new ReceivedResponseMemory(2 * SERVER_MEMORY_BYTES),
+                SECOND_NANOS,
+                workers));
+    CountDownLatch mayRespond = new CountDownLatch(1);
+    RoutingEngine engine =
+        new RoutingEngine(Samples.read().routing(), 1, clock, limited, NO_DISCOVERY);
+    try (TestPeer peer = serverOfLargeValues(mayRespond)) {
+      limited.applyUpdate(
+          new EndpointUpdate(
+              1, EndpointListKind.FULL, List.of(member(1, EndpointHealth.READY, peer))));
+      for (int i = 0; i < LARGE_ATTEMPTS; i++) {
+        assertTrue(limited.send(attempt(1)));
+      }
+      TestPeer.until(() -> peer.connections() == LARGE_ATTEMPTS);
+      mayRespond.countDown();
+      TestPeer.until(() -> workers.threadCount() <= LARGE_ATTEMPTS - RESPONSES_IN_MEMORY);
+      assertEquals(RESPONSES_IN_MEMORY, routingMessages.size(), "results that wait");
+      for (int i = 0; i < LARGE_ATTEMPTS; i++) {
+        RoutingMessage.AttemptCompleted completed =
+            (RoutingMessage.AttemptCompleted) routingMessages.take();
+        assertTrue(completed.attempt().end(AttemptOutcome.OK));
+        assertEquals(AttemptOutcome.OK, completed.result().outcome());
+        engine.handle(completed);
+      }
+    }
+  }
+
+  private static TestPeer serverOfLargeValues(CountDownLatch mayRespond) {
+    String value = "v".repeat(LARGE_VALUE_BYTES);
+    return new TestPeer(
+        line -> {
+          line.readCommand();
+          TestPeer.await(mayRespond);
+          line.write("*3\r\n$" + LARGE_VALUE_BYTES + "\r\n" + value + "\r\n$3\r\nhit\r\n$-1\r\n");
+          line.readCommand();
+        });
+  }
+
   /** Guards against a thread per server, which would cost memory and startup time. */
   @Test
   @Timeout(60)
--- a/src/test/java/beaconturn/net/server/CacheServerTest.java
+++ b/src/test/java/beaconturn/net/server/CacheServerTest.java
@@ -46,6 +46,7 @@
   private final Clock clock =
       () -> frozenAtNanos.get() != 0 ? frozenAtNanos.get() : system.now() + clockOffsetNanos.get();
   private final BlockingQueue<RoutingMessage> routingMessages = new LinkedBlockingQueue<>();
+  private static final long MEMORY_BYTES = 16 << 20;
   public static final RespClientRequest.ParseContext READING =
       new RespClientRequest.ParseContext(null, "read", 0, RequestMetrics.NONE);
   private int sentAttempts;
@@ -56,6 +57,22 @@
       ConnectionLimit connectionLimit,
       long idleTimeoutNanos,
       WorkerPool workers) {
+    return environment(
+        clock,
+        routingMessages,
+        connectionLimit,
+        new ReceivedResponseMemory(MEMORY_BYTES),
+        idleTimeoutNanos,
+        workers);
+  }
+
+  static CacheServerEnvironment environment(
+      Clock clock,
+      Consumer<RoutingMessage> routingMessages,
+      ConnectionLimit connectionLimit,
+      ReceivedResponseMemory responseMemory,
+      long idleTimeoutNanos,
+      WorkerPool workers) {
     CacheServerThread thread = new CacheServerThread(idleTimeoutNanos);
     thread.start();
     return new CacheServerEnvironment(
@@ -63,6 +80,7 @@
         routingMessages,
         connectionLimit,
         new CacheResponseReader(Samples.read().routing()),
+        responseMemory,
         SECOND_NANOS,
         idleTimeoutNanos,
         RequestMetrics.NONE,
@@ -211,6 +229,7 @@
                   new ConnectionLimit(1),
                   60 * SECOND_NANOS,
                   new WorkerPool("test-cache", SECOND_NANOS)),
+              new ReceivedResponseMemory(MEMORY_BYTES).ofServer(),
               new IgnoringListener());
       OutboundAttempt attempt = attempt(null);
       ((RespClientRequest) attempt.request()).abandoned();
