The task that returns a connection no longer holds its response

Cause: CacheServerTask.AttemptEnded carried the whole result of the attempt, of which the actor needs the outcome and the time. While the thread of the cache servers is behind, responses that the routing thread has already handled stayed in memory: in the heap dump of a failing run of SlowReadersTest 347 of 673 large responses are also held by such tasks.

Change: the task has the outcome and the time of the end only.

Measured: tests of net.server pass (47).

--- a/src/main/java/beaconturn/net/server/CacheServer.java
+++ b/src/main/java/beaconturn/net/server/CacheServer.java
@@ -211,14 +211,14 @@
 
   void onAttemptEnded(CacheServerTask.AttemptEnded ended) {
     boolean wasInUse = inUse.remove(ended.attempt()) != null;
-    AttemptOutcome outcome = ended.result().outcome();
+    AttemptOutcome outcome = ended.outcome();
     if (wasInUse && isConnectionFailure(outcome)) {
       unanswered.note(now());
     } else if (outcome.serverResponded()) {
       unanswered.end();
     }
     if (ended.reusable()) {
-      reuseOrClose(ended.connection(), wasInUse, ended.result().endedAtNanos());
+      reuseOrClose(ended.connection(), wasInUse, ended.endedAtNanos());
     }
   }
 
--- a/src/main/java/beaconturn/net/server/CacheServerTask.java
+++ b/src/main/java/beaconturn/net/server/CacheServerTask.java
@@ -1,7 +1,7 @@
 package beaconturn.net.server;
 
-import beaconturn.core.AttemptResult;
 import beaconturn.core.OutboundAttempt;
+import beaconturn.decision.AttemptOutcome;
 import java.net.InetSocketAddress;
 
 /**
@@ -36,9 +36,16 @@
     }
   }
 
-  /** An attempt ended; a {@code reusable} connection is returned to the actor. */
+  /**
+   * An attempt ended; a {@code reusable} connection is returned to the actor. Holds no response, as
+   * the actor may run long after the routing thread has handled it.
+   */
   record AttemptEnded(
-      CacheConnection connection, OutboundAttempt attempt, AttemptResult result, boolean reusable)
+      CacheConnection connection,
+      OutboundAttempt attempt,
+      AttemptOutcome outcome,
+      long endedAtNanos,
+      boolean reusable)
       implements CacheServerTask {
     @Override
     public void applyTo(CacheServer server) {
--- a/src/main/java/beaconturn/net/server/ConnectionReporter.java
+++ b/src/main/java/beaconturn/net/server/ConnectionReporter.java
@@ -27,7 +27,9 @@
   public void attemptEnded(
       CacheConnection connection, OutboundAttempt attempt, AttemptResult result, boolean reusable) {
     // Notify the actor first, so that the routing thread's next attempt finds the connection idle.
-    post(new CacheServerTask.AttemptEnded(connection, attempt, result, reusable));
+    post(
+        new CacheServerTask.AttemptEnded(
+            connection, attempt, result.outcome(), result.endedAtNanos(), reusable));
     environment.routingThread().accept(new RoutingMessage.AttemptCompleted(attempt, result));
   }
 
