A response that has been written is released at once

Cause: PendingRequests keeps a connection's requests until the next command or the last response, and with each request its response, also after the client has it: up to 33 of 64 KiB for each connection, which no limit counts. Heap dump of a trial with 440 clients and 60 KB responses: 203 such responses, 12 MB of 45.

Change: a slot that has left the queue of responses holds an empty one in place of its own; a slot that is filled later, as its connection is gone, keeps nothing either.

Measured: ClientWriterTest.slotsThatAreKeptHoldNoWrittenResponse failed before (4 bytes kept).

--- a/src/main/java/beaconturn/net/client/ResponseSlot.java
+++ b/src/main/java/beaconturn/net/client/ResponseSlot.java
@@ -8,6 +8,9 @@
  * may call any method.
  */
 class ResponseSlot {
+  /** Takes the place of a response that has been written, or never will be. */
+  private static final Slice RELEASED = Slice.of("");
+
   /** The response, or null while there is none. Written under this object's lock. */
   private volatile Slice response;
 
@@ -76,7 +79,7 @@
         return false;
       }
       onFilled();
-      response = bytes;
+      response = dequeued ? RELEASED : bytes;
       action = onAvailable;
     }
     action.run();
@@ -105,11 +108,15 @@
     action.run();
   }
 
-  /** Reports that the slot has left the queue: it has been written, or never will be. */
+  /**
+   * Reports that the slot has left the queue: it has been written, or never will be. Releases the
+   * response, as the slot itself may be kept.
+   */
   final void dequeued() {
     Runnable action;
     synchronized (this) {
       dequeued = true;
+      response = response == null ? null : RELEASED;
       action = onDequeued;
       onDequeued = null;
     }
@@ -125,7 +132,7 @@
     return response != null;
   }
 
-  /** The response, or null if there is none yet. */
+  /** The response, empty once the slot has left the queue, or null if there is none yet. */
   final Slice bytes() {
     return response;
   }
--- a/src/test/java/beaconturn/net/client/ClientWriterTest.java
+++ b/src/test/java/beaconturn/net/client/ClientWriterTest.java
@@ -76,6 +76,21 @@
     assertEquals("+b\r\n+c\r\n", read(8));
   }
 
+  /** Guards against a heap that is full of responses which their clients already have. */
+  @Test
+  void slotsThatAreKeptHoldNoWrittenResponse() {
+    ResponseSlot written = ResponseSlot.of(Slice.of("+1\r\n"));
+    ResponseSlot outstanding = new ResponseSlot();
+    writer.enqueue(written);
+    writer.enqueue(outstanding);
+    assertEquals(0, written.bytes().length());
+    assertTrue(written.isFilled());
+    writer.discardPending();
+    assertTrue(outstanding.fill(Slice.of("+2\r\n")));
+    assertEquals(0, outstanding.bytes().length());
+    assertFalse(outstanding.fill(Slice.of("+3\r\n")));
+  }
+
   @Test
   @Timeout(60)
   void writesResponsesInCommandOrder() throws Exception {
