Clients that pipeline no longer fill the heap with requests

What callers saw: a router at a memory limit of 96 MB that spends its time collecting garbage. 440 clients with 33 requests each have 14,000 in flight.

Cause: a request takes 1.5 to 2 KB from when it is read to its end, and a response of up to 4 KB that waits behind others is counted nowhere. Only 33 for each connection bounded both, so that all connections together could hold more than the heap has.

Change: PipelineLimit counts the commands in flight on all connections. Beyond a quarter of the heap, at 6 KB each (2,432 with 192 MB, 1,194 with 96, 810 with 64), a connection has one at a time. Clients that pipeline wait, and clients that do not are served as before. A command that waits has another one in flight on its connection, whose response wakes it, so that no new state is left without a thread that watches for its end.

--- a/src/main/java/beaconturn/net/ConnectionBudget.java
+++ b/src/main/java/beaconturn/net/ConnectionBudget.java
@@ -14,6 +14,7 @@
  * @param waitingResponseBytes maximum size of all large responses that wait behind others
  * @param receivedResponseBytes maximum size of all large responses that are being received or wait
  *     for the routing thread
+ * @param commandsInFlight number of commands in flight above which each client may have one
  */
 record ConnectionBudget(
     int clients,
@@ -21,7 +22,8 @@
     int cacheConnections,
     int largeRequests,
     long waitingResponseBytes,
-    long receivedResponseBytes) {
+    long receivedResponseBytes,
+    int commandsInFlight) {
   /**
    * Descriptors that are not for connections: the jar, the log, discovery, the listener, the JVM.
    */
@@ -67,6 +69,12 @@
   /** The part of the heap for responses that are being received. */
   private static final int RECEIVED_RESPONSE_HEAP_DIVISOR = 5;
 
+  /** The part of the heap for the commands in flight. */
+  private static final int COMMAND_HEAP_DIVISOR = 4;
+
+  /** Heap that a command takes until its response is written, with a small response. */
+  private static final int COMMAND_BYTES = 6 * 1024;
+
   /**
    * Descriptors of clients are divided into this many parts: 16 for open connections, one for those
    * that are closing.
@@ -99,7 +107,8 @@
         cacheConnections,
         largeRequests(memoryMb),
         heapBytes(memoryMb) / WAITING_RESPONSE_HEAP_DIVISOR,
-        heapBytes(memoryMb) / RECEIVED_RESPONSE_HEAP_DIVISOR);
+        heapBytes(memoryMb) / RECEIVED_RESPONSE_HEAP_DIVISOR,
+        (int) (heapBytes(memoryMb) / COMMAND_HEAP_DIVISOR / COMMAND_BYTES));
   }
 
   /** The memory for large requests. */
--- a/src/main/java/beaconturn/net/RouterAssembly.java
+++ b/src/main/java/beaconturn/net/RouterAssembly.java
@@ -11,6 +11,7 @@
 import beaconturn.net.client.ConnectionContext;
 import beaconturn.net.client.LargeRequestMemory;
 import beaconturn.net.client.PendingRequestIds;
+import beaconturn.net.client.PipelineLimit;
 import beaconturn.net.client.ResponseMemory;
 import beaconturn.net.discovery.DiscoveryWatcher;
 import beaconturn.net.discovery.EndpointListParser;
@@ -114,6 +115,7 @@
             new PendingRequestIds(handover.executedRequestIds()),
             new LargeRequestMemory(budget.largeRequestBytes()),
             new ResponseMemory(budget.waitingResponseBytes()),
+            new PipelineLimit(budget.commandsInFlight()),
             new ClientEventLog(),
             clients::remove);
     return new ClientAcceptor(clients, context, inputs.customization(), clock);
--- a/src/main/java/beaconturn/net/client/ClientConnection.java
+++ b/src/main/java/beaconturn/net/client/ClientConnection.java
@@ -60,7 +60,9 @@
     this.context = context;
     this.number = context.eventLog().nextConnectionNumber();
     this.openedAtNanos = context.clock().now();
-    this.writer = new ClientWriter(channel, context.clock(), this::onResponsesWritten);
+    this.writer =
+        new ClientWriter(
+            channel, context.clock(), context.pipelineLimit(), this::onResponsesWritten);
     this.dispatcher = new CommandDispatcher(context, state, writer, new Presence());
     this.reader =
         new CommandReader(
--- a/src/main/java/beaconturn/net/client/ClientWriter.java
+++ b/src/main/java/beaconturn/net/client/ClientWriter.java
@@ -20,8 +20,6 @@
   /** Takes the place of a response: the output is shut down here. */
   static final Slice END_OF_OUTPUT = Slice.of("");
 
-  private static final int MAX_PIPELINED = 32;
-
   /**
    * Limit on the responses queued behind one that the client reads slowly, to bound the heap they
    * use.
@@ -38,20 +36,27 @@
 
   private final SocketChannel channel;
   private final Clock clock;
+  private final PipelineLimit pipelineLimit;
   private final WriteListener listener;
   // Guarded by this.
   private final Deque<ResponseSlot> slots = new ArrayDeque<>(2);
   private ByteBuffer unwritten;
   private long writingSinceNanos = NEVER;
   private int pendingResponses;
+
+  /** The pending responses that were dropped, as the connection is closed. */
+  private int discardedResponses;
+
   private boolean closing;
   private CloseReason failureReason;
   private long idleSinceNanos;
   private long outputShutdownAtNanos = NEVER;
 
-  ClientWriter(SocketChannel channel, Clock clock, WriteListener listener) {
+  ClientWriter(
+      SocketChannel channel, Clock clock, PipelineLimit pipelineLimit, WriteListener listener) {
     this.channel = channel;
     this.clock = clock;
+    this.pipelineLimit = pipelineLimit;
     this.listener = listener;
     this.idleSinceNanos = clock.now();
   }
@@ -97,7 +102,7 @@
    * write.
    */
   synchronized boolean hasCapacity() {
-    return pendingResponses <= MAX_PIPELINED
+    return pipelineLimit.permitsNext(pendingResponses)
         && (unwritten == null || pendingResponses <= MAX_PIPELINED_BEHIND_BLOCKED);
   }
 
@@ -112,8 +117,7 @@
       if (closing) {
         return false;
       }
-      pendingResponses++;
-      slots.add(slot);
+      add(slot);
     }
     slot.whenAvailable(this::write);
     return true;
@@ -131,13 +135,18 @@
       if (slots.peekLast() instanceof RepeatedResponse last && last.repeats(response)) {
         last.add();
       } else {
-        pendingResponses++;
-        slots.add(new RepeatedResponse(response));
+        add(new RepeatedResponse(response));
       }
     }
     write();
   }
 
+  private void add(ResponseSlot slot) {
+    pendingResponses++;
+    pipelineLimit.started(clock);
+    slots.add(slot);
+  }
+
   /**
    * Shuts down the output if no response is outstanding; false if one is. The input stays open: a
    * full close would reset the connection if a request arrives meanwhile, and the last response
@@ -176,6 +185,8 @@
     slots.stream().map(ResponseSlot::stream).filter(Objects::nonNull).forEach(BoundedPipe::cancel);
     slots.forEach(ResponseSlot::dequeued);
     slots.clear();
+    pipelineLimit.ended(pendingResponses - discardedResponses);
+    discardedResponses = pendingResponses;
     unwritten = null;
     writingSinceNanos = NEVER;
     return pendingResponses;
@@ -241,6 +252,7 @@
   private void completeFirst() {
     slots.poll().dequeued();
     pendingResponses--;
+    pipelineLimit.ended(1);
     idleSinceNanos = clock.now();
   }
 
--- a/src/main/java/beaconturn/net/client/ConnectionContext.java
+++ b/src/main/java/beaconturn/net/client/ConnectionContext.java
@@ -17,6 +17,7 @@
  * @param pendingIds the ids of the requests without a response
  * @param largeRequestMemory the memory for large requests
  * @param responseMemory the memory for large responses that wait
+ * @param pipelineLimit limits the commands in flight
  * @param eventLog logs rejected commands and closes
  * @param onReleased notified of a closed connection once its descriptor is free
  */
@@ -29,5 +30,6 @@
     PendingRequestIds pendingIds,
     LargeRequestMemory largeRequestMemory,
     ResponseMemory responseMemory,
+    PipelineLimit pipelineLimit,
     ClientEventLog eventLog,
     Consumer<ClientConnection> onReleased) {}
--- a/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
@@ -70,6 +70,7 @@
                 ids,
                 new LargeRequestMemory(9 << 16),
                 new ResponseMemory(1 << 24),
+                new PipelineLimit(1000),
                 new ClientEventLog(),
                 connections::remove));
     connections.add(connection);
--- a/src/test/java/beaconturn/net/client/ClientWriterTest.java
+++ b/src/test/java/beaconturn/net/client/ClientWriterTest.java
@@ -34,7 +34,7 @@
     client = new Socket(InetAddress.getLoopbackAddress(), server.socket().getLocalPort());
     channel = server.accept();
     channel.configureBlocking(false);
-    writer = new ClientWriter(channel, Clock.system(), idle -> {});
+    writer = new ClientWriter(channel, Clock.system(), new PipelineLimit(1000), idle -> {});
   }
 
   @AfterEach
--- a/src/test/java/beaconturn/net/client/InputBacklogTest.java
+++ b/src/test/java/beaconturn/net/client/InputBacklogTest.java
@@ -60,6 +60,7 @@
             ids,
             new LargeRequestMemory(9 << 16),
             new ResponseMemory(1 << 24),
+            new PipelineLimit(1000),
             new ClientEventLog(),
             connections::remove);
     client =
--- a/src/test/java/beaconturn/net/client/LargeRequestsTest.java
+++ b/src/test/java/beaconturn/net/client/LargeRequestsTest.java
@@ -85,6 +85,7 @@
                 ids,
                 memory,
                 new ResponseMemory(1 << 24),
+                new PipelineLimit(1000),
                 new ClientEventLog(),
                 connections::remove));
     connections.add(connection);
--- a/src/test/java/beaconturn/net/client/ResponseMemoryTest.java
+++ b/src/test/java/beaconturn/net/client/ResponseMemoryTest.java
@@ -40,7 +40,8 @@
     BlockingQueue<SocketChannel> accepted = new LinkedBlockingQueue<>();
     try (LoopbackListener server = new LoopbackListener();
         TestPeer.Connection client = server.connect(accepted::add)) {
-      ClientWriter writer = new ClientWriter(accepted.take(), Clock.system(), idle -> {});
+      ClientWriter writer =
+          new ClientWriter(accepted.take(), Clock.system(), new PipelineLimit(1000), idle -> {});
       WaitingResponses waiting =
           new WaitingResponses(writer, memory.ofConnection(), Clock.system());
       List<RespClientRequest> requests = new ArrayList<>();
