--- a/src/main/java/beaconturn/net/client/PipelineLimit.java
+++ b/src/main/java/beaconturn/net/client/PipelineLimit.java
@@ -49,6 +49,6 @@
   /** Whether a connection with that many commands in flight may send another one. */
   boolean permitsNext(int inFlightOnConnection) {
     return inFlightOnConnection == 0
-        || inFlightOnConnection <= MAX_PIPELINED && inFlight.get() < limit;
+        || (inFlightOnConnection <= MAX_PIPELINED && inFlight.get() < limit);
   }
 }
