The names of x86-64 stand in one place

Cause: JvmOptions and ConnectionBudget each had the set of names that JVMs give to x86-64.

Change: MachineArchitecture in core, used by both. Nothing else changes.

--- a/src/main/java/beaconturn/net/ConnectionBudget.java
+++ b/src/main/java/beaconturn/net/ConnectionBudget.java
@@ -1,6 +1,6 @@
 package beaconturn.net;
 
-import java.util.Set;
+import beaconturn.core.MachineArchitecture;
 
 /**
  * Limits on the connections of a router, so that it runs out of neither descriptors nor memory: a
@@ -47,9 +47,6 @@
   /** The same with the shadow pages that a JVM has by default, as on arm64. */
   private static final int THREAD_KB = 112;
 
-  /** The names that JVMs give to x86-64 in the property {@code os.arch}. */
-  private static final Set<String> X86_64_NAMES = Set.of("amd64", "x86_64");
-
   private static final int MIN_THREADS = 64;
 
   /** Heap that a request of the largest size takes until it is answered. */
@@ -88,7 +85,7 @@
 
   /** Computes the budget of a process on this machine. */
   static ConnectionBudget of(int descriptors, int memoryMb) {
-    return of(descriptors, memoryMb, System.getProperty("os.arch"));
+    return of(descriptors, memoryMb, MachineArchitecture.ofThisMachine());
   }
 
   /**
@@ -97,7 +94,7 @@
    * @param architecture the kind of machine, a value of the property {@code os.arch}
    */
   static ConnectionBudget of(int descriptors, int memoryMb, String architecture) {
-    int threadKb = X86_64_NAMES.contains(architecture) ? X86_64_THREAD_KB : THREAD_KB;
+    int threadKb = MachineArchitecture.isX86_64(architecture) ? X86_64_THREAD_KB : THREAD_KB;
     int forConnections = descriptors - OTHER_DESCRIPTORS;
     int clients = (forConnections / 2 - 1) * OPEN_CLIENT_PARTS / CLIENT_PARTS;
     int cacheConnections = Math.min(forConnections / 2, threads(memoryMb, threadKb));
--- a/src/main/java/beaconturn/rehearsal/JvmOptions.java
+++ b/src/main/java/beaconturn/rehearsal/JvmOptions.java
@@ -1,5 +1,6 @@
 package beaconturn.rehearsal;
 
+import beaconturn.core.MachineArchitecture;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -8,7 +9,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 
 /**
  * The JVM options that {@code deploy/run.sh} starts a router with, apart from those for its heap.
@@ -18,14 +18,11 @@
   private static final String COMMON_FILE = "jvm.options";
   private static final String X86_64_FILE = "jvm-x86_64.options";
 
-  /** The names that JVMs give to x86-64 in the property {@code os.arch}. */
-  private static final Set<String> X86_64_NAMES = Set.of("amd64", "x86_64");
-
   private JvmOptions() {}
 
   /** Returns the options for the machine that this program runs on. */
   static List<String> ofThisMachine() {
-    return of(System.getProperty("os.arch"));
+    return of(MachineArchitecture.ofThisMachine());
   }
 
   /**
@@ -35,7 +32,7 @@
    */
   static List<String> of(String architecture) {
     List<String> options = new ArrayList<>(read(COMMON_FILE));
-    if (X86_64_NAMES.contains(architecture)) {
+    if (MachineArchitecture.isX86_64(architecture)) {
       options.addAll(read(X86_64_FILE));
     }
     return options;
