--- a/src/main/java/beaconturn/core/MachineArchitecture.java
+++ b/src/main/java/beaconturn/core/MachineArchitecture.java
@@ -15,7 +15,7 @@
   }
 
   /** Whether the name, a value of the property {@code os.arch}, stands for x86-64. */
-  public static boolean isX86_64(String name) {
+  public static boolean isIntel64(String name) {
     return X86_64_NAMES.contains(name);
   }
 }
--- a/src/main/java/beaconturn/net/ConnectionBudget.java
+++ b/src/main/java/beaconturn/net/ConnectionBudget.java
@@ -94,7 +94,7 @@
    * @param architecture the kind of machine, a value of the property {@code os.arch}
    */
   static ConnectionBudget of(int descriptors, int memoryMb, String architecture) {
-    int threadKb = MachineArchitecture.isX86_64(architecture) ? X86_64_THREAD_KB : THREAD_KB;
+    int threadKb = MachineArchitecture.isIntel64(architecture) ? X86_64_THREAD_KB : THREAD_KB;
     int forConnections = descriptors - OTHER_DESCRIPTORS;
     int clients = (forConnections / 2 - 1) * OPEN_CLIENT_PARTS / CLIENT_PARTS;
     int cacheConnections = Math.min(forConnections / 2, threads(memoryMb, threadKb));
--- a/src/main/java/beaconturn/rehearsal/JvmOptions.java
+++ b/src/main/java/beaconturn/rehearsal/JvmOptions.java
@@ -32,7 +32,7 @@
    */
   static List<String> of(String architecture) {
     List<String> options = new ArrayList<>(read(COMMON_FILE));
-    if (MachineArchitecture.isX86_64(architecture)) {
+    if (MachineArchitecture.isIntel64(architecture)) {
       options.addAll(read(X86_64_FILE));
     }
     return options;
