A duplicate response that comes up to 25 ms late is not served to the next request

A late copy of -BUSY could make an unsafe request run twice.

Cause: a connection to a cache server is used again 5 ms after its response.

Change: a connection rests for 25 ms. Bytes that arrive in that time are seen before the next request is written, and the connection is closed; one that is later than that still is taken for an answer.

--- a/src/main/java/beaconturn/net/server/IdleConnections.java
+++ b/src/main/java/beaconturn/net/server/IdleConnections.java
@@ -11,11 +11,12 @@
  */
 final class IdleConnections {
   /**
-   * How long a connection is not reused after a response. A duplicate response that arrives just
-   * after the first would otherwise be taken for the response to the next request, and its client
-   * would get the value of another key. After this time such bytes are detected as unexpected.
+   * How long a connection is not reused after a response. A duplicate response that arrives some
+   * milliseconds after the first would otherwise be taken for the response to the next request, and
+   * its client would get the value of another key. Bytes that arrive within this time are detected
+   * as unexpected, as the next request is written only if there are none.
    */
-  private static final long SETTLE_NANOS = 5_000_000;
+  private static final long SETTLE_NANOS = 25_000_000;
 
   private record IdleCacheConnection(CacheConnection connection, long idleSinceNanos) {}
 
--- a/src/test/java/beaconturn/net/server/CacheServerTest.java
+++ b/src/test/java/beaconturn/net/server/CacheServerTest.java
@@ -32,11 +32,15 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests the mapping of a cache server's behaviour to attempt outcomes, over real sockets. */
 public class CacheServerTest {
   private static final long SECOND_NANOS = 1_000_000_000;
   private static final String VALUE = "*3\r\n$2\r\nva\r\n$4\r\nmiss\r\n$-1\r\n";
+  private static final String NEXT_VALUE = "*3\r\n$4\r\nnext\r\n$4\r\nmiss\r\n$-1\r\n";
   private final Clock system = Clock.system();
   private final AtomicLong clockOffsetNanos = new AtomicLong();
 
@@ -405,6 +409,32 @@
     }
   }
 
+  /** A duplicate of a response must not be taken for the response to the next request. */
+  @ParameterizedTest
+  @ValueSource(longs = {0, 1, 4, 6, 8, 20})
+  @Timeout(20)
+  void duplicateResponseIsNotServedToTheNextRequest(long lateMillis) throws Exception {
+    CountDownLatch nextSent = new CountDownLatch(1);
+    try (TestPeer peer =
+        new TestPeer(
+            line -> {
+              line.readCommand();
+              line.write(line.isFirst() ? VALUE : NEXT_VALUE);
+              TestPeer.await(nextSent);
+              line.write(VALUE);
+              line.readCommand();
+            })) {
+      CacheServer server = server(peer);
+      long answeredAtNanos = awaitResult(send(server)).endedAtNanos();
+      frozenAtNanos.set(answeredAtNanos + lateMillis * SECOND_NANOS / 1000);
+      OutboundAttempt next = attempt(null);
+      assertTrue(server.send(next));
+      TestPeer.until(() -> peer.connections() == 2);
+      nextSent.countDown();
+      assertEquals("$4\r\nnext\r\n", awaitResult(next).response().toString());
+    }
+  }
+
   @Test
   void refusedConnectionEndsAsConnectFailed() throws InterruptedException {
     TestPeer peer = new TestPeer(TestPeer.Connection::readCommand);
