A reload of the unchanged configuration is accepted whatever its classes lack

Cause: ConfigShape held every item of a list against the first earlier item, so that an optional key of the first one was required of all.

Change: what all earlier items have in common is required of each item. A value is among those that it is compared with when the file has not changed, so that an unchanged file lacks nothing.

--- a/src/main/java/beaconturn/net/ConfigShape.java
+++ b/src/main/java/beaconturn/net/ConfigShape.java
@@ -2,11 +2,13 @@
 
 import beaconturn.protocol.Json;
 import java.util.List;
-import java.util.Map;
 
 /**
  * Compares the keys and value types of two configuration files. Guards against a truncated or
  * half-edited file: missing keys would silently be replaced by their defaults.
+ *
+ * <p>The items of an array may differ in their keys, as some keys may be absent. What all earlier
+ * items have in common is required of each item now, so that an unchanged file lacks nothing.
  */
 final class ConfigShape {
   /** The endpoint list, which changes all the time and is not compared. */
@@ -19,30 +21,36 @@
    * none.
    */
   static String firstMissing(Json earlier, Json now) {
-    return firstMissing("", earlier, now);
+    return firstMissing("", List.of(earlier), now);
   }
 
-  private static String firstMissing(String path, Json earlier, Json now) {
-    if (!now.getClass().equals(earlier.getClass())) {
-      return path;
-    }
-    if (earlier instanceof Json.Members members) {
-      return firstMissingMember(path, members, now);
+  /** Compares a value with what all earlier values in its place, at least one, have in common. */
+  private static String firstMissing(String path, List<Json> earlier, Json now) {
+    Class<?> type = earlier.get(0).getClass();
+    if (!earlier.stream().allMatch(type::isInstance)) {
+      return null;
     }
-    if (!earlier.items().isEmpty()) {
-      return firstMissingItem(path, earlier.items().get(0), now.items());
+    if (!type.isInstance(now)) {
+      return path;
     }
-    return null;
+    return now instanceof Json.Members
+        ? firstMissingMember(path, earlier, now)
+        : firstMissingItem(path, earlier, now);
   }
 
-  private static String firstMissingMember(String path, Json.Members earlier, Json now) {
-    for (Map.Entry<String, Json> member : earlier.values().entrySet()) {
-      String name = member.getKey();
+  private static String firstMissingMember(String path, List<Json> earlier, Json now) {
+    for (String name : ((Json.Members) earlier.get(0)).values().keySet()) {
       String memberPath = path.isEmpty() ? name : path + "." + name;
-      if (memberPath.equals(ENDPOINT_LIST)) {
-        continue;
-      }
-      String missing = firstMissing(memberPath, member.getValue(), now.get(name));
+      boolean required =
+          !memberPath.equals(ENDPOINT_LIST)
+              && earlier.stream().allMatch(value -> hasMember(value, name));
+      String missing =
+          required
+              ? firstMissing(
+                  memberPath,
+                  earlier.stream().map(value -> value.get(name)).toList(),
+                  now.get(name))
+              : null;
       if (missing != null) {
         return missing;
       }
@@ -50,10 +58,14 @@
     return null;
   }
 
-  /** Each item must have the keys of the first earlier item. */
-  private static String firstMissingItem(String path, Json earlierItem, List<Json> now) {
-    for (int i = 0; i < now.size(); i++) {
-      String missing = firstMissing(path + "." + i, earlierItem, now.get(i));
+  private static boolean hasMember(Json value, String name) {
+    return ((Json.Members) value).values().containsKey(name);
+  }
+
+  private static String firstMissingItem(String path, List<Json> earlier, Json now) {
+    List<Json> earlierItems = earlier.stream().flatMap(value -> value.items().stream()).toList();
+    for (int i = 0; i < now.items().size() && !earlierItems.isEmpty(); i++) {
+      String missing = firstMissing(path + "." + i, earlierItems, now.items().get(i));
       if (missing != null) {
         return missing;
       }
