--- a/src/test/java/beaconturn/rehearsal/FloodTest.java
+++ b/src/test/java/beaconturn/rehearsal/FloodTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -21,6 +22,8 @@
   private static final int FLOODING_CLIENTS = 6;
   private static final int COMMANDS_PER_WRITE = 200;
   private static final int USUAL_READS = 400;
+  private static final int CROWD = 100;
+  private static final int READS_BESIDE_CROWD = 40;
   private static final long WAIT_MILLIS = 1000;
 
   /** A tenth of the latency objective of a read; the cache servers take 5 ms. */
@@ -103,10 +106,10 @@
   }
 
   /** The longest time in which a usual client had its response. */
-  private static long longestMillis(RouterInProcess router) throws Exception {
+  private static long longestMillis(RouterInProcess router, int reads) throws Exception {
     long longestNanos = 0;
     try (TestPeer.Connection usual = router.connect()) {
-      for (int i = 0; i < USUAL_READS; i++) {
+      for (int i = 0; i < reads; i++) {
         long startNanos = System.nanoTime();
         usual.write(Flood.get(i, "read", (int) WAIT_MILLIS).replace("\r\n0", "\r\nu"));
         usual.readResponse();
@@ -119,10 +122,19 @@
   @ParameterizedTest
   @EnumSource(Flood.class)
   void clientsAtFullSpeedDelayNoOther(Flood flood) throws Exception {
+    play(flood, FLOODING_CLIENTS, USUAL_READS);
+  }
+
+  @Test
+  void crowdThatPingsAtFullSpeedDelaysNoOther() throws Exception {
+    play(Flood.PINGS, CROWD, READS_BESIDE_CROWD);
+  }
+
+  private void play(Flood flood, int clients, int reads) throws Exception {
     List<TestPeer.Connection> flooding = new ArrayList<>();
     try (SlowCacheServers servers = new SlowCacheServers(4, RESPONSE, 5);
         RouterInProcess router = new RouterInProcess(folder, MEMORY_MB, servers.dialAddresses())) {
-      for (int i = 0; i < FLOODING_CLIENTS; i++) {
+      for (int i = 0; i < clients; i++) {
         TestPeer.Connection connection = router.connect();
         flooding.add(connection);
         long firstNumber = (long) i << 40;
@@ -130,10 +142,10 @@
         Threads.start("test-flood-reads", () -> readResponses(connection));
       }
       long startNanos = System.nanoTime();
-      long longestMillis = longestMillis(router);
+      long longestMillis = longestMillis(router, reads);
       long allMillis = (System.nanoTime() - startNanos) / 1_000_000;
       finished.set(true);
-      assertTrue(allMillis < USUAL_READS * USUAL_READ_MILLIS, allMillis + " ms for all reads");
+      assertTrue(allMillis < reads * USUAL_READ_MILLIS, allMillis + " ms for all reads");
       assertTrue(longestMillis < WAIT_MILLIS, longestMillis + " ms");
       assertTrue(router.process().isAlive());
     } finally {
