Limits on the heap follow the heap that the start command gives

What callers could see: a full heap as before, where the limit on memory is above 213 MB, as in the example of the deploy page (2048).

Cause: found by reading the change again. ConnectionBudget takes three tenths of memory_mb for the heap, deploy/run.sh gives at least 16 and at most 64 MB. With 2048 MB the limits on waiting and received responses and on commands in flight, all of them new, add up to 425 MB of a heap of 64, so that none of them binds.

Change: the same two bounds in ConnectionBudget. With more than 213 MB more memory is left for threads, with less than 53 MB less.

Measured: ConnectionBudgetTest asks that all that is limited takes at most nine tenths of the heap; the case of 2048 MB failed before. Not played with a router process yet.

--- a/src/main/java/beaconturn/net/ConnectionBudget.java
+++ b/src/main/java/beaconturn/net/ConnectionBudget.java
@@ -33,9 +33,12 @@
 
   private static final int BYTES_PER_KB = 1024;
 
-  /** Tenths of the memory that the start command gives to the heap. */
+  /** Tenths of the memory that the start command gives to the heap, within the two limits. */
   private static final int HEAP_TENTHS = 3;
 
+  private static final int MIN_HEAP_MB = 16;
+  private static final int MAX_HEAP_MB = 64;
+
   /** Memory of the JVM outside the heap and the threads for connections, under load. */
   private static final int JVM_BASE_MB = 50;
 
@@ -114,7 +117,7 @@
   }
 
   private static int heapMb(int memoryMb) {
-    return memoryMb * HEAP_TENTHS / 10;
+    return Math.max(MIN_HEAP_MB, Math.min(MAX_HEAP_MB, memoryMb * HEAP_TENTHS / 10));
   }
 
   private static long heapBytes(int memoryMb) {
--- a/src/test/java/beaconturn/net/ConnectionBudgetTest.java
+++ b/src/test/java/beaconturn/net/ConnectionBudgetTest.java
@@ -9,6 +9,9 @@
   /** Measured under load, without heap and threads for connections. */
   private static final int JVM_MB = 49;
 
+  /** Heap that a command takes, with a small response. */
+  private static final long COMMAND_BYTES = 6 * 1024;
+
   /**
    * All connections together must exceed neither the descriptors nor the memory for their threads.
    */
@@ -24,8 +27,15 @@
     assertTrue(budget.clients() > 0 && budget.cacheConnections() > 0);
     int closing = 1 + budget.clients() / 16;
     assertTrue(budget.clients() + closing + budget.cacheConnections() < sockets - 20);
-    int memoryForThreadsMb = memoryMb - memoryMb * 3 / 10 - JVM_MB;
+    int heapMb = Math.max(16, Math.min(64, memoryMb * 3 / 10));
+    int memoryForThreadsMb = memoryMb - heapMb - JVM_MB;
     assertTrue(budget.cacheConnections() <= Math.max(64, memoryForThreadsMb * 1024 / threadKb));
-    assertTrue(2 * 66 * budget.largeRequests() <= memoryMb * 3 / 10 * 1024);
+    assertTrue(2 * 66 * budget.largeRequests() <= heapMb * 1024);
+    long limitedBytes =
+        budget.largeRequestBytes()
+            + budget.waitingResponseBytes()
+            + budget.receivedResponseBytes()
+            + COMMAND_BYTES * budget.commandsInFlight();
+    assertTrue(limitedBytes <= heapMb * 1024L * 1024 * 9 / 10, limitedBytes + " bytes");
   }
 }
