Many connections at full speed leave time for other clients

What callers saw: beside a hundred clients that ping at full speed a usual read took 1.3 s, the longest 2.6 s.

Cause: CommandRateLimit permits each connection 128 commands in 50 ms, so that a hundred have 256,000 a second handled, more than one processor can do. Nothing limited all connections together.

Change: beyond 4 commands of a connection in 50 ms, its commands count towards 512 of all together in that time (SharedCommandRate). An invalid command's exception has no stack trace, which cost the most of a rejection.

--- a/src/main/java/beaconturn/net/client/ClientConnection.java
+++ b/src/main/java/beaconturn/net/client/ClientConnection.java
@@ -71,6 +71,7 @@
             state,
             writer,
             context.largeRequestMemory(),
+            context.poller().commandRate(),
             () -> context.poller().schedule(this),
             this::handleCommand,
             dispatcher::rejectWaiting);
--- a/src/main/java/beaconturn/net/client/ClientPoller.java
+++ b/src/main/java/beaconturn/net/client/ClientPoller.java
@@ -48,6 +48,7 @@
   // Poller thread only.
   private final List<ClientConnection> releasing = new ArrayList<>();
   private final BacklogReader backlogs = new BacklogReader();
+  private final SharedCommandRate commandRate = new SharedCommandRate();
   private long lastSelectAtNanos;
   private long arrivedAtNanos;
   private long lastTurnAtNanos;
@@ -113,6 +114,11 @@
     return turns.awaitTurnIfStalled(clock.now());
   }
 
+  /** The rate of the commands of all connections. To be used on the poller thread only. */
+  SharedCommandRate commandRate() {
+    return commandRate;
+  }
+
   /** Reads on for a connection whose input was left unread, until it is read to its end. */
   void watchBacklog(ClientConnection connection) {
     backlogs.add(connection);
--- a/src/main/java/beaconturn/net/client/CommandRateLimit.java
+++ b/src/main/java/beaconturn/net/client/CommandRateLimit.java
@@ -14,16 +14,22 @@
   /** Commands per window beyond which commands wait. */
   private static final int MAX_COMMANDS = 128;
 
+  /** Commands per window that do not count towards the rate of all connections together. */
+  private static final int RESERVED_COMMANDS = 4;
+
   /** Length of a window, about the interval at which throttled connections are rechecked. */
-  private static final long WINDOW_NANOS = 50_000_000;
+  static final long WINDOW_NANOS = 50_000_000;
 
   private final Clock clock;
+  private final SharedCommandRate shared;
   private long windowStartNanos;
   private int commands;
   private int rejections;
 
-  CommandRateLimit(Clock clock) {
+  /** Creates the limit of one connection; {@code shared} is that of all together. */
+  CommandRateLimit(Clock clock, SharedCommandRate shared) {
     this.clock = clock;
+    this.shared = shared;
   }
 
   /** Counts a command that is handled now. */
@@ -35,6 +41,9 @@
       rejections = 0;
     }
     commands++;
+    if (commands > RESERVED_COMMANDS) {
+      shared.recordCommand(nowNanos);
+    }
   }
 
   /** Counts the current command as rejected. */
@@ -44,7 +53,11 @@
 
   /** Whether the next command is to wait. */
   boolean isExceeded() {
-    boolean overLimit = rejections >= MAX_REJECTIONS || commands >= MAX_COMMANDS;
-    return overLimit && clock.now() - windowStartNanos < WINDOW_NANOS;
+    long nowNanos = clock.now();
+    boolean overLimit =
+        rejections >= MAX_REJECTIONS
+            || commands >= MAX_COMMANDS
+            || (commands >= RESERVED_COMMANDS && shared.isExceeded(nowNanos));
+    return overLimit && nowNanos - windowStartNanos < WINDOW_NANOS;
   }
 }
--- a/src/main/java/beaconturn/net/client/CommandReader.java
+++ b/src/main/java/beaconturn/net/client/CommandReader.java
@@ -58,6 +58,7 @@
       ConnectionState state,
       ClientWriter writer,
       LargeRequestMemory memory,
+      SharedCommandRate sharedRate,
       Runnable onMemoryRevoked,
       Consumer<ReceivedCommand> handler,
       Consumer<ReceivedCommand> rejectionHandler) {
@@ -69,7 +70,7 @@
     this.onMemoryRevoked = onMemoryRevoked;
     this.handler = handler;
     this.rejectionHandler = rejectionHandler;
-    this.rateLimit = new CommandRateLimit(clock);
+    this.rateLimit = new CommandRateLimit(clock, sharedRate);
   }
 
   /** The command that has partially arrived. For any thread. */
--- a/src/main/java/beaconturn/net/client/InvalidCommandException.java
+++ b/src/main/java/beaconturn/net/client/InvalidCommandException.java
@@ -8,8 +8,11 @@
 public final class InvalidCommandException extends Exception {
   private static final long serialVersionUID = 1L;
 
-  /** Creates an exception whose message is sent to the client. */
+  /**
+   * Creates an exception whose message is sent to the client. It has no stack trace, which would be
+   * the costliest part of a rejection.
+   */
   InvalidCommandException(String message) {
-    super(message);
+    super(message, null, false, false);
   }
 }
