Small responses make no reservation of memory

Each response of which a part was missing made a reservation, also those of up to 4 KB, which need none: work on the ordinary path.

Change: the connection asks for memory only for responses that are limited. The rule stands in one place as before.

--- a/src/main/java/beaconturn/net/server/CacheConnection.java
+++ b/src/main/java/beaconturn/net/server/CacheConnection.java
@@ -217,7 +217,9 @@
       if (value != null) {
         return endAttempt(responseReader.read(value, clock.now()));
       }
-      reserveMemory(input.expectedBytes());
+      if (ReceivedResponseMemory.isLimited(input.expectedBytes())) {
+        reserveMemory(input.expectedBytes());
+      }
     }
     return StateAfterAttempt.BROKEN;
   }
--- a/src/main/java/beaconturn/net/server/ReceivedResponseMemory.java
+++ b/src/main/java/beaconturn/net/server/ReceivedResponseMemory.java
@@ -31,6 +31,11 @@
     return (bytes + UNIT_BYTES - 1) / UNIT_BYTES;
   }
 
+  /** Whether a response of this size needs memory to be reserved. */
+  static boolean isLimited(int bytes) {
+    return bytes > SMALL_RESPONSE_BYTES;
+  }
+
   /** The number of bytes that are reserved. */
   long reservedBytes() {
     return (long) (limitUnits - free.availablePermits()) * UNIT_BYTES;
@@ -90,7 +95,7 @@
     synchronized boolean growTo(int bytes, long timeoutNanos) throws InterruptedException {
       // A larger response than the limit allows for takes all of it.
       int wantedUnits = Math.min(unitsOf(bytes), memory.serverUnits);
-      if (bytes <= SMALL_RESPONSE_BYTES || wantedUnits <= units) {
+      if (wantedUnits <= units) {
         return true;
       }
       if (!memory.acquire(wantedUnits - units, timeoutNanos)) {
