PipelineLimitTest: commands that wait for the limit are all served

Cause: found by reading the change again. The tests of the limit were of the writer alone; nothing showed with real connections that a command which waits is taken up again.

Change: five clients send ten commands at once where eight may be in flight. At most one more for each client is in flight, and all fifty have their responses, in order.

--- a/src/test/java/beaconturn/net/client/PipelineLimitTest.java
+++ b/src/test/java/beaconturn/net/client/PipelineLimitTest.java
@@ -4,9 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import beaconturn.core.ClientRequest;
 import beaconturn.core.Clock;
+import beaconturn.core.Lifecycle;
+import beaconturn.core.RoutingMessage;
+import beaconturn.core.Samples;
 import beaconturn.net.TestPeer;
 import beaconturn.protocol.Slice;
+import beaconturn.stats.RequestMetrics;
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
@@ -22,6 +27,8 @@
 @Timeout(60)
 class PipelineLimitTest {
   private static final int LIMIT = 8;
+  private static final int CLIENTS = 5;
+  private static final int COMMANDS = 10;
   private static final Slice RESPONSE = Slice.of("+1\r\n");
 
   private final PipelineLimit limit = new PipelineLimit(LIMIT);
@@ -70,6 +77,74 @@
     assertEquals(1, sendAsManyAsPermitted(other).size());
   }
 
+  /** A command that waits for the limit is served once its connection has its other responses. */
+  @Test
+  void commandsThatWaitAreAllServed() throws Exception {
+    BlockingQueue<ClientRequest> requests = new LinkedBlockingQueue<>();
+    ClientConnections connections = new ClientConnections(9, 9);
+    ConnectionContext context = context(requests, connections);
+    for (int i = 0; i < CLIENTS; i++) {
+      TestPeer.Connection client =
+          server.connect(accepted -> start(accepted, context, connections));
+      clients.add(client);
+      client.write(gets(i));
+    }
+    // Returns once the poller has read what was written before.
+    TestPeer.Connection last = server.connect(accepted -> start(accepted, context, connections));
+    clients.add(last);
+    last.write("*1\r\n$4\r\nPING\r\n");
+    assertEquals("-ERR starting", last.readResponse());
+    assertTrue(requests.size() <= LIMIT + CLIENTS, requests.size() + " in flight");
+    for (int served = 0; served < CLIENTS * COMMANDS; served++) {
+      ClientRequest request = requests.take();
+      request.respond(Slice.of("+" + request.id() + "\r\n"));
+    }
+    for (int i = 0; i < CLIENTS; i++) {
+      for (int command = 0; command < COMMANDS; command++) {
+        assertEquals("+" + id(i, command), clients.get(i).readResponse());
+      }
+    }
+    assertEquals(0, limit.inFlight());
+  }
+
+  private ConnectionContext context(
+      BlockingQueue<ClientRequest> requests, ClientConnections connections) throws IOException {
+    ClientPoller poller = new ClientPoller(Clock.system());
+    poller.start();
+    return new ConnectionContext(
+        () -> new RequestParser(Samples.read(), RequestMetrics.NONE),
+        Clock.system(),
+        new Lifecycle(),
+        message -> requests.add(((RoutingMessage.RequestReceived) message).request()),
+        poller,
+        new PendingRequestIds(),
+        new LargeRequestMemory(9 << 16),
+        new ResponseMemory(1 << 24),
+        limit,
+        new ClientEventLog(),
+        connections::remove);
+  }
+
+  private static void start(
+      SocketChannel accepted, ConnectionContext context, ClientConnections connections) {
+    ClientConnection connection = new ClientConnection(accepted, context);
+    connections.add(connection);
+    connection.start();
+  }
+
+  private static String id(int client, int command) {
+    return "id" + client + command;
+  }
+
+  private static String gets(int client) {
+    StringBuilder out = new StringBuilder();
+    for (int i = 0; i < COMMANDS; i++) {
+      out.append("*4\r\n$5\r\nC.GET\r\n$1\r\na\r\n$4\r\n" + id(client, i))
+          .append("\r\n$13\r\nc=read,d=1500\r\n");
+    }
+    return out.toString();
+  }
+
   @Test
   void connectionThatIsClosedCountsOnce() throws Exception {
     ClientWriter client = connect();
