SlowReadersTest: also with a limit on memory far above the heap

Cause: the limits on the heap did not bind with much memory, which had been shown by ConnectionBudgetTest alone.

Change: a case with 2048 MB, where the heap has 64 MB as ever.

--- a/src/test/java/beaconturn/rehearsal/SlowReadersTest.java
+++ b/src/test/java/beaconturn/rehearsal/SlowReadersTest.java
@@ -17,6 +17,10 @@
 @Timeout(60)
 class SlowReadersTest {
   private static final int MEMORY_MB = 192;
+
+  /** With this limit the heap is a small part of the memory. */
+  private static final int LARGE_MEMORY_MB = 2048;
+
   private static final int SLOW_READERS = 300;
   private static final int REQUESTS_EACH = 33;
   private static final int USUAL_REQUESTS = 100;
@@ -76,10 +80,11 @@
   }
 
   /** Asserts that each request of a usual client beside them is served, refused or failed. */
-  private void answersUsualRequestsBesideSlowReaders(int valueBytes) throws Exception {
+  private void answersUsualRequestsBesideSlowReaders(int valueBytes, int memoryMb)
+      throws Exception {
     List<TestPeer.Connection> slowReaders = new ArrayList<>();
     try (SlowCacheServers servers = new SlowCacheServers(4, response(valueBytes), 5);
-        RouterInProcess router = new RouterInProcess(folder, MEMORY_MB, servers.dialAddresses());
+        RouterInProcess router = new RouterInProcess(folder, memoryMb, servers.dialAddresses());
         TestPeer.Connection usual = router.connect()) {
       for (int client = 0; client < SLOW_READERS; client++) {
         TestPeer.Connection connection = router.connect();
@@ -92,7 +97,7 @@
         readResponse(usual, valueBytes);
         mostMb = Math.max(mostMb, residentMb(router));
       }
-      assertTrue(mostMb < MEMORY_MB, mostMb + " MB");
+      assertTrue(mostMb < memoryMb, mostMb + " MB");
       assertTrue(router.process().isAlive());
     } finally {
       slowReaders.forEach(TestPeer.Connection::close);
@@ -101,11 +106,16 @@
 
   @Test
   void clientsThatReadNothingCostOthersNeitherMemoryNorAnswers() throws Exception {
-    answersUsualRequestsBesideSlowReaders(BUFFERED_BYTES);
+    answersUsualRequestsBesideSlowReaders(BUFFERED_BYTES, MEMORY_MB);
+  }
+
+  @Test
+  void clientsThatReadNothingDoNotFillTheHeapOfLargeMemory() throws Exception {
+    answersUsualRequestsBesideSlowReaders(BUFFERED_BYTES, LARGE_MEMORY_MB);
   }
 
   @Test
   void clientsThatReadNoStreamedResponseCostOthersNoMemory() throws Exception {
-    answersUsualRequestsBesideSlowReaders(STREAMED_BYTES);
+    answersUsualRequestsBesideSlowReaders(STREAMED_BYTES, MEMORY_MB);
   }
 }
