--- a/review/src-2/Settings2.java
+++ b/review/src-2/Settings2.java
@@ -48,6 +48,22 @@
             + "\"drain_grace\":600000000,\"fall_multiple\":3.0,\"overload_for\":900000000");
   }
 
+  /** balancing-main: lists are asked for; cache servers read through, as on sockets. */
+  static String balancing(int port, Kit2.Discovery discovery, int routers, String known, int index) {
+    String classes =
+        String.join(
+            ",",
+            clazz("price-read", "read_like", "all", 0, 800, 2500, 3),
+            clazz("status-set", "read_like", "all", 0, 750, 3000, 2),
+            clazz("bid-submit", "idempotency_key", "all", 6000, 1500, 3000, 2));
+    return config(
+        port, discovery, known, index, routers, "[\"dc-main\"]", "[\"fast-1c\",\"std\"]", "ask", classes,
+        "\"second_copies\":false,\"most_tries\":3,\"max_retry_after\":2000000000,\"multiplex\":1,"
+            + "\"dial_timeout\":250000000,\"conn_idle\":10000000000",
+        "\"answer_slack\":20000000,\"ask_within\":10000000000,\"cold_share\":0.12,\"cold\":24000000000,"
+            + "\"drain_grace\":2500000000,\"fall_multiple\":3.0,\"overload_for\":2000000000");
+  }
+
   private static String config(
       int port,
       Kit2.Discovery discovery,
