--- a/review/src-2/SecondLarge.java
+++ b/review/src-2/SecondLarge.java
@@ -5,6 +5,7 @@
 import java.util.Random;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
 
 /**
  * A second copy of a large answer that comes some milliseconds after the first. Each client checks
@@ -14,9 +15,12 @@
   private static final int LARGE_BYTES = 200_000;
   private static final int PIECES = 25;
   private static final int PIECE_PAUSE_MILLIS = 2;
-  private static final int SECOND_AFTER_MILLIS = 8;
-  private static final int ONE_IN = 20;
-  private static final int CLIENTS = 8;
+  private static final int ONE_IN = 10;
+
+  /** One way between data centres of the site. */
+  private static final long WAY_NANOS = 500_000;
+
+  private static final int CLIENTS = 16;
   private static final long LENGTH_MILLIS = 40_000;
 
   private static final AtomicLong IDS = new AtomicLong(0x5eed0000);
@@ -63,7 +67,10 @@
     return BROKEN;
   }
 
-  /** A large value goes out in pieces; of one in twenty a second copy follows, if nothing else waits. */
+  /**
+   * A large value goes out in pieces; of one in ten a second copy follows, 1 to 8 ms later, unless a
+   * request has come on the connection by then.
+   */
   private static void answer(Kit2.Command command) throws Exception {
     if (!command.key.startsWith("1a")) {
       Kit2.sleep(3);
@@ -78,15 +85,31 @@
       Kit2.sleep(PIECE_PAUSE_MILLIS);
     }
     boolean second = LARGE_ANSWERS.incrementAndGet() % ONE_IN == 0;
-    if (second && Kit2.trouble() && command.socket.getInputStream().available() == 0) {
-      // It is on its way from here on, and arrives some milliseconds late.
-      Kit2.sleep(SECOND_AFTER_MILLIS);
+    if (second && Kit2.trouble() && nothingComesWithin(command, 1 + (command.id.hashCode() & 7))) {
+      // On its way from here on: what the router writes now meets it.
+      LockSupport.parkNanos(WAY_NANOS);
       Kit2.log(command.server.name + " sends a second copy of the answer for " + command.id);
       SECOND_COPIES.incrementAndGet();
       command.write(bytes);
     }
   }
 
+  /**
+   * Waits for so long; whether nothing has come on the connection meanwhile. What was written less
+   * than the time of one way before the end has not come yet.
+   */
+  private static boolean nothingComesWithin(Kit2.Command command, int millis) throws IOException {
+    long until = System.nanoTime() + millis * 1_000_000L;
+    while (System.nanoTime() < until - WAY_NANOS) {
+      if (command.socket.getInputStream().available() > 0) {
+        return false;
+      }
+      LockSupport.parkNanos(50_000);
+    }
+    LockSupport.parkNanos(Math.max(1, until - System.nanoTime()));
+    return true;
+  }
+
   private static void client(int number, int port, long until, AtomicInteger[] counts) {
     Random random = new Random(number);
     Kit2.Client client = null;
