A connection rests for 25 ms after the last byte of a streamed response, not the first

Cause: the time for which a connection to a cache server is not reused counted from the end time in the attempt's result. For a streamed response that is the time of its first bytes, so that a stream of 25 ms or more left its connection settled at once, and the duplicate was read as the response to the next request. The idle timeout counted from there as well.

Change: AttemptEnded carries when the connection was released, after the last byte was read. The 25 ms are unchanged.

Tests: duplicateOfStreamedResponseIsNotServedToTheNextRequest failed in 4 of 4 cases on the code before (no second connection), passes now.

--- a/src/main/java/beaconturn/net/server/CacheServer.java
+++ b/src/main/java/beaconturn/net/server/CacheServer.java
@@ -218,7 +218,7 @@
       unanswered.end();
     }
     if (ended.reusable()) {
-      reuseOrClose(ended.connection(), wasInUse, ended.endedAtNanos());
+      reuseOrClose(ended.connection(), wasInUse, ended.releasedAtNanos());
     }
   }
 
--- a/src/main/java/beaconturn/net/server/CacheServerTask.java
+++ b/src/main/java/beaconturn/net/server/CacheServerTask.java
@@ -39,12 +39,15 @@
   /**
    * An attempt ended; a {@code reusable} connection is returned to the actor. Holds no response, as
    * the actor may run long after the routing thread has handled it.
+   *
+   * @param releasedAtNanos when the connection had no response outstanding any more; later than the
+   *     end time in the result of a streamed response, which is that of its first bytes
    */
   record AttemptEnded(
       CacheConnection connection,
       OutboundAttempt attempt,
       AttemptOutcome outcome,
-      long endedAtNanos,
+      long releasedAtNanos,
       boolean reusable)
       implements CacheServerTask {
     @Override
--- a/src/main/java/beaconturn/net/server/ConnectionReporter.java
+++ b/src/main/java/beaconturn/net/server/ConnectionReporter.java
@@ -29,7 +29,7 @@
     // Notify the actor first, so that the routing thread's next attempt finds the connection idle.
     post(
         new CacheServerTask.AttemptEnded(
-            connection, attempt, result.outcome(), result.endedAtNanos(), reusable));
+            connection, attempt, result.outcome(), environment.clock().now(), reusable));
     environment.routingThread().accept(new RoutingMessage.AttemptCompleted(attempt, result));
   }
 
--- a/src/main/java/beaconturn/net/server/IdleConnections.java
+++ b/src/main/java/beaconturn/net/server/IdleConnections.java
@@ -11,10 +11,10 @@
  */
 final class IdleConnections {
   /**
-   * How long a connection is not reused after a response. A duplicate response that arrives some
-   * milliseconds after the first would otherwise be taken for the response to the next request, and
-   * its client would get the value of another key. Bytes that arrive within this time are detected
-   * as unexpected, as the next request is written only if there are none.
+   * How long a connection is not reused after the last byte of a response. A duplicate response
+   * that arrives some milliseconds after the first would otherwise be taken for the response to the
+   * next request, and its client would get the value of another key. Bytes that arrive within this
+   * time are detected as unexpected, as the next request is written only if there are none.
    */
   private static final long SETTLE_NANOS = 25_000_000;
 
--- a/src/test/java/beaconturn/net/server/CacheServerTest.java
+++ b/src/test/java/beaconturn/net/server/CacheServerTest.java
@@ -1,6 +1,7 @@
 package beaconturn.net.server;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -12,6 +13,7 @@
 import beaconturn.core.RequestDescription;
 import beaconturn.core.RoutingMessage;
 import beaconturn.core.Samples;
+import beaconturn.core.StreamingResponse;
 import beaconturn.decision.AttemptOutcome;
 import beaconturn.decision.CacheStatus;
 import beaconturn.net.TestPeer;
@@ -41,6 +43,8 @@
   private static final long SECOND_NANOS = 1_000_000_000;
   private static final String VALUE = "*3\r\n$2\r\nva\r\n$4\r\nmiss\r\n$-1\r\n";
   private static final String NEXT_VALUE = "*3\r\n$4\r\nnext\r\n$4\r\nmiss\r\n$-1\r\n";
+  private static final String STREAMED_VALUE =
+      "*3\r\n$70000\r\n" + "v".repeat(70_000) + "\r\n$3\r\nhit\r\n$-1\r\n";
   private final Clock system = Clock.system();
   private final AtomicLong clockOffsetNanos = new AtomicLong();
 
@@ -435,6 +439,81 @@
     }
   }
 
+  /**
+   * Guards against serving the next client with the duplicate of a streamed response: the time for
+   * which the connection is not reused counts from the last byte, not from the first.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {0, 1, 8, 20})
+  @Timeout(20)
+  void duplicateOfStreamedResponseIsNotServedToTheNextRequest(long lateMillis) throws Exception {
+    CountDownLatch streaming = new CountDownLatch(1);
+    CountDownLatch nextSent = new CountDownLatch(1);
+    try (TestPeer peer =
+        new TestPeer(
+            line -> {
+              line.readCommand();
+              line.write(line.isFirst() ? STREAMED_VALUE.substring(0, 1_000) : NEXT_VALUE);
+              TestPeer.await(streaming);
+              line.write(line.isFirst() ? STREAMED_VALUE.substring(1_000) : "");
+              TestPeer.await(nextSent);
+              line.write(STREAMED_VALUE);
+              line.readCommand();
+            })) {
+      CacheServer server = server(peer);
+      frozenAtNanos.set(system.now());
+      OutboundAttempt first = attempt(null);
+      assertTrue(server.send(first));
+      discardStream(awaitStreamingStarted().response());
+      frozenAtNanos.addAndGet(SECOND_NANOS);
+      streaming.countDown();
+      assertEquals(AttemptOutcome.OK, awaitResult(first).outcome());
+      frozenAtNanos.addAndGet(lateMillis * SECOND_NANOS / 1000);
+      OutboundAttempt next = attempt(null);
+      assertTrue(server.send(next));
+      TestPeer.until(() -> peer.connections() == 2);
+      nextSent.countDown();
+      assertEquals("$4\r\nnext\r\n", awaitResult(next).response().toString());
+    }
+  }
+
+  @Test
+  void reusesSettledConnectionOfStreamedResponse() throws InterruptedException {
+    try (TestPeer peer =
+        new TestPeer(
+            line -> {
+              while (!line.readCommand().equals("end")) {
+                line.write(STREAMED_VALUE);
+              }
+            })) {
+      CacheServer server = server(peer);
+      for (int i = 0; i < 3; i++) {
+        OutboundAttempt attempt = send(server);
+        discardStream(awaitStreamingStarted().response());
+        assertEquals(AttemptOutcome.OK, awaitResult(attempt).outcome());
+      }
+      assertEquals(1, peer.connections());
+    }
+  }
+
+  private RoutingMessage.StreamingStarted awaitStreamingStarted() throws InterruptedException {
+    RoutingMessage message = routingMessages.poll(20, TimeUnit.SECONDS);
+    return assertInstanceOf(RoutingMessage.StreamingStarted.class, message);
+  }
+
+  private static void discardStream(StreamingResponse response) {
+    BoundedPipe pipe = (BoundedPipe) response;
+    Runnable discard =
+        () -> {
+          Slice chunk = pipe.next();
+          while (chunk != null && chunk != BoundedPipe.END && chunk != BoundedPipe.ABORTED) {
+            chunk = pipe.next();
+          }
+        };
+    pipe.onAvailable(discard);
+    discard.run();
+  }
+
   @Test
   void refusedConnectionEndsAsConnectFailed() throws InterruptedException {
     TestPeer peer = new TestPeer(TestPeer.Connection::readCommand);
