Commands behind a large response that breaks off have their responses

Cause: only the close of the connection tells a client that a value is incomplete once its length is written, and the close drops the responses behind it. The first byte was written at once, although commands that had been read depended on it.

Change: StreamingGuard has a streamed response collected before its first byte is written if commands were read behind it; if it breaks off, it fails in its place. One with none behind it starts at once, and no command is read until it is complete (ReadSuspension), nor after writing has failed; what waits stays in the socket and is sent again by its client. Between two commands one byte is read, by which a client that leaves is still found. Collecting ends after half of the time until the deadline, and takes memory of the waiting responses, of which it leaves half; what has to start without it is a limit (docs/endings.md).

--- a/src/main/java/beaconturn/net/client/ClientConnection.java
+++ b/src/main/java/beaconturn/net/client/ClientConnection.java
@@ -63,7 +63,9 @@
     this.writer =
         new ClientWriter(
             channel, context.clock(), context.pipelineLimit(), this::onResponsesWritten);
-    this.dispatcher = new CommandDispatcher(context, state, writer, new Presence());
+    this.dispatcher =
+        new CommandDispatcher(
+            context, state, writer, new Presence(), () -> context.poller().schedule(this));
     this.reader =
         new CommandReader(
             channel,
@@ -290,8 +292,8 @@
           if (readyKey.isWritable()) {
             writer.write();
           }
-          if (readyKey.isReadable()) {
-            read(arrivedAtNanos);
+          if (readyKey.isReadable() && !readUnlessSuspended(() -> read(arrivedAtNanos))) {
+            leaveUnread(arrivedAtNanos);
           }
         });
   }
@@ -303,15 +305,46 @@
           if (key == null) {
             key = channel.register(selector, SelectionKey.OP_READ, this);
           }
-          processCommands();
-          if (state.hasProposal()) {
-            closeUnlessCommandArrived();
-          } else if (state.phase() == ConnectionState.ConnectionPhase.DRAINING) {
-            shutdownOutputUnlessCommandArrived();
+          if (writer.holdsResponse()) {
+            writer.write();
           }
+          readUnlessSuspended(this::processCommandsOrClose);
         });
   }
 
+  private void processCommandsOrClose() throws IOException {
+    processCommands();
+    if (state.hasProposal()) {
+      closeUnlessCommandArrived();
+    } else if (state.phase() == ConnectionState.ConnectionPhase.DRAINING) {
+      shutdownOutputUnlessCommandArrived();
+    }
+  }
+
+  /** Reads or processes commands; false, and without effect, while that is suspended. */
+  private boolean readUnlessSuspended(SocketStep step) throws IOException {
+    ReadSuspension suspension = writer.readSuspension();
+    if (!suspension.beginRead()) {
+      return false;
+    }
+    boolean responseWaits = false;
+    try {
+      step.run();
+    } finally {
+      responseWaits = suspension.endRead(reader.isThrottled());
+    }
+    if (responseWaits) {
+      writer.write();
+    }
+    return true;
+  }
+
+  private void leaveUnread(long arrivedAtNanos) throws IOException {
+    if (!reader.leaveUnread(arrivedAtNanos)) {
+      closeAfterDisconnect();
+    }
+  }
+
   private interface SocketStep {
     void run() throws IOException;
   }
@@ -364,7 +397,8 @@
     if (writeFailure != null) {
       close(writeFailure);
     } else if (!state.isClosed()) {
-      int read = reader.wantsToRead() ? SelectionKey.OP_READ : 0;
+      boolean leavesInput = writer.readSuspension().isSuspended() && reader.backlog().exists();
+      int read = reader.wantsToRead() && !leavesInput ? SelectionKey.OP_READ : 0;
       int write = writer.isBlocked() ? SelectionKey.OP_WRITE : 0;
       if (key.interestOps() != (read | write)) {
         key.interestOps(read | write);
@@ -396,7 +430,7 @@
    */
   int readBacklog(int maxBytes) {
     backlogBytesRead = 0;
-    guarded(() -> backlogBytesRead = readBacklogNow(maxBytes));
+    guarded(() -> readUnlessSuspended(() -> backlogBytesRead = readBacklogNow(maxBytes)));
     return Math.max(0, backlogBytesRead);
   }
 
@@ -528,7 +562,7 @@
 
   /**
    * Runs after responses have been written; once none is outstanding, their requests are released.
-   * For any thread.
+   * Input that was left unread while a response was streamed is read now. For any thread.
    */
   private void onResponsesWritten(boolean idle) {
     if (idle) {
@@ -537,6 +571,7 @@
     // During a graceful shutdown the close follows the last response at once; requests that arrive
     // in between would be rejected.
     if (reader.isThrottled()
+        || reader.backlog().exists()
         || writer.isBlocked()
         || writer.failureReason() != null
         || (idle && state.isDraining())) {
@@ -545,11 +580,11 @@
   }
 
   /**
-   * Schedules a connection whose commands are throttled, to check whether they may proceed. For any
-   * thread.
+   * Schedules a connection whose commands are throttled, to check whether they may proceed, or
+   * whose response is held back, to check whether it may start. For any thread.
    */
-  void rescheduleIfThrottled() {
-    if (reader.isThrottled()) {
+  void rescheduleIfWaiting() {
+    if (reader.isThrottled() || writer.holdsResponse()) {
       context.poller().schedule(this);
     }
   }
--- a/src/main/java/beaconturn/net/client/ClientConnections.java
+++ b/src/main/java/beaconturn/net/client/ClientConnections.java
@@ -148,14 +148,14 @@
 
   /**
    * Closes connections whose clients have stopped reading or writing, do not close their side, or
-   * have been idle too long, and reschedules throttled ones. Called periodically.
+   * have been idle too long, and reschedules those that wait. Called periodically.
    */
   public void sweep(long nowNanos) {
     closeUnresponsive(nowNanos);
     closeSlowAndIdle(nowNanos);
     evictLongestIdle(
         connections.size() - softLimit, nowNanos - IDLE_TIMEOUT_ABOVE_SOFT_LIMIT_NANOS);
-    connections.forEach(ClientConnection::rescheduleIfThrottled);
+    connections.forEach(ClientConnection::rescheduleIfWaiting);
   }
 
   private void closeUnresponsive(long nowNanos) {
--- a/src/main/java/beaconturn/net/client/ClientInputBuffer.java
+++ b/src/main/java/beaconturn/net/client/ClientInputBuffer.java
@@ -56,23 +56,43 @@
     int total = 0;
     int bytes = 1;
     while (bytes > 0 && wantsMore(allowedBytes)) {
-      bytes = bytesToDiscard > 0 ? discardFrom(from) : receiveFrom(from, allowedBytes);
+      bytes =
+          bytesToDiscard > 0
+              ? discardFrom(from)
+              : receiveFrom(from, allowedBytes, Sockets.MAX_TRANSFER_BYTES);
       readToEnd = bytes <= 0;
       total += Math.max(0, bytes);
     }
-    if (total > 0) {
-      receivedBytes += total;
+    recordArrival(total, arrivedAtNanos);
+    return bytes < 0 ? bytes : total;
+  }
+
+  /**
+   * Reads at most one byte, while no command is partially read: the end of the stream is detected,
+   * and no command is read completely.
+   *
+   * @return the number of bytes read, or a negative number at the end of the stream
+   */
+  int fillOneByte(SocketChannel from, long arrivedAtNanos) throws IOException {
+    int bytes = receiveFrom(from, READ_AHEAD_BYTES, 1);
+    readToEnd = bytes <= 0;
+    recordArrival(Math.max(0, bytes), arrivedAtNanos);
+    return bytes;
+  }
+
+  private void recordArrival(int bytes, long atNanos) {
+    if (bytes > 0) {
+      receivedBytes += bytes;
       if (onlyPartial) {
         arrivals.clear();
       }
-      arrivals.add(new Arrival(receivedBytes, arrivedAtNanos));
+      arrivals.add(new Arrival(receivedBytes, atNanos));
     }
-    return bytes < 0 ? bytes : total;
   }
 
-  private int receiveFrom(SocketChannel from, int allowedBytes) throws IOException {
+  private int receiveFrom(SocketChannel from, int allowedBytes, int maxBytes) throws IOException {
     int room = buffer.ensureRoom(allowedBytes);
-    int freeBytes = Math.min(Sockets.MAX_TRANSFER_BYTES, room);
+    int freeBytes = Math.min(maxBytes, room);
     int bytes = from.read(ByteBuffer.wrap(buffer.array(), buffer.end(), freeBytes));
     buffer.filled(Math.max(0, bytes));
     return bytes;
--- a/src/main/java/beaconturn/net/client/ClientWriter.java
+++ b/src/main/java/beaconturn/net/client/ClientWriter.java
@@ -38,7 +38,9 @@
   private final Clock clock;
   private final PipelineLimit pipelineLimit;
   private final WriteListener listener;
+  private final ReadSuspension readSuspension = new ReadSuspension();
   // Guarded by this.
+  private final StreamingGuard streamingGuard;
   private final Deque<ResponseSlot> slots = new ArrayDeque<>(2);
   private ByteBuffer unwritten;
   private long writingSinceNanos = NEVER;
@@ -58,6 +60,7 @@
     this.clock = clock;
     this.pipelineLimit = pipelineLimit;
     this.listener = listener;
+    this.streamingGuard = new StreamingGuard(clock, readSuspension);
     this.idleSinceNanos = clock.now();
   }
 
@@ -92,6 +95,16 @@
     return unwritten != null;
   }
 
+  /** Suspends the reading of commands while a response is streamed. */
+  ReadSuspension readSuspension() {
+    return readSuspension;
+  }
+
+  /** Whether a streamed response is held back, which {@link #write} may start later. */
+  synchronized boolean holdsResponse() {
+    return streamingGuard.holdsResponse();
+  }
+
   /** Why writing failed, or null if it has not. */
   synchronized CloseReason failureReason() {
     return failureReason;
@@ -214,8 +227,10 @@
     }
   }
 
+  /** No command is read between the failure and the close, as it could not be answered. */
   private void failWith(CloseReason reason) {
     failureReason = reason;
+    readSuspension.trySuspend();
     discardPending();
   }
 
@@ -251,6 +266,7 @@
   /** Removes the first response, which has been written completely. */
   private void completeFirst() {
     slots.poll().dequeued();
+    streamingGuard.responseCompleted();
     pendingResponses--;
     pipelineLimit.ended(1);
     idleSinceNanos = clock.now();
@@ -262,6 +278,9 @@
    */
   private boolean nextChunk() throws IOException {
     while (!slots.isEmpty()) {
+      if (!streamingGuard.mayStart(slots.peek(), pendingResponses > 1)) {
+        return false;
+      }
       Slice chunk = slots.peek().nextChunk();
       if (chunk == null) {
         return false;
--- a/src/main/java/beaconturn/net/client/CommandDispatcher.java
+++ b/src/main/java/beaconturn/net/client/CommandDispatcher.java
@@ -38,18 +38,21 @@
    *
    * @param clientPresence whether the client is known to be connected; nothing is forwarded
    *     otherwise
+   * @param writeLater has the responses written on another thread; never blocks
    */
   CommandDispatcher(
       ConnectionContext context,
       ConnectionState state,
       ClientWriter writer,
-      ClientPresence clientPresence) {
+      ClientPresence clientPresence,
+      Runnable writeLater) {
     this.context = context;
     this.state = state;
     this.writer = writer;
     this.clientPresence = clientPresence;
     this.waitingResponses =
-        new WaitingResponses(writer, context.responseMemory().ofConnection(), context.clock());
+        new WaitingResponses(
+            writer, context.responseMemory().ofConnection(), context.clock(), writeLater);
   }
 
   /**
--- a/src/main/java/beaconturn/net/client/CommandReader.java
+++ b/src/main/java/beaconturn/net/client/CommandReader.java
@@ -154,6 +154,25 @@
     return bytes;
   }
 
+  /**
+   * Leaves input in the socket while reading is suspended. Between two commands one byte is read,
+   * by which the end of the stream is detected unless input precedes it.
+   *
+   * @param arrivedAtNanos the earliest time at which the input can have arrived
+   * @return false at the end of the stream
+   */
+  boolean leaveUnread(long arrivedAtNanos) throws IOException {
+    if (!partial.exists()) {
+      int bytes = input.fillOneByte(channel, arrivedAtNanos);
+      if (bytes <= 0) {
+        return bytes == 0;
+      }
+      partial.bytesArrived(clock.now());
+    }
+    backlog.mayRemain(arrivedAtNanos);
+    return true;
+  }
+
   /**
    * Rejects the commands that wait and reads on, until the input has been read to its end or that
    * many bytes have been read.
--- a/src/main/java/beaconturn/net/client/RespClientRequest.java
+++ b/src/main/java/beaconturn/net/client/RespClientRequest.java
@@ -105,10 +105,12 @@
 
   /**
    * Completes the request; only the first call has an effect. A streamed response that is
-   * incomplete is aborted, as its client has received a part of it.
+   * incomplete is aborted; if its client has received no part of it, it gets this response instead.
    */
   private void complete(RequestEnd end, Slice response) {
-    boolean truncated = stream() != null && end != RequestEnd.SUCCEEDED;
+    BoundedPipe stream = stream();
+    boolean aborted = stream != null && end != RequestEnd.SUCCEEDED;
+    boolean truncated = aborted && stream.isStarted();
     if (!fill(response)) {
       return;
     }
@@ -123,11 +125,16 @@
     if (end == RequestEnd.SUCCEEDED) {
       parseContext.metrics().requestSucceeded(parseContext.objectiveAtNanos());
     }
-    if (truncated) {
-      stream().abort();
+    if (aborted) {
+      stream.abort();
     }
   }
 
+  @Override
+  boolean reserveCollected(int bytes) {
+    return waitingResponses == null || waitingResponses.reserveCollected(this, bytes);
+  }
+
   @Override
   void onFilled() {
     idReservation.release();
--- a/src/main/java/beaconturn/net/client/ResponseMemory.java
+++ b/src/main/java/beaconturn/net/client/ResponseMemory.java
@@ -1,12 +1,16 @@
 package beaconturn.net.client;
 
 import beaconturn.core.RateLimitedLog;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.logging.Logger;
 
 /**
  * Limits the memory of large responses that wait behind others on their client connections: in all,
- * and for each connection, so that one client cannot use up the memory for all. For any thread.
+ * and for each connection, so that one client cannot use up the memory for all. Streamed responses
+ * that are collected use a part of it that leaves the share of each connection as it is. For any
+ * thread.
  */
 public final class ResponseMemory {
   private static final Logger LOG = Logger.getLogger(ResponseMemory.class.getName());
@@ -19,11 +23,18 @@
   /** The part of the limit that one connection may use. */
   private static final int CONNECTION_DIVISOR = 4;
 
-  /** The part that it may use once half of the limit is reserved. */
+  /** Once more than this part of the limit is reserved, memory is scarce. */
+  private static final int SCARCITY_DIVISOR = 2;
+
+  /** The part that a connection may use when memory is scarce. */
   private static final int CONNECTION_DIVISOR_WHEN_SCARCE = 16;
 
   private final long limitBytes;
   private final AtomicLong reservedBytes = new AtomicLong();
+
+  /** What waits for memory to collect a streamed response. */
+  private final Queue<Runnable> waiting = new ConcurrentLinkedQueue<>();
+
   private final RateLimitedLog shortages = new RateLimitedLog(LOG, BURST_LINES, LINES_PER_SECOND);
 
   /** Creates an unused amount of memory. */
@@ -42,16 +53,27 @@
   }
 
   private long connectionLimitBytes() {
-    boolean scarce = reservedBytes.get() > limitBytes / 2;
+    boolean scarce = reservedBytes.get() > limitBytes / SCARCITY_DIVISOR;
     return limitBytes / (scarce ? CONNECTION_DIVISOR_WHEN_SCARCE : CONNECTION_DIVISOR);
   }
 
-  private boolean reserve(int bytes) {
-    boolean reserved = reservedBytes.addAndGet(bytes) <= limitBytes;
-    if (!reserved) {
-      reservedBytes.addAndGet(-bytes);
+  private boolean reserve(int bytes, long upToBytes) {
+    long before =
+        reservedBytes.getAndUpdate(
+            reserved -> reserved + bytes <= upToBytes ? reserved + bytes : reserved);
+    return before + bytes <= upToBytes;
+  }
+
+  private void release(int bytes) {
+    reservedBytes.addAndGet(-bytes);
+    retryNext();
+  }
+
+  private void retryNext() {
+    Runnable next = waiting.poll();
+    if (next != null) {
+      next.run();
     }
-    return reserved;
   }
 
   /** The memory of the responses that wait on one connection. */
@@ -65,7 +87,7 @@
      */
     boolean reserve(int bytes, String requestId, long nowNanos) {
       if (connectionBytes.addAndGet(bytes) <= connectionLimitBytes()
-          && ResponseMemory.this.reserve(bytes)) {
+          && ResponseMemory.this.reserve(bytes, limitBytes)) {
         return true;
       }
       long connectionUsage = connectionBytes.addAndGet(-bytes);
@@ -85,7 +107,28 @@
     /** Releases memory that was reserved. */
     void release(int bytes) {
       connectionBytes.addAndGet(-bytes);
-      reservedBytes.addAndGet(-bytes);
+      ResponseMemory.this.release(bytes);
+    }
+
+    /**
+     * Reserves memory to collect a streamed response; false if memory would be scarce with it.
+     *
+     * @param retry usually runs after memory has been released, to reserve again; must not block
+     */
+    boolean reserveCollected(int bytes, Runnable retry) {
+      if (ResponseMemory.this.reserve(bytes, limitBytes / SCARCITY_DIVISOR)) {
+        retryNext();
+        return true;
+      }
+      if (!waiting.contains(retry)) {
+        waiting.add(retry);
+      }
+      return false;
+    }
+
+    /** Releases memory that was reserved to collect a streamed response. */
+    void releaseCollected(int bytes) {
+      ResponseMemory.this.release(bytes);
     }
 
     boolean needsReservation(int bytes) {
--- a/src/main/java/beaconturn/net/client/ResponseSlot.java
+++ b/src/main/java/beaconturn/net/client/ResponseSlot.java
@@ -15,8 +15,8 @@
   private volatile Slice response;
 
   /**
-   * The pipe that supplies a streamed response, or null if the response is not streamed. Written
-   * under this object's lock.
+   * The pipe that supplies a streamed response, or null if the response is not streamed. Set once
+   * under this object's lock, and cleared if the stream breaks off before it is started.
    */
   private volatile BoundedPipe stream;
 
@@ -63,7 +63,17 @@
   Slice nextChunk() {
     // Read in this order: a streamed response has its stream before the slot is filled.
     Slice completeResponse = response;
-    return stream != null ? stream.next() : completeResponse;
+    BoundedPipe pipe = stream;
+    if (pipe == null) {
+      return completeResponse;
+    }
+    Slice chunk = pipe.next();
+    if (chunk != BoundedPipe.ABORTED || pipe.isStarted()) {
+      return chunk;
+    }
+    // Nothing of it was written: the error that the slot is filled with takes its place.
+    stream = null;
+    return response;
   }
 
   /** Whether the chunk that was returned last is the end of the response. */
@@ -125,6 +135,16 @@
     }
   }
 
+  /** When the client stops waiting, in nanoseconds of the router's clock. */
+  public long deadlineNanos() {
+    return Long.MAX_VALUE;
+  }
+
+  /** Reserves memory to collect a streamed response of this size; false if there is too little. */
+  boolean reserveCollected(int bytes) {
+    return true;
+  }
+
   /** Called once, before the response is visible. */
   void onFilled() {}
 
--- a/src/main/java/beaconturn/net/client/WaitingResponses.java
+++ b/src/main/java/beaconturn/net/client/WaitingResponses.java
@@ -11,11 +11,31 @@
   private final ClientWriter writer;
   private final ResponseMemory.OfConnection memory;
   private final Clock clock;
+  private final Runnable writeLater;
 
-  WaitingResponses(ClientWriter writer, ResponseMemory.OfConnection memory, Clock clock) {
+  /**
+   * Creates an empty set of responses.
+   *
+   * @param writeLater has the connection's responses written on another thread; never blocks
+   */
+  WaitingResponses(
+      ClientWriter writer, ResponseMemory.OfConnection memory, Clock clock, Runnable writeLater) {
     this.writer = writer;
     this.memory = memory;
     this.clock = clock;
+    this.writeLater = writeLater;
+  }
+
+  /**
+   * Reserves the memory to collect a streamed response; if there is too little, the responses of
+   * this connection are written again after some has been released.
+   */
+  boolean reserveCollected(RespClientRequest request, int bytes) {
+    if (!memory.reserveCollected(bytes, writeLater)) {
+      return false;
+    }
+    request.onDequeued(() -> memory.releaseCollected(bytes));
+    return true;
   }
 
   /** Reserves the memory that the response of a request needs; false if there is too little. */
--- a/src/main/java/beaconturn/net/server/CacheConnection.java
+++ b/src/main/java/beaconturn/net/server/CacheConnection.java
@@ -248,7 +248,7 @@
   private StateAfterAttempt streamResponse(LargeResponseStream large, InputStream from)
       throws IOException, ProtocolException {
     long nowNanos = clock.now();
-    BoundedPipe pipe = new BoundedPipe();
+    BoundedPipe pipe = new BoundedPipe(large.responseBytes());
     listener.responseStarted(attempt, nowNanos, pipe);
     socket.socket().setSoTimeout(RESPONSE_SILENCE_TIMEOUT_MILLIS);
     try {
--- a/src/main/java/beaconturn/net/server/LargeResponseStream.java
+++ b/src/main/java/beaconturn/net/server/LargeResponseStream.java
@@ -24,7 +24,8 @@
   static final int MAX_STREAMED_VALUE_BYTES = 4 << 20;
 
   private static final int MAX_HEAD_BYTES = 32;
-  private static final int LINE_END_BYTES = 2;
+  private static final String LINE_END = "\r\n";
+  private static final int LINE_END_BYTES = LINE_END.length();
   private static final String HEAD_START = "*3\r\n$";
 
   private final int valueBytes;
@@ -75,6 +76,15 @@
         && input.at(position + 1) == '\n';
   }
 
+  /** The size of the response that the client gets: the value with its head and line end. */
+  int responseBytes() {
+    return head().length() + valueBytes + LINE_END_BYTES;
+  }
+
+  private Slice head() {
+    return Slice.of("$" + valueBytes + LINE_END);
+  }
+
   /**
    * Streams the value into the pipe and reads the rest of the response.
    *
@@ -87,14 +97,14 @@
       BoundedPipe pipe,
       long startedAtNanos)
       throws IOException, ProtocolException {
-    pipe.put(Slice.of("$" + valueBytes + "\r\n"));
+    pipe.put(head());
     streamValue(from, input, pipe);
     readLineEnd(from, input);
     RespReader rest = new RespReader(RespReader.MAX_VALUE_BYTES);
     RespValue status = readValue(rest, from, input);
     RespValue report = readValue(rest, from, input);
     AttemptResult result = responseReader.readStreamed(status, report, startedAtNanos);
-    pipe.put(Slice.of("\r\n"));
+    pipe.put(Slice.of(LINE_END));
     pipe.end();
     return result;
   }
--- a/src/test/java/beaconturn/net/RouterServerTest.java
+++ b/src/test/java/beaconturn/net/RouterServerTest.java
@@ -849,6 +849,66 @@
       }
     }
 
+    private TestPeer truncatingCache() {
+      return new TestPeer(
+          connection -> {
+            String command = connection.readCommand();
+            if (command.contains(" xl ")) {
+              connection.write("*3\r\n" + HEAD + HALF);
+              resume.await();
+            } else {
+              connection.note(command);
+              connection.write(VALUE);
+            }
+          });
+    }
+
+    /**
+     * Guards against commands that are run and never answered, as the response before breaks off.
+     */
+    @Test
+    void commandsBehindTruncatedResponseAreAnswered() throws Exception {
+      try (TestPeer truncatingCache = truncatingCache();
+          TestPeer.Connection client = start(truncatingCache, silentDiscovery)) {
+        client.write(GET_LARGE + GET);
+        assertTrue(truncatingCache.note().contains(" id "));
+        resume.countDown();
+        assertTrue(client.readResponse().startsWith("-"), "the response that broke off");
+        assertEquals("$2\r\nva", client.readResponse());
+      }
+    }
+
+    /** As above, for a command that is sent while the response is streamed. */
+    @Test
+    void readsNoCommandBehindStreamedResponse() throws Exception {
+      try (TestPeer truncatingCache = truncatingCache();
+          TestPeer.Connection client = start(truncatingCache, silentDiscovery);
+          TestPeer.Connection other = TestPeer.Connection.to(router.address())) {
+        client.write(GET_LARGE);
+        client.expectBytes(HEAD + HALF);
+        client.write(GET);
+        for (int i = 0; i < 5; i++) {
+          other.write(GET.replace("id", "ot"));
+          assertEquals("$2\r\nva", other.readResponse());
+        }
+        resume.countDown();
+        assertThrows(IOException.class, () -> client.expectBytes(HALF));
+        assertTrue(
+            truncatingCache.remainingNotes().stream().noneMatch(note -> note.contains(" id ")));
+      }
+    }
+
+    @Test
+    void servesCommandsThatArriveWhileResponseIsStreamed() throws Exception {
+      try (TestPeer.Connection client = startLargeResponse()) {
+        client.write(GET + GET.replace("id", "it"));
+        resume.countDown();
+        client.expectBytes(HALF + "\r\n");
+        assertEquals("$2\r\nva", client.readResponse());
+        assertEquals("$2\r\nva", client.readResponse());
+      }
+    }
+
     @Test
     void truncatedResponseClosesClientConnection() throws Exception {
       for (String rest : new String[] {"", HALF + "xx", HALF + "\r\n+odd\r\n"}) {
--- a/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
@@ -11,6 +11,7 @@
 import beaconturn.core.RoutingMessage;
 import beaconturn.core.Samples;
 import beaconturn.net.TestPeer;
+import beaconturn.net.io.BoundedPipe;
 import beaconturn.protocol.Slice;
 import java.io.IOException;
 import java.nio.channels.SocketChannel;
@@ -481,6 +482,42 @@
     assertThrows(IOException.class, () -> client.write("x"), "expected a reset over unread bytes");
   }
 
+  /** While a response is streamed no command is read, but the end of the stream is detected. */
+  @Test
+  void detectsDisconnectWhileResponseIsStreamed() throws Exception {
+    client.write(GET);
+    BoundedPipe pipe = new BoundedPipe(70_000);
+    nextRequest().startStreaming(pipe);
+    pipe.put(Slice.of("$69990\r\n"));
+    assertEquals("$69990", client.readBytes(6));
+    client.disconnect();
+    assertTrue(
+        routingQueue.poll(20, TimeUnit.SECONDS) instanceof RoutingMessage.ClientDisconnected);
+    TestPeer.until(() -> connections.count() == 0);
+    assertThrows(IOException.class, () -> pipe.put(Slice.of("rest")));
+  }
+
+  /** A response that is held back for the commands behind it starts before its client gives up. */
+  @Test
+  void startsResponseThatIsHeldBackForTooLong() throws Exception {
+    client.write(get("a1", "1500") + get("a2", "1500"));
+    ClientRequest first = nextRequest();
+    ClientRequest second = nextRequest();
+    second.respond(Slice.of("+second\r\n"));
+    BoundedPipe pipe = new BoundedPipe(12);
+    first.startStreaming(pipe);
+    pipe.put(Slice.of("$5\r\n"));
+    connections.sweep(nowNanos.get());
+    assertFalse(pipe.isStarted());
+    nowNanos.addAndGet(SECOND_NANOS * 3 / 4);
+    connections.sweep(nowNanos.get());
+    assertEquals("$5\r\n", client.readBytes(4));
+    pipe.put(Slice.of("value\r\n"));
+    pipe.end();
+    first.respond(null);
+    assertEquals("value\r\n+second\r\n", client.readBytes(16));
+  }
+
   @Test
   void releasesIdWithResponse() throws Exception {
     client.write(GET);
--- a/src/test/java/beaconturn/net/client/ResponseMemoryTest.java
+++ b/src/test/java/beaconturn/net/client/ResponseMemoryTest.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -43,7 +44,7 @@
       ClientWriter writer =
           new ClientWriter(accepted.take(), Clock.system(), new PipelineLimit(1000), idle -> {});
       WaitingResponses waiting =
-          new WaitingResponses(writer, memory.ofConnection(), Clock.system());
+          new WaitingResponses(writer, memory.ofConnection(), Clock.system(), () -> {});
       List<RespClientRequest> requests = new ArrayList<>();
       for (int i = 0; i < 8; i++) {
         RespClientRequest request = request("id" + i);
@@ -89,4 +90,23 @@
     assertEquals(4, kept);
     assertTrue(memory.ofConnection().reserve(LARGE_BYTES, "id", 0));
   }
+
+  /** Collected responses never make memory scarce for those that wait behind others. */
+  @Test
+  void collectedResponsesLeaveHalfOfTheMemoryAndRetryAfterRelease() {
+    ResponseMemory.OfConnection collecting = memory.ofConnection();
+    AtomicInteger retries = new AtomicInteger();
+    Runnable retry = retries::incrementAndGet;
+    assertTrue(collecting.reserveCollected(LIMIT_BYTES / 2, retry));
+    assertFalse(collecting.reserveCollected(LARGE_BYTES, retry));
+    assertFalse(collecting.reserveCollected(LARGE_BYTES, retry));
+    assertTrue(collecting.reserve(LIMIT_BYTES / 16, "id", 0));
+    assertEquals(0, retries.get());
+    collecting.releaseCollected(LIMIT_BYTES / 2);
+    assertEquals(1, retries.get());
+    assertTrue(collecting.reserveCollected(LARGE_BYTES, retry));
+    collecting.releaseCollected(LARGE_BYTES);
+    assertEquals(1, retries.get());
+    assertEquals(LIMIT_BYTES / 16, memory.reservedBytes());
+  }
 }
