A client that reads a large response slowly but steadily gets it whole

Cause: a connection closes after 10 s without progress of a write, and the socket was tried only when the system reported it writable: once a third of its send buffer is free, 1.3 MB of 4 here. The router knew nothing of the client for 10 s and took that for a client that reads nothing. A probe that writes every 0.2 s, whatever is reported, has 8 to 24 KB accepted every 0.2 to 0.4 s.

Change: while nothing was accepted for 1 s, the sweeper tries to write, at most once a second; what is accepted is progress. The 10 s are unchanged.

--- a/src/main/java/beaconturn/net/client/ClientConnection.java
+++ b/src/main/java/beaconturn/net/client/ClientConnection.java
@@ -147,6 +147,11 @@
     return writer.writingSinceNanos();
   }
 
+  /** Finds out whether a client to whom a response is being written accepts more of it. */
+  void checkWriteProgress(long nowNanos) {
+    writer.checkProgress(nowNanos);
+  }
+
   /** When the router shut down its output, or {@code Long.MAX_VALUE} if the output is open. */
   long outputShutdownAtNanos() {
     return writer.outputShutdownAtNanos();
--- a/src/main/java/beaconturn/net/client/ClientConnections.java
+++ b/src/main/java/beaconturn/net/client/ClientConnections.java
@@ -159,6 +159,7 @@
   }
 
   private void closeUnresponsive(long nowNanos) {
+    connections.forEach(c -> c.checkWriteProgress(nowNanos));
     connections.stream()
         .filter(c -> c.writingSinceNanos() < nowNanos - WRITE_TIMEOUT_NANOS)
         .forEach(c -> c.close(CloseReason.WRITE_TIMEOUT));
--- a/src/main/java/beaconturn/net/client/ClientWriter.java
+++ b/src/main/java/beaconturn/net/client/ClientWriter.java
@@ -26,6 +26,9 @@
    */
   private static final int MAX_PIPELINED_BEHIND_BLOCKED = 2;
 
+  /** Time without known progress after which the socket is tried, and between two such tries. */
+  private static final long PROGRESS_CHECK_NANOS = 1_000_000_000;
+
   private static final long NEVER = Long.MAX_VALUE;
 
   /** Notified of the writer's progress; called without a lock, on any thread. */
@@ -44,6 +47,7 @@
   private final Deque<ResponseSlot> slots = new ArrayDeque<>(2);
   private ByteBuffer unwritten;
   private long writingSinceNanos = NEVER;
+  private long progressCheckedAtNanos;
   private int pendingResponses;
 
   /** The pending responses that were dropped, as the connection is closed. */
@@ -62,6 +66,7 @@
     this.listener = listener;
     this.streamingGuard = new StreamingGuard(clock, readSuspension);
     this.idleSinceNanos = clock.now();
+    this.progressCheckedAtNanos = idleSinceNanos;
   }
 
   /**
@@ -227,6 +232,24 @@
     }
   }
 
+  /**
+   * Tries to write if the client has accepted nothing for some time, as far as is known. The system
+   * reports a socket as writable only once a third of its send buffer is free, which takes a client
+   * that reads slowly but steadily a long time; a write shows whether any of it is. To be called
+   * periodically.
+   */
+  void checkProgress(long nowNanos) {
+    synchronized (this) {
+      // Also false while no response is being written.
+      boolean stalled = writingSinceNanos <= nowNanos - PROGRESS_CHECK_NANOS;
+      if (!stalled || nowNanos - progressCheckedAtNanos < PROGRESS_CHECK_NANOS) {
+        return;
+      }
+      progressCheckedAtNanos = nowNanos;
+    }
+    write();
+  }
+
   /** No command is read between the failure and the close, as it could not be answered. */
   private void failWith(CloseReason reason) {
     failureReason = reason;
--- a/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
+++ b/src/test/java/beaconturn/net/client/ClientConnectionsTest.java
@@ -518,6 +518,25 @@
     assertEquals("value\r\n+second\r\n", client.readBytes(16));
   }
 
+  /** Guards against cutting off a large response for a client that reads slowly but steadily. */
+  @Test
+  void writesToClientThatReadsSlowlyAsLongAsItReads() throws Exception {
+    client.close();
+    TestPeer.until(() -> connections.count() == 0);
+    client = server.connectWithSmallReceiveBuffer(accepted -> serve(accepted, poller));
+    client.write(GET);
+    int bytes = 32 << 20;
+    nextRequest().respond(new Slice(new byte[bytes], 0, bytes));
+    for (int i = 0; i < 8; i++) {
+      client.readBytes(128 * 1024);
+      nowNanos.addAndGet(4 * SECOND_NANOS);
+      connections.sweep(nowNanos.get());
+      assertEquals(1, connections.count(), "number " + i);
+    }
+    nowNanos.addAndGet(11 * SECOND_NANOS);
+    sweepUntilAllClosed();
+  }
+
   @Test
   void releasesIdWithResponse() throws Exception {
     client.write(GET);
