Calls that wait in discovery's queue are answered: an overdue call stays open

Cause: a call without a response is queued or lost, and the router took all for lost: it gave a call up 1.1 s after its wait (2 s for the complete list) and joined the queue at its end with the next one. With many routers that feeds itself, as discovery goes on with calls that were given up.

Change: an overdue call stays open, and the next one, which would have followed its response, starts beside it on a connection of its own (CallSchedule, without I/O; DiscoveryCalls, for three threads). That covers the first watch, later ones, the complete list after a move or on request, and the watch after a failure. A call is overdue 1 s after the response is expected, by its wait and the queue of late, but early enough for the next to be answered within 6 s; with a queue beyond 2.9 s there is one call at a time. A response that another has overtaken is applied only if its list is newer, which also holds for complete lists on request. WatchBackoff, which was none, is CallTiming now.

--- a/src/main/java/beaconturn/net/RouterAssembly.java
+++ b/src/main/java/beaconturn/net/RouterAssembly.java
@@ -13,9 +13,9 @@
 import beaconturn.net.client.PendingRequestIds;
 import beaconturn.net.client.PipelineLimit;
 import beaconturn.net.client.ResponseMemory;
+import beaconturn.net.discovery.CallTiming;
 import beaconturn.net.discovery.DiscoveryWatcher;
 import beaconturn.net.discovery.EndpointListParser;
-import beaconturn.net.discovery.WatchBackoff;
 import beaconturn.net.io.ConnectionLimit;
 import beaconturn.net.server.CacheResponseReader;
 import beaconturn.net.server.CacheServerEnvironment;
@@ -132,7 +132,7 @@
           endpointList.onDiscoveryReply(message);
         },
         inputs.hasFleetConfig() ? inputs.fleetConfig()::oldestListVersion : () -> 0,
-        WatchBackoff.of(config.seed()));
+        CallTiming.of(config.seed()));
   }
 
   private ConfigReloader buildReloader() {
--- /dev/null
+++ b/src/main/java/beaconturn/net/discovery/CallSchedule.java
@@ -0,0 +1,180 @@
+package beaconturn.net.discovery;
+
+import beaconturn.net.discovery.CallTiming.CallTimes;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Determines when the next call to discovery starts, and which one it is. Without I/O and threads;
+ * the owner passes the time and serializes all methods.
+ *
+ * <p>Discovery queues calls, so a call without a response is either slow or lost, and the router
+ * cannot tell which. An overdue call therefore stays open, which keeps its place in the queue, and
+ * the next call starts beside it, which replaces it if it is lost. That next call is the one that
+ * would have followed the response, so overdue calls never raise the rate of calls.
+ */
+final class CallSchedule {
+  /** The time until the next call if none will be due. */
+  static final long NOT_DUE = Long.MAX_VALUE;
+
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  /** By how much the estimated queueing time falls with each response that was queued for less. */
+  private static final int QUEUE_DECAY_DIVISOR = 4;
+
+  /** What a call requests. */
+  enum Kind {
+    /** The changes after a version, as soon as there are any. */
+    WATCH,
+    /** The complete list. */
+    COMPLETE_LIST
+  }
+
+  /** A call that was started; compared by identity. */
+  static final class Call {
+    private final Kind kind;
+    private final CallTimes times;
+    private final long startedAtNanos;
+    private final boolean followsOverdueCall;
+
+    private Call(Kind kind, CallTimes times, long startedAtNanos, boolean followsOverdueCall) {
+      this.kind = kind;
+      this.times = times;
+      this.startedAtNanos = startedAtNanos;
+      this.followsOverdueCall = followsOverdueCall;
+    }
+
+    Kind kind() {
+      return kind;
+    }
+
+    CallTimes times() {
+      return times;
+    }
+
+    /** Whether the call was started because those before it were overdue. */
+    boolean followsOverdueCall() {
+      return followsOverdueCall;
+    }
+
+    private long nanosUntilOverdue(long nowNanos) {
+      return startedAtNanos + times.overdueMillis() * NANOS_PER_MILLI - nowNanos;
+    }
+  }
+
+  private enum NextWatch {
+    FIRST,
+    RESUMED,
+    REGULAR
+  }
+
+  private final CallTiming timing;
+  private final List<Call> open = new ArrayList<>();
+  private NextWatch nextWatch = NextWatch.FIRST;
+  private boolean responded;
+  private boolean watching;
+  private boolean listRequested;
+
+  /** Estimate of how long discovery queues calls: the longest of late. */
+  private int queueMillis;
+
+  /** Whether a call has failed and the routing policy has not requested another one since. */
+  private boolean suspended;
+
+  CallSchedule(CallTiming timing) {
+    this.timing = timing;
+  }
+
+  /** Starts, resumes after a failure, or stops watching. */
+  void watch(boolean on) {
+    watching = on;
+    suspended = false;
+  }
+
+  /** Requests one call for the complete list, due at once. */
+  void requestList() {
+    listRequested = true;
+  }
+
+  /** Drops the open calls, whose outcomes do not matter any more, and watches from now on. */
+  void restart() {
+    open.clear();
+    queueMillis = 0;
+    watch(true);
+  }
+
+  /** Returns the time until the next call is due, at most 0 if it is, or {@link #NOT_DUE}. */
+  long nanosUntilDue(long nowNanos) {
+    if (listRequested) {
+      return 0;
+    }
+    if (!watching || suspended) {
+      return NOT_DUE;
+    }
+    return open.stream().mapToLong(call -> call.nanosUntilOverdue(nowNanos)).max().orElse(0);
+  }
+
+  /**
+   * Starts the call that is due.
+   *
+   * @param listKnown whether there is a version from which a watch can start
+   */
+  Call start(long nowNanos, boolean listKnown) {
+    boolean followsOverdueCall = !open.isEmpty() && !isAnyOnTime(nowNanos);
+    Kind kind = listRequested || !listKnown ? Kind.COMPLETE_LIST : Kind.WATCH;
+    CallTimes times = kind == Kind.WATCH ? nextWatchTimes() : timing.completeList(queueMillis);
+    listRequested = false;
+    Call call = new Call(kind, times, nowNanos, followsOverdueCall);
+    open.add(call);
+    return call;
+  }
+
+  /** Records a response; watching continues. */
+  void answered(Call call, long nowNanos) {
+    open.remove(call);
+    updateQueueEstimate(call, nowNanos);
+    responded = true;
+    suspended = false;
+    nextWatch = NextWatch.REGULAR;
+  }
+
+  /**
+   * Records a failure. Returns whether to report it to the routing policy, which determines when
+   * watching is resumed: not if another call is open and may still respond in time.
+   */
+  boolean failed(Call call, long nowNanos) {
+    if (!open.remove(call) || suspended || isAnyOnTime(nowNanos)) {
+      return false;
+    }
+    suspended = true;
+    nextWatch = responded ? NextWatch.RESUMED : NextWatch.FIRST;
+    return true;
+  }
+
+  /** Records that a call ended without a response or a failure of discovery. */
+  void abandoned(Call call) {
+    open.remove(call);
+  }
+
+  /** A call was queued for the time until its response, less at most its wait for changes. */
+  private void updateQueueEstimate(Call call, long nowNanos) {
+    int longest = (int) ((nowNanos - call.startedAtNanos) / NANOS_PER_MILLI);
+    int shortest = longest - call.times.waitMillis();
+    int decayed = queueMillis - queueMillis / QUEUE_DECAY_DIVISOR;
+    queueMillis = Math.max(0, Math.max(shortest, Math.min(decayed, longest)));
+  }
+
+  private boolean isAnyOnTime(long nowNanos) {
+    return open.stream().anyMatch(call -> call.nanosUntilOverdue(nowNanos) > 0);
+  }
+
+  private CallTimes nextWatchTimes() {
+    NextWatch next = nextWatch;
+    nextWatch = NextWatch.REGULAR;
+    return switch (next) {
+      case FIRST -> timing.firstWatch(queueMillis);
+      case RESUMED -> timing.resumedWatch(queueMillis);
+      case REGULAR -> timing.regularWatch(queueMillis);
+    };
+  }
+}
--- a/src/main/java/beaconturn/net/discovery/DiscoveryClient.java
+++ b/src/main/java/beaconturn/net/discovery/DiscoveryClient.java
@@ -37,6 +37,10 @@
     this.address = address;
   }
 
+  InetSocketAddress address() {
+    return address;
+  }
+
   /**
    * Sends a GET request and returns the body of the response. Closes the connection on any error.
    *
--- a/src/main/java/beaconturn/net/discovery/DiscoveryWatcher.java
+++ b/src/main/java/beaconturn/net/discovery/DiscoveryWatcher.java
@@ -2,8 +2,8 @@
 
 import beaconturn.core.EndpointDiscovery;
 import beaconturn.core.EndpointUpdate;
-import beaconturn.core.Mailbox;
 import beaconturn.core.RoutingMessage;
+import beaconturn.net.discovery.DiscoveryCalls.OpenCall;
 import beaconturn.net.io.Threads;
 import beaconturn.protocol.JsonReader;
 import beaconturn.protocol.ProtocolException;
@@ -16,36 +16,35 @@
 import java.util.logging.Logger;
 
 /**
- * Keeps the router's endpoint list up to date with two threads: one watches for changes while the
- * routing policy requests it, one fetches the complete list on request. Updates and failures are
- * posted to the routing thread. The public methods never block and are safe for any thread.
+ * Keeps the router's endpoint list up to date: watches for changes while the routing policy
+ * requests it, and fetches the complete list on request. Updates and failures are posted to the
+ * routing thread. The public methods are safe for any thread; {@link #watch} and {@link #fetch}
+ * never block.
  */
 public final class DiscoveryWatcher implements EndpointDiscovery {
   private static final Logger LOG = Logger.getLogger(DiscoveryWatcher.class.getName());
-  private static final int MAILBOX_CAPACITY = 64;
 
   /**
-   * Leaves time for another fetch before the router counts as notified of a change that the first
-   * fetch missed.
+   * Calls that can be open at a time, each on its own thread: as many as become overdue within the
+   * time-out of one.
    */
-  private static final int FETCH_TIMEOUT_MILLIS = 2_000;
-
-  /** Makes the first watch return immediately with the changes since the initial list. */
-  private static final int FIRST_WAIT_MILLIS = 1;
+  private static final int MAX_OPEN_CALLS = 3;
 
   private static final String PATH = "/registry/instances";
 
   private final EndpointListParser parser;
+  private final Consumer<RoutingMessage> routingThread;
   private final LongSupplier minVersion;
-  private final WatchBackoff backoff;
-  private final DiscoveryTarget target;
-  private final Mailbox<Boolean> watchRequests = new Mailbox<>(MAILBOX_CAPACITY);
-  private final Mailbox<Boolean> fetchRequests = new Mailbox<>(MAILBOX_CAPACITY);
+  private final DiscoveryCalls calls;
+
+  /**
+   * Keeps updates in order, and those of a former address from being posted after a move. Apart
+   * from the lock of the calls, as posting to the routing thread can block.
+   */
+  private final Object deliveryLock = new Object();
 
-  // Confined to the watch thread; fields, as its loop is restarted after a failure.
-  private boolean watching;
-  private boolean lastWatchSucceeded = true;
-  private boolean discoveryResponded;
+  /** Whether the last reported outcome was a failure. Guarded by deliveryLock. */
+  private boolean failing;
 
   /**
    * Creates a watcher, which makes no calls before {@link #start}.
@@ -55,7 +54,7 @@
    * @param knownVersion the version of the router's initial list
    * @param routingThread receives updates and failures
    * @param minVersion a list with a lower version counts as a failed call
-   * @param backoff how long watches wait
+   * @param timing how long calls wait, and when they are overdue
    */
   public DiscoveryWatcher(
       InetSocketAddress address,
@@ -63,17 +62,18 @@
       long knownVersion,
       Consumer<RoutingMessage> routingThread,
       LongSupplier minVersion,
-      WatchBackoff backoff) {
-    this.target = new DiscoveryTarget(address, knownVersion, routingThread);
+      CallTiming timing) {
+    this.calls = new DiscoveryCalls(address, knownVersion, timing);
     this.parser = parser;
+    this.routingThread = routingThread;
     this.minVersion = minVersion;
-    this.backoff = backoff;
   }
 
-  /** Starts both threads. */
+  /** Starts the threads that make the calls. */
   public void start() {
-    Threads.supervised("list-watch", this::watchLoop);
-    Threads.supervised("list-fetch", this::fetchLoop);
+    for (int i = 1; i <= MAX_OPEN_CALLS; i++) {
+      Threads.supervised("list-call-" + i, this::callLoop);
+    }
   }
 
   /**
@@ -81,110 +81,111 @@
    * complete list at once, as the router counts as notified of changes even if it has not received
    * them.
    */
-  public synchronized void move(InetSocketAddress newAddress) {
-    InetSocketAddress oldAddress = target.address();
-    if (newAddress.equals(oldAddress)) {
-      LOG.info("endpoint list: discovery stays at " + newAddress);
-      return;
+  public void move(InetSocketAddress newAddress) {
+    synchronized (deliveryLock) {
+      InetSocketAddress oldAddress = calls.address();
+      if (newAddress.equals(oldAddress)) {
+        LOG.info("endpoint list: discovery stays at " + newAddress);
+        return;
+      }
+      LOG.info("endpoint list: discovery moves from " + oldAddress + " to " + newAddress);
+      calls.move(newAddress);
     }
-    LOG.info("endpoint list: discovery moves from " + oldAddress + " to " + newAddress);
-    target.move(newAddress);
-    watch(true);
   }
 
   @Override
   public void watch(boolean on) {
-    request(watchRequests, on);
+    calls.watch(on);
   }
 
   @Override
   public void fetch() {
-    request(fetchRequests, true);
+    calls.fetch();
   }
 
-  private static void request(Mailbox<Boolean> requests, boolean on) {
-    if (!requests.offer(on)) {
-      LOG.warning("endpoint list: " + MAILBOX_CAPACITY + " calls are queued; request dropped");
-    }
-  }
-
-  /** Repeats watch calls until one fails; the policy then decides when to resume. */
-  private void watchLoop() throws InterruptedException {
+  private void callLoop() throws InterruptedException {
+    DiscoveryClient idle = null;
     while (true) {
-      Boolean requested = watching ? watchRequests.poll(0) : watchRequests.take();
-      if (requested != null) {
-        watching = requested;
-      }
-      if (watching) {
-        watching = watchOnce();
-        lastWatchSucceeded = watching;
-      }
+      OpenCall call = calls.next(idle);
+      idle = perform(call) ? call.client() : null;
     }
   }
 
-  private boolean watchOnce() {
-    DiscoveryTarget.WatchStart start = target.watchStart();
-    if (start.version() == DiscoveryTarget.NO_VERSION) {
-      return fetchList(start.client(), lastWatchSucceeded);
+  /** Makes a call. Returns whether it was answered, so that its connection can be used again. */
+  private boolean perform(OpenCall call) {
+    CallSchedule.Call scheduled = call.scheduled();
+    if (scheduled.followsOverdueCall()) {
+      LOG.info("endpoint list: no response in time; calling again, the open call stays open");
     }
-    int waitMillis = discoveryResponded ? backoff.nextWaitMillis() : FIRST_WAIT_MILLIS;
-    String path = PATH + "?after=" + start.version() + "&wait_ms=" + waitMillis;
+    boolean answered = false;
     try {
-      Slice body = start.client().get(path, waitMillis + backoff.silenceMarginMillis());
-      discoveryResponded = true;
-      return accept(start.client(), body, lastWatchSucceeded);
+      accept(call, call.client().get(path(call), scheduled.times().timeoutMillis()));
+      answered = true;
     } catch (SocketTimeoutException e) {
-      // The connection is dead. Retry at once without backoff, as the router soon counts as
-      // notified of missed changes; the random waits spread the calls of the affected routers.
-      LOG.info("endpoint list: watch timed out without a response; reconnecting");
-      return true;
+      LOG.info("endpoint list: call timed out without a response");
     } catch (IOException | ProtocolException | RuntimeException | StackOverflowError e) {
-      return fail(start.client(), e, lastWatchSucceeded);
+      fail(call, e);
+    } finally {
+      if (!answered) {
+        calls.abandoned(call);
+        call.client().shutDown();
+      }
     }
+    return answered;
   }
 
-  private void fetchLoop() throws InterruptedException {
-    boolean lastFetchSucceeded = true;
-    while (fetchRequests.take()) {
-      lastFetchSucceeded = fetchList(target.fetchClient(), lastFetchSucceeded);
+  private static String path(OpenCall call) {
+    CallSchedule.Call scheduled = call.scheduled();
+    if (scheduled.kind() == CallSchedule.Kind.COMPLETE_LIST) {
+      return PATH;
     }
+    return PATH + "?after=" + call.version() + "&wait_ms=" + scheduled.times().waitMillis();
   }
 
-  private boolean fetchList(DiscoveryClient client, boolean lastSucceeded) {
-    try {
-      return accept(client, client.get(PATH, FETCH_TIMEOUT_MILLIS), lastSucceeded);
-    } catch (IOException | ProtocolException | RuntimeException | StackOverflowError e) {
-      return fail(client, e, lastSucceeded);
+  /** Delivers the list in the body, unless it is out of date by now. */
+  private void accept(OpenCall call, Slice body) throws ProtocolException {
+    EndpointUpdate update = parser.read(JsonReader.read(body));
+    checkVersion(update);
+    synchronized (deliveryLock) {
+      if (!calls.accepts(call, update.version())) {
+        calls.answered(call);
+        return;
+      }
+      post(update);
+      calls.applied(call, update.version());
+      if (failing) {
+        failing = false;
+        LOG.info("endpoint list: calls succeed again, version " + update.version());
+      }
     }
   }
 
-  /** Delivers the list in the body; logs the first success after a failure. */
-  private boolean accept(DiscoveryClient client, Slice body, boolean lastSucceeded)
-      throws ProtocolException {
-    EndpointUpdate update = parser.read(JsonReader.read(body));
-    if (update.version() < minVersion.getAsLong()) {
+  private void checkVersion(EndpointUpdate update) throws ProtocolException {
+    long oldest = minVersion.getAsLong();
+    if (update.version() < oldest) {
       throw new ProtocolException(
-          "list version "
-              + update.version()
-              + " is older than the agreed minimum "
-              + minVersion.getAsLong());
+          "list version " + update.version() + " is older than the agreed minimum " + oldest);
     }
-    if (target.deliver(client, update) && !lastSucceeded) {
-      LOG.info("endpoint list: calls succeed again, version " + update.version());
-    }
-    return true;
   }
 
   /**
    * Reports a failed call, whatever its cause: without the report, the routing policy would wait
-   * for changes that no watch would deliver. Returns whether to continue watching: true if
-   * discovery has moved meanwhile, as a failure at the former address does not matter.
+   * for changes that no watch would deliver.
    */
-  private boolean fail(DiscoveryClient client, Throwable reason, boolean lastSucceeded) {
-    boolean moved = !target.deliver(client, EndpointUpdate.failed());
-    if (!moved && lastSucceeded) {
-      LOG.warning("endpoint list: call failed, keeping the current list: " + reason.getMessage());
+  private void fail(OpenCall call, Throwable reason) {
+    synchronized (deliveryLock) {
+      if (!calls.failed(call)) {
+        return;
+      }
+      post(EndpointUpdate.failed());
+      if (!failing) {
+        failing = true;
+        LOG.warning("endpoint list: call failed, keeping the current list: " + reason.getMessage());
+      }
     }
-    return moved;
+  }
+
+  private void post(EndpointUpdate update) {
+    routingThread.accept(new RoutingMessage.EndpointUpdateReceived(update));
   }
 }
--- a/src/test/java/beaconturn/net/RouterConfigTest.java
+++ b/src/test/java/beaconturn/net/RouterConfigTest.java
@@ -12,9 +12,9 @@
 import beaconturn.decision.Endpoint;
 import beaconturn.decision.EndpointHealth;
 import beaconturn.decision.EndpointListKind;
+import beaconturn.net.discovery.CallTiming;
 import beaconturn.net.discovery.DiscoveryWatcher;
 import beaconturn.net.discovery.EndpointListParser;
-import beaconturn.net.discovery.WatchBackoff;
 import beaconturn.stats.Counters;
 import beaconturn.stats.Metric;
 import java.io.IOException;
@@ -205,7 +205,7 @@
             1,
             posted::add,
             () -> 0,
-            WatchBackoff.of(1)),
+            CallTiming.of(1)),
         posted::add,
         activated::add,
         counters);
--- a/src/test/java/beaconturn/net/discovery/DiscoveryWatcherTest.java
+++ b/src/test/java/beaconturn/net/discovery/DiscoveryWatcherTest.java
@@ -34,7 +34,8 @@
     startWatch(discoveryPeer, routingMessages::add);
   }
 
-  private void startWatch(TestPeer discoveryPeer, Consumer<RoutingMessage> routingThread) {
+  private DiscoveryWatcher startWatch(
+      TestPeer discoveryPeer, Consumer<RoutingMessage> routingThread) {
     DiscoveryWatcher watcher =
         new DiscoveryWatcher(
             discoveryPeer.address(),
@@ -42,9 +43,10 @@
             4,
             routingThread,
             () -> 0,
-            new WatchBackoff(new SplittableRandom(1), 40, 40));
+            new CallTiming(new SplittableRandom(1), 40, 40));
     watcher.start();
     watcher.watch(true);
+    return watcher;
   }
 
   private EndpointUpdate nextUpdate() throws InterruptedException {
@@ -114,11 +116,11 @@
         IntStream.range(0, 50)
             .mapToObj(
                 seed -> {
-                  WatchBackoff backoff = WatchBackoff.of(seed);
+                  CallTiming timing = CallTiming.of(seed);
                   return List.of(
-                      backoff.nextWaitMillis(),
-                      backoff.nextWaitMillis(),
-                      backoff.silenceMarginMillis());
+                      timing.nextWaitMillis(),
+                      timing.nextWaitMillis(),
+                      timing.overdueMarginMillis());
                 })
             .toList();
     assertTrue(waits.stream().map(w -> w.get(0)).distinct().count() > 45, waits::toString);
@@ -167,4 +169,105 @@
       assertEquals(EndpointListKind.FAILED, nextUpdate().kind());
     }
   }
+
+  /**
+   * Answers the first call once the next has come, as a queue does that is longer than a margin.
+   */
+  private TestPeer slowPeer(String firstBody, String nextBody) {
+    CountDownLatch nextStarted = new CountDownLatch(1);
+    return new TestPeer(
+        line -> {
+          line.note(line.readHttpHead().split(" ")[1]);
+          if (line.isFirst()) {
+            nextStarted.await();
+            line.writeHttpResponse(200, firstBody);
+          } else {
+            nextStarted.countDown();
+            line.writeHttpResponse(200, nextBody);
+          }
+          done.await();
+        });
+  }
+
+  /**
+   * A router that drops calls before their turn has no list while discovery is slow (review/10).
+   */
+  @Test
+  void overdueWatchIsAnswered() throws Exception {
+    String unchanged = "{\"seq\":4,\"whole\":false,\"hosts\":[]}";
+    try (TestPeer slow = slowPeer("{\"seq\":5,\"whole\":false,\"hosts\":[]}", unchanged)) {
+      startWatch(slow);
+      EndpointUpdate first = nextUpdate();
+      EndpointUpdate newest = first.version() == 4 ? nextUpdate() : first;
+      assertEquals(5, newest.version());
+    } finally {
+      done.countDown();
+    }
+  }
+
+  /** After SIGHUP, calls for the complete list wait in the queue of the new discovery as well. */
+  @Test
+  void overdueCompleteListIsAnsweredAfterMove() throws Exception {
+    String list = "{\"seq\":2,\"whole\":true,\"hosts\":[]}";
+    try (TestPeer former = new TestPeer(line -> done.await());
+        TestPeer slow = slowPeer(list, "nothing that can be read")) {
+      DiscoveryWatcher watcher = startWatch(former, routingMessages::add);
+      watcher.move(slow.address());
+      assertEquals("/registry/instances", slow.note());
+      EndpointUpdate update = nextUpdate();
+      while (update.kind() == EndpointListKind.FAILED) {
+        update = nextUpdate();
+      }
+      assertEquals(EndpointListKind.FULL, update.kind());
+      assertEquals(2, update.version());
+    } finally {
+      done.countDown();
+    }
+  }
+
+  /**
+   * A response that another call has overtaken must not bring back the former state of a server.
+   */
+  @Test
+  void overtakenResponseIsDropped() throws Exception {
+    CountDownLatch overtaken = new CountDownLatch(1);
+    try (TestPeer discoveryPeer =
+        new TestPeer(
+            line -> {
+              boolean first = line.isFirst();
+              for (int version = 6; !line.readHttpHead().isEmpty(); version++) {
+                if (first) {
+                  overtaken.await();
+                }
+                line.writeHttpResponse(
+                    200, "{\"seq\":" + (first ? 5 : version) + ",\"whole\":false,\"hosts\":[]}");
+                if (version == 7) {
+                  overtaken.countDown();
+                }
+              }
+            })) {
+      startWatch(discoveryPeer);
+      for (int version = 6; version < 20; version++) {
+        assertEquals(version, nextUpdate().version());
+      }
+    }
+  }
+
+  /** Calls that are answered in time must share one connection, as discovery has many routers. */
+  @Test
+  void watchesShareConnection() throws Exception {
+    try (TestPeer discoveryPeer =
+        new TestPeer(
+            line -> {
+              while (!line.readHttpHead().isEmpty()) {
+                line.writeHttpResponse(200, "{\"seq\":5,\"whole\":false,\"hosts\":[]}");
+              }
+            })) {
+      startWatch(discoveryPeer);
+      for (int i = 0; i < 20; i++) {
+        assertEquals(5, nextUpdate().version());
+      }
+      assertEquals(1, discoveryPeer.connections());
+    }
+  }
 }
