RouterServerTest: reuse of a streamed response's connection is awaited without a race

Cause: the whole suite stood still in streamsResponseAndReusesConnection, in one run here, until I ended it: it sends one request after another until the settled connection is reused. On a fast machine they need more than the 26 connections of the test's router within the 25 ms, so the router closes the oldest, which is the one asked for; and once others have settled they are preferred. Then the loop never ends, and as it reads from a socket no time-out ends it. A fault of the test, on the code before as well.

Change: each request waits until the connection may have settled, and the cache server closes the other connections. As strict: the connection of the streamed response has to serve another request, now the first one after its rest; that none comes sooner is counted in CacheServerTest, as before. The wait can be interrupted, so the time-out of 60 s applies.

--- a/src/test/java/beaconturn/net/RouterServerTest.java
+++ b/src/test/java/beaconturn/net/RouterServerTest.java
@@ -780,8 +780,13 @@
   class LargeResponses {
     private static final String HEAD = "$" + (4 << 20) + "\r\n";
     private static final String HALF = "x".repeat(2 << 20);
+    private static final long SETTLE_NANOS = 25_000_000;
     private static final String GET_LARGE = GET.replace("a1", "b2").replace("id", "xl");
     private final CountDownLatch resume = new CountDownLatch(1);
+
+    /** Whether the cache server keeps only its first connection open after a small response. */
+    private volatile boolean closesOtherConnections;
+
     private final TestPeer cache =
         new TestPeer(
             connection -> {
@@ -796,6 +801,8 @@
                   connection.write(VALUE);
                   if (connection.isFirst()) {
                     connection.note("reused");
+                  } else if (closesOtherConnections) {
+                    return;
                   }
                 }
               }
@@ -820,16 +827,25 @@
     /** Once it has settled, the connection of a streamed response serves other requests. */
     @Test
     void streamsResponseAndReusesConnection() throws Exception {
+      // The router prefers connections that settled later, and closes the oldest one at its limit.
+      closesOtherConnections = true;
       try (TestPeer.Connection client = startLargeResponse()) {
         resume.countDown();
         client.expectBytes(HALF + "\r\n");
         while (!cache.remainingNotes().contains("reused")) {
+          awaitSettled();
           client.write(GET);
           assertEquals("$2\r\nva", client.readResponse());
         }
       }
     }
 
+    /** Waits until the connection of a response that the client has received may have settled. */
+    private static void awaitSettled() throws Exception {
+      long receivedNanos = System.nanoTime();
+      TestPeer.until(() -> System.nanoTime() - receivedNanos > SETTLE_NANOS);
+    }
+
     /**
      * What a slow client does not read stays in its own cache server connection and delays no one
      * else.
