Connecting to discovery is part of a call's time, without a limit of its own

Cause: a connection to discovery that did not come up within 1 s was given up and counted as a failed call. Where discovery has so many callers that its backlog is full, the system repeats the opening after 1 s and 3 s, so the router gave up just then and began anew, for as long as that lasted.

Change: connecting has the time of the call, and a call that is overdue meanwhile is joined by the next one. A call that times out is logged like one that fails, once until calls succeed again; before this, a discovery that says nothing would have left lines at INFO only.

Measured: callWaitsForSlowConnection (a listening socket with a full backlog) failed before, with a failure after 1.0 s, and passed four times in a row after. DiscoveryWatcherTest, CallScheduleTest, LayoutTest: 29 tests, none failed.

--- a/src/main/java/beaconturn/net/discovery/DiscoveryClient.java
+++ b/src/main/java/beaconturn/net/discovery/DiscoveryClient.java
@@ -8,7 +8,6 @@
 import beaconturn.protocol.ProtocolException;
 import beaconturn.protocol.Slice;
 import java.io.IOException;
-import java.net.ConnectException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -20,7 +19,6 @@
  */
 final class DiscoveryClient {
   private static final int MAX_BODY_BYTES = 1 << 22;
-  private static final int CONNECT_TIMEOUT_MILLIS = 1000;
   private static final int STATUS_OK = 200;
   private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -44,19 +42,18 @@
   /**
    * Sends a GET request and returns the body of the response. Closes the connection on any error.
    *
-   * @throws SocketTimeoutException if the connection is open but the response is not received in
-   *     time
+   * @throws SocketTimeoutException if the response is not received in time, connecting included
    * @throws IOException if the connection fails or the status is not 200
    * @throws ProtocolException if the response is not HTTP/1.1
    */
   Slice get(String path, int timeoutMillis) throws IOException, ProtocolException {
     boolean keepOpen = false;
     try {
-      Socket open = connected();
+      long deadlineNanos = System.nanoTime() + timeoutMillis * NANOS_PER_MILLI;
+      Socket open = connected(timeoutMillis);
       String host = address.getHostString() + ":" + address.getPort();
       Sockets.write(open.getOutputStream(), List.of(HttpWriter.get(path, host)));
-      HttpResponse response =
-          readResponse(open, System.nanoTime() + timeoutMillis * NANOS_PER_MILLI);
+      HttpResponse response = readResponse(open, deadlineNanos);
       keepOpen = response.keepAlive() && input.size() == 0;
       if (response.status() != STATUS_OK) {
         throw new IOException("discovery returned HTTP status " + response.status());
@@ -75,7 +72,7 @@
     close();
   }
 
-  private Socket connected() throws IOException {
+  private Socket connected(int timeoutMillis) throws IOException {
     Socket fresh = new Socket();
     synchronized (this) {
       if (socket != null) {
@@ -89,12 +86,7 @@
     // Connect outside the lock, so that shutDown does not wait for the connection.
     input = new InputBuffer();
     fresh.setTcpNoDelay(true);
-    try {
-      fresh.connect(address, CONNECT_TIMEOUT_MILLIS);
-    } catch (SocketTimeoutException e) {
-      // Callers take a SocketTimeoutException for a missing response on an open connection.
-      throw new ConnectException("connection timed out after " + CONNECT_TIMEOUT_MILLIS + " ms");
-    }
+    fresh.connect(address, timeoutMillis);
     return fresh;
   }
 
--- a/src/main/java/beaconturn/net/discovery/DiscoveryWatcher.java
+++ b/src/main/java/beaconturn/net/discovery/DiscoveryWatcher.java
@@ -43,7 +43,7 @@
    */
   private final Object deliveryLock = new Object();
 
-  /** Whether the last reported outcome was a failure. Guarded by deliveryLock. */
+  /** Whether the last outcome that was logged is a failure. Guarded by deliveryLock. */
   private boolean failing;
 
   /**
@@ -122,7 +122,7 @@
       accept(call, call.client().get(path(call), scheduled.times().timeoutMillis()));
       answered = true;
     } catch (SocketTimeoutException e) {
-      LOG.info("endpoint list: call timed out without a response");
+      logFailure("no response in " + scheduled.times().timeoutMillis() + " ms");
     } catch (IOException | ProtocolException | RuntimeException | StackOverflowError e) {
       fail(call, e);
     } finally {
@@ -178,9 +178,16 @@
         return;
       }
       post(EndpointUpdate.failed());
+      logFailure(reason.getMessage());
+    }
+  }
+
+  /** Logs a failure, unless calls have been failing already. */
+  private void logFailure(String reason) {
+    synchronized (deliveryLock) {
       if (!failing) {
         failing = true;
-        LOG.warning("endpoint list: call failed, keeping the current list: " + reason.getMessage());
+        LOG.warning("endpoint list: call failed, keeping the current list: " + reason);
       }
     }
   }
