The thread whose call to discovery was answered makes the next one on the same connection

The log of the first has the cause: after the complete list, the next watch came on another connection. Between a response and the next call of its thread another thread, woken by the move and late, could take the call that was due; the answered connection was closed. Nothing was lost, but discovery got connections that it did not need.

Change: an answered call reserves the next one for its thread until that has asked for it or failed. watchesShareConnection uses the default times: with its 40 ms a loaded machine makes calls overdue, for which a second connection is intended.

How often the race came before was not counted.

--- a/src/main/java/beaconturn/net/discovery/DiscoveryCalls.java
+++ b/src/main/java/beaconturn/net/discovery/DiscoveryCalls.java
@@ -32,6 +32,12 @@
   private InetSocketAddress address;
   private long version;
 
+  /**
+   * The connection of a call that has just been answered, or null. Its thread is about to ask for
+   * the next call and goes first, so that the connection is used again.
+   */
+  private DiscoveryClient reservedFor;
+
   DiscoveryCalls(InetSocketAddress address, long version, CallTiming timing) {
     this.address = address;
     this.version = version;
@@ -63,6 +69,7 @@
     open.clear();
     address = to;
     version = NO_VERSION;
+    reservedFor = null;
     schedule.restart();
     notifyAll();
   }
@@ -74,6 +81,7 @@
    *     a call that follows at once, as a connection that has been idle may be dead.
    */
   synchronized OpenCall next(DiscoveryClient idle) throws InterruptedException {
+    releaseReservation(idle);
     boolean reusesConnection =
         idle != null && idle.address().equals(address) && nanosUntilDue() <= 0;
     if (idle != null && !reusesConnection) {
@@ -101,7 +109,17 @@
     }
   }
 
+  private void releaseReservation(DiscoveryClient client) {
+    if (client != null && client.equals(reservedFor)) {
+      reservedFor = null;
+      notifyAll();
+    }
+  }
+
   private long nanosUntilDue() {
+    if (reservedFor != null) {
+      return CallSchedule.NOT_DUE;
+    }
     return schedule.nanosUntilDue(System.nanoTime());
   }
 
@@ -120,6 +138,7 @@
   synchronized void answered(OpenCall call) {
     if (open.remove(call)) {
       schedule.answered(call.scheduled(), System.nanoTime());
+      reservedFor = call.client();
     }
   }
 
@@ -130,6 +149,7 @@
 
   /** Records that a call ended without a response; no effect if its outcome is known already. */
   synchronized void abandoned(OpenCall call) {
+    releaseReservation(call.client());
     if (open.remove(call)) {
       schedule.abandoned(call.scheduled());
     }
