The oldest call to discovery has no time-out until a later one is answered

Change: what tells a queue from a lost call is the answer to a later one. A call that really hangs holds one connection and no place in the order: the next ones start beside it as before.

--- a/src/main/java/beaconturn/net/discovery/CallSchedule.java
+++ b/src/main/java/beaconturn/net/discovery/CallSchedule.java
@@ -11,7 +11,8 @@
  * <p>Discovery queues calls, so a call without a response is either slow or lost, and the router
  * cannot tell which. An overdue call therefore stays open, which keeps its place in the queue, and
  * the next call starts beside it, which replaces it if it is lost. That next call is the one that
- * would have followed the response, so overdue calls never raise the rate of calls.
+ * would have followed the response, so overdue calls never raise the rate of calls. A call is
+ * abandoned only when it has timed out and has been overtaken, or when an older one keeps a place.
  */
 final class CallSchedule {
   /** The time until the next call if none will be due. */
@@ -34,6 +35,9 @@
     private final long startedAtNanos;
     private final boolean followsOverdueCall;
 
+    /** Whether a call that started later has been answered. */
+    private boolean overtaken;
+
     private Call(Kind kind, CallTimes times, long startedAtNanos, boolean followsOverdueCall) {
       this.kind = kind;
       this.times = times;
@@ -140,6 +144,9 @@
 
   /** Records a response; watching continues. */
   void answered(Call call, long nowNanos) {
+    for (Call earlier : open.subList(0, open.indexOf(call))) {
+      earlier.overtaken = true;
+    }
     open.remove(call);
     updateQueueEstimate(call, nowNanos);
     responded = true;
@@ -160,6 +167,14 @@
     return true;
   }
 
+  /**
+   * Whether a call that has timed out stays open all the same: the oldest one, unless discovery has
+   * answered a later one, as nothing else tells a queue longer than the time-out from a lost call.
+   */
+  boolean outlastsTimeout(Call call) {
+    return !open.isEmpty() && open.get(0).equals(call) && !call.overtaken;
+  }
+
   /** Records that a call ended without a response or a failure of discovery. */
   void abandoned(Call call) {
     open.remove(call);
--- a/src/main/java/beaconturn/net/discovery/DiscoveryCalls.java
+++ b/src/main/java/beaconturn/net/discovery/DiscoveryCalls.java
@@ -65,7 +65,9 @@
    * may count versions differently.
    */
   synchronized void move(InetSocketAddress to) {
-    open.forEach(call -> call.client().shutDown());
+    for (OpenCall call : open) {
+      call.client().shutDown();
+    }
     open.clear();
     address = to;
     version = NO_VERSION;
@@ -147,6 +149,11 @@
     return open.remove(call) && schedule.failed(call.scheduled(), System.nanoTime());
   }
 
+  /** Whether a call that has timed out stays open all the same. */
+  synchronized boolean outlastsTimeout(OpenCall call) {
+    return schedule.outlastsTimeout(call.scheduled());
+  }
+
   /** Records that a call ended without a response; no effect if its outcome is known already. */
   synchronized void abandoned(OpenCall call) {
     releaseReservation(call.client());
--- a/src/main/java/beaconturn/net/discovery/DiscoveryClient.java
+++ b/src/main/java/beaconturn/net/discovery/DiscoveryClient.java
@@ -12,6 +12,7 @@
 import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.List;
+import java.util.function.BooleanSupplier;
 
 /**
  * An HTTP client of discovery at one address, over one persistent connection. For one thread,
@@ -42,18 +43,22 @@
   /**
    * Sends a GET request and returns the body of the response. Closes the connection on any error.
    *
+   * @param timeoutMillis the time for connecting and the response
+   * @param outlastsTimeout asked when that time is over: whether to wait as long again for the
+   *     response
    * @throws SocketTimeoutException if the response is not received in time, connecting included
    * @throws IOException if the connection fails or the status is not 200
    * @throws ProtocolException if the response is not HTTP/1.1
    */
-  Slice get(String path, int timeoutMillis) throws IOException, ProtocolException {
+  Slice get(String path, int timeoutMillis, BooleanSupplier outlastsTimeout)
+      throws IOException, ProtocolException {
     boolean keepOpen = false;
     try {
       long deadlineNanos = System.nanoTime() + timeoutMillis * NANOS_PER_MILLI;
       Socket open = connected(timeoutMillis);
       String host = address.getHostString() + ":" + address.getPort();
       Sockets.write(open.getOutputStream(), List.of(HttpWriter.get(path, host)));
-      HttpResponse response = readResponse(open, deadlineNanos);
+      HttpResponse response = awaitResponse(open, deadlineNanos, timeoutMillis, outlastsTimeout);
       keepOpen = response.keepAlive() && input.size() == 0;
       if (response.status() != STATUS_OK) {
         throw new IOException("discovery returned HTTP status " + response.status());
@@ -90,9 +95,25 @@
     return fresh;
   }
 
-  private HttpResponse readResponse(Socket from, long deadlineNanos)
+  private HttpResponse awaitResponse(
+      Socket from, long firstDeadlineNanos, int timeoutMillis, BooleanSupplier outlastsTimeout)
       throws IOException, ProtocolException {
     HttpReader reader = new HttpReader(MAX_BODY_BYTES);
+    long deadlineNanos = firstDeadlineNanos;
+    while (true) {
+      try {
+        return readResponse(from, reader, deadlineNanos);
+      } catch (SocketTimeoutException e) {
+        if (!outlastsTimeout.getAsBoolean()) {
+          throw e;
+        }
+        deadlineNanos += timeoutMillis * NANOS_PER_MILLI;
+      }
+    }
+  }
+
+  private HttpResponse readResponse(Socket from, HttpReader reader, long deadlineNanos)
+      throws IOException, ProtocolException {
     HttpResponse response = null;
     boolean open = true;
     while (response == null && open) {
--- a/src/main/java/beaconturn/net/discovery/DiscoveryWatcher.java
+++ b/src/main/java/beaconturn/net/discovery/DiscoveryWatcher.java
@@ -25,10 +25,10 @@
   private static final Logger LOG = Logger.getLogger(DiscoveryWatcher.class.getName());
 
   /**
-   * Calls that can be open at a time, each on its own thread: as many as become overdue within the
-   * time-out of one.
+   * Calls that can be open at a time, each on its own thread: the oldest one, and as many as become
+   * overdue within the time-out of another.
    */
-  static final int MAX_OPEN_CALLS = 3;
+  static final int MAX_OPEN_CALLS = 4;
 
   private static final String PATH = "/registry/instances";
 
@@ -119,7 +119,7 @@
     }
     boolean answered = false;
     try {
-      accept(call, call.client().get(path(call), scheduled.times().timeoutMillis()));
+      accept(call, request(call));
       answered = true;
     } catch (SocketTimeoutException e) {
       logFailure("no response in " + scheduled.times().timeoutMillis() + " ms");
@@ -134,6 +134,11 @@
     return answered;
   }
 
+  private Slice request(OpenCall call) throws IOException, ProtocolException {
+    int timeoutMillis = call.scheduled().times().timeoutMillis();
+    return call.client().get(path(call), timeoutMillis, () -> calls.outlastsTimeout(call));
+  }
+
   private static String path(OpenCall call) {
     CallSchedule.Call scheduled = call.scheduled();
     if (scheduled.kind() == CallSchedule.Kind.COMPLETE_LIST) {
--- a/src/test/java/beaconturn/net/discovery/CallScheduleTest.java
+++ b/src/test/java/beaconturn/net/discovery/CallScheduleTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests when calls start, with a discovery that queues calls and loses some, in simulated time. */
 class CallScheduleTest {
@@ -106,7 +107,9 @@
         open.remove(call);
         knownVersion = listVersion;
         schedule.answered(call.scheduled, nowNanos());
-      } else if (openMillis > 0 && openMillis % times.timeoutMillis() == 0) {
+      } else if (openMillis > 0
+          && openMillis % times.timeoutMillis() == 0
+          && !schedule.outlastsTimeout(call.scheduled)) {
         open.remove(call);
         schedule.abandoned(call.scheduled);
       }
@@ -130,6 +133,13 @@
         at -> new Simulation(call -> queueMillis).runFor(at).assertNotifiedWithin(queueMillis + 1));
   }
 
+  /** No time-out may be shorter than every queue: the oldest call keeps its place. */
+  @ParameterizedTest
+  @ValueSource(ints = {3_000, 5_000, 8_000, 20_000, 60_000})
+  void firstListArrivesHoweverLongTheQueue(int queueMillis) {
+    new Simulation(call -> queueMillis).assertNotifiedWithin(queueMillis + 1);
+  }
+
   /** A call that replaces a lost one must be answered before the router counts as notified. */
   @ParameterizedTest
   @MethodSource("queues")
@@ -160,6 +170,20 @@
     }
   }
 
+  /** Calls that were lost in an outage without a sign must not keep later ones from starting. */
+  @ParameterizedTest
+  @MethodSource("queues")
+  void changeArrivesInTimeAfterDiscoveryWasSilent(int queueMillis) {
+    atEveryTime(
+        silentMillis -> {
+          Simulation simulation = new Simulation(call -> queueMillis).runFor(20_000);
+          simulation.loses = call -> true;
+          simulation.runFor(30_000 + silentMillis);
+          simulation.loses = call -> false;
+          simulation.assertNotifiedWithin(NOTIFICATION_LIMIT_MILLIS);
+        });
+  }
+
   @ParameterizedTest
   @MethodSource("queues")
   void changeArrivesInTimeAfterOutageWithLostCall(int queueMillis) {
