CallScheduleTest: a call lost after one that was queued for over 3 s; known to fail

After a call that was queued for more than 3 s the next one is overdue that much later, so that a discovery which is too slow for replacements isn't given more calls. The router takes one long queue for a lasting one: if the queue is short again and that next call hangs, its replacement starts too late. Sites fail calls that have waited for 1 or 3 s, so it takes a discovery without such a limit.

The program is unchanged: a mend alters when calls start at a crowded discovery, which has to be measured with many routers first.

Measured: the test fails for 3.25 and 5 s.

--- a/src/test/java/beaconturn/net/discovery/CallScheduleTest.java
+++ b/src/test/java/beaconturn/net/discovery/CallScheduleTest.java
@@ -184,6 +184,21 @@
         });
   }
 
+  /** A queue that was long once says little of the next call, which may be lost all the same. */
+  @ParameterizedTest
+  @ValueSource(ints = {3_250, 5_000})
+  void changeArrivesInTimeAfterOneLongQueue(int longQueueMillis) {
+    for (int lost = 4; lost < 8; lost++) {
+      int lostCall = lost;
+      Simulation simulation = new Simulation(call -> call == 3 ? longQueueMillis : 1_500);
+      simulation.loses = call -> call == lostCall;
+      while (simulation.callCount <= lostCall) {
+        simulation.runFor(1);
+      }
+      simulation.assertNotifiedWithin(NOTIFICATION_LIMIT_MILLIS);
+    }
+  }
+
   @ParameterizedTest
   @MethodSource("queues")
   void changeArrivesInTimeAfterOutageWithLostCall(int queueMillis) {
